--- a/src/coordination/platform.h
+++ b/src/coordination/platform.h
@@ -2,10 +2,11 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
+#include "state/usage_counters.h"
+
 namespace quetzalridge {
 
 enum class EndpointKind {
@@ -69,13 +70,6 @@
   int granted = 0;
 };
 
-struct UsageFigures {
-  int64_t requests = 0;
-  int64_t prompt_tokens = 0;
-  int64_t completion_tokens = 0;
-  int64_t samples = 0;
-};
-
 struct UsageReport {
   std::string workspace;
   int64_t window = 0;
--- /dev/null
+++ b/src/coordination/usage_sink.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "state/usage_counters.h"
+
+namespace quetzalridge {
+
+// Takes usage as it happens.
+class UsageSink {
+ public:
+  virtual ~UsageSink() = default;
+  virtual void Add(const std::string& workspace, const UsageFigures& figures) = 0;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/usage_counters.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace quetzalridge {
+
+// What a workspace used, as reported to the platform.
+struct UsageFigures {
+  int64_t requests = 0;
+  int64_t prompt_tokens = 0;
+  int64_t completion_tokens = 0;
+  int64_t samples = 0;
+
+  UsageFigures& operator+=(const UsageFigures& other) {
+    requests += other.requests;
+    prompt_tokens += other.prompt_tokens;
+    completion_tokens += other.completion_tokens;
+    samples += other.samples;
+    return *this;
+  }
+};
+
+}  // namespace quetzalridge
