Add the request path from callers to endpoints

Purpose: a first working path for whole and streamed completions and for plain services, so that the daemon can be composed: decoders of requests, answers and events, EngineClient, EndpointRegistry, Dispatcher, CallerApi.

The test runs one whole and one streamed completion through all parts in one process.

--- /dev/null
+++ b/src/daemon/caller_api.cc
@@ -0,0 +1,246 @@
+#include "daemon/caller_api.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+#include "daemon/caller_request.h"
+#include "protocol/completion_request.h"
+#include "protocol/error_body.h"
+#include "protocol/header_allow_list.h"
+
+namespace quetzalridge {
+
+namespace {
+
+constexpr Duration kPermissionCheck = Duration::Milliseconds(100);
+constexpr int64_t kDrainRetryMs = 1000;
+// Engines run requests with smaller numbers first.
+constexpr int kInteractivePriority = 0;
+constexpr std::string_view kPlainPrefix = "/s/";
+constexpr int kStatusOk = 200;
+
+HttpHeaders AllowedHeaders(const HttpHeaders& headers, ServiceKind kind) {
+  HttpHeaders allowed;
+  for (const HttpHeader& header : headers) {
+    if (IsRequestHeaderAllowed(header.name, kind) && FindHeader(allowed, header.name) == nullptr) {
+      allowed.push_back(header);
+    }
+  }
+  return allowed;
+}
+
+void SendError(HttpResponder* responder, const Error& error, int64_t retry_after_ms) {
+  responder->Send(ErrorCodeHttpStatus(error.code()), {{"content-type", "application/json"}},
+                  EncodeErrorBody(error.code(), error.what(), error.ran(), retry_after_ms));
+}
+
+uint64_t Fingerprint(const std::string& workspace, const std::string& path, const std::string& body) {
+  return Hash64(body, Hash64(path, Hash64(workspace)));
+}
+
+// A target with spaces or control characters would be read differently by the endpoint.
+void CheckTarget(const std::string& path, const std::string& query) {
+  for (unsigned char c : path + query) {
+    if (c <= 0x20 || c == 0x7f) {
+      throw Error(ErrorCode::kInvalidRequest, "the path or query has a space or control character; percent-encode it");
+    }
+  }
+}
+
+}  // namespace
+
+CallerApi::CallerApi(Collaborators collaborators, CallerApiOptions options)
+    : m_collaborators(std::move(collaborators)), m_options(options), m_authenticator(m_collaborators.config) {
+  m_collaborators.config->AddListener([this, alive = m_alive](const ConfigChange&) {
+    if (*alive) {
+      CheckKeys();
+    }
+  });
+}
+
+CallerApi::~CallerApi() {
+  *m_alive = false;
+}
+
+void CallerApi::OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  try {
+    if (m_draining) {
+      throw Error(ErrorCode::kDraining, "this instance is stopping; send the request to another instance");
+    }
+    Route(std::move(request), responder);
+  } catch (const Error& error) {
+    SendError(responder.get(), error, error.code() == ErrorCode::kDraining ? kDrainRetryMs : 0);
+  }
+}
+
+void CallerApi::Route(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+  if (request.path == "/v1/completions" || request.path == "/v1/chat/completions") {
+    if (request.method != "POST") {
+      throw Error(ErrorCode::kMethodNotAllowed, request.path + " takes POST");
+    }
+    StartCompletion(std::move(request), responder);
+  } else if (request.path == "/v1/models") {
+    if (request.method != "GET") {
+      throw Error(ErrorCode::kMethodNotAllowed, "/v1/models takes GET");
+    }
+    ListModels(request, responder);
+  } else if (request.path.compare(0, kPlainPrefix.size(), kPlainPrefix) == 0) {
+    StartPlain(std::move(request), responder);
+  } else {
+    throw Error(ErrorCode::kNotFound, "no such path; see the interface description for the paths that exist");
+  }
+}
+
+void CallerApi::ListModels(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+  const CallerIdentity identity = m_authenticator.Identify(request);
+  const ConfigDocument& document = m_collaborators.config->document();
+  nlohmann::json models = nlohmann::json::array();
+  for (const auto& [name, route] : document.routes()) {
+    const auto service = document.services().find(route.service);
+    if (service != document.services().end() && service->second.kind == ServiceKind::kInference &&
+        (route.open || !identity.workspace.empty())) {
+      models.push_back({{"id", name}, {"object", "model"}, {"owned_by", "quetzalridge"}});
+    }
+  }
+  responder->Send(kStatusOk, {{"content-type", "application/json"}},
+                  nlohmann::json{{"object", "list"}, {"data", models}}.dump() + "\n");
+}
+
+const RouteConfig& CallerApi::FindRoute(const std::string& name, ServiceKind kind) const {
+  const ConfigDocument& document = m_collaborators.config->document();
+  const auto route = document.routes().find(name);
+  if (route != document.routes().end()) {
+    const auto service = document.services().find(route->second.service);
+    if (service != document.services().end() && service->second.kind == kind) {
+      return route->second;
+    }
+  }
+  throw Error(ErrorCode::kNotFound, kind == ServiceKind::kInference
+                                        ? "no such model; GET /v1/models lists the models"
+                                        : "no such route; ask an operator for the routes that exist");
+}
+
+CallerIdentity CallerApi::Admit(const HttpRequest& request, const RouteConfig& route) const {
+  CallerIdentity identity = m_authenticator.Identify(request);
+  if (LeaksKey(request, identity.key)) {
+    throw Error(ErrorCode::kInvalidRequest,
+                "the request carries its key outside of the authorization headers; remove it there");
+  }
+  if (route.open) {
+    return identity;
+  }
+  if (identity.key.empty()) {
+    throw Error(ErrorCode::kUnauthorized, "the route needs a key; send it as 'authorization: Bearer <key>'");
+  }
+  if (!m_collaborators.config->MayServeKeyedRoutes(m_collaborators.scheduler->clock().Now())) {
+    throw Error(ErrorCode::kPermissionLapsed,
+                "this instance cannot confirm that its keys are current; send the request to another instance");
+  }
+  return identity;
+}
+
+void CallerApi::StartCompletion(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+  const CompletionRequest completion = ParseCompletionRequest(request.body, kInteractivePriority);
+  const RouteConfig& route = FindRoute(completion.model, ServiceKind::kInference);
+  const CallerIdentity identity = Admit(request, route);
+  // The key can be spelled with escapes in JSON; the body as sent to the endpoint has them resolved.
+  if (!identity.key.empty() && completion.body.find(identity.key) != std::string::npos) {
+    throw Error(ErrorCode::kInvalidRequest, "the body carries the key; remove it there");
+  }
+  DispatchRequest dispatch;
+  dispatch.service = route.service;
+  dispatch.target = request.path;
+  dispatch.headers = AllowedHeaders(request.headers, ServiceKind::kInference);
+  dispatch.body = completion.body;
+  dispatch.idempotent = route.idempotent;
+  dispatch.stream = completion.stream;
+  dispatch.fingerprint = Fingerprint(identity.workspace, request.path, completion.body);
+  if (m_collaborators.prompt_hasher) {
+    dispatch.prefix_hashes = m_collaborators.prompt_hasher(completion.prompt);
+  }
+  StartRequest(std::move(dispatch), identity, !route.open, responder);
+}
+
+void CallerApi::StartPlain(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+  const size_t name_end = request.path.find('/', kPlainPrefix.size());
+  const std::string name = request.path.substr(kPlainPrefix.size(), name_end - kPlainPrefix.size());
+  const std::string path = name_end == std::string::npos ? "/" : request.path.substr(name_end);
+  CheckTarget(path, request.query);
+  const RouteConfig& route = FindRoute(name, ServiceKind::kPlain);
+  const CallerIdentity identity = Admit(request, route);
+  DispatchRequest dispatch;
+  dispatch.service = route.service;
+  dispatch.method = request.method;
+  dispatch.target = path + (request.query.empty() ? "" : "?" + request.query);
+  dispatch.headers = AllowedHeaders(request.headers, ServiceKind::kPlain);
+  dispatch.idempotent = route.idempotent;
+  dispatch.fingerprint = Fingerprint(identity.workspace, request.method + " " + dispatch.target, request.body);
+  dispatch.body = std::move(request.body);
+  StartRequest(std::move(dispatch), identity, !route.open, responder);
+}
+
+void CallerApi::StartRequest(DispatchRequest dispatch, CallerIdentity identity, bool keyed,
+                             const std::shared_ptr<HttpResponder>& responder) {
+  const uint64_t id = ++m_next_request;
+  dispatch.workspace = identity.workspace;
+  const auto& workspaces = m_collaborators.config->document().workspaces();
+  const auto workspace = workspaces.find(identity.workspace);
+  dispatch.workspace_share = workspace == workspaces.end() ? 1.0 : workspace->second.share;
+  // The key could be withdrawn while the request waits; this is the last look before the endpoint gets a byte.
+  dispatch.before_write = [this, identity, keyed] {
+    return m_authenticator.IsValid(identity) &&
+           (!keyed || m_collaborators.config->MayServeKeyedRoutes(m_collaborators.scheduler->clock().Now()));
+  };
+  auto request = std::make_shared<Request>(this, id, std::move(dispatch), identity, keyed, responder);
+  m_requests[id] = request;
+  if (!identity.key_digest.empty()) {
+    m_by_key[identity.key_digest][id] = request.get();
+  }
+  request->Begin();
+  if (m_permission_timer == nullptr) {
+    CheckPermission();
+  }
+}
+
+// All keys in use are looked up after each change, since a change can remove many keys at once.
+void CallerApi::CheckKeys() {
+  std::vector<std::shared_ptr<Request>> withdrawn;
+  for (const auto& [digest, requests] : m_by_key) {
+    for (const auto& [id, request] : requests) {
+      if (!m_authenticator.IsValid(request->identity())) {
+        withdrawn.push_back(m_requests.at(id));
+      }
+    }
+  }
+  for (const std::shared_ptr<Request>& request : withdrawn) {
+    request->EndEarly(ErrorCode::kKeyWithdrawn, "the key was withdrawn; ask an operator for a new one");
+  }
+}
+
+void CallerApi::CheckPermission() {
+  const std::map<uint64_t, std::shared_ptr<Request>> requests = m_requests;
+  for (const auto& [id, request] : requests) {
+    request->CheckPermission();
+  }
+  m_permission_timer.reset();
+  if (!m_requests.empty()) {
+    m_permission_timer = m_collaborators.scheduler->After(kPermissionCheck, [this] { CheckPermission(); });
+  }
+}
+
+void CallerApi::Remove(uint64_t id) {
+  const auto it = m_requests.find(id);
+  if (it == m_requests.end()) {
+    return;
+  }
+  const auto key = m_by_key.find(it->second->identity().key_digest);
+  if (key != m_by_key.end()) {
+    key->second.erase(id);
+    if (key->second.empty()) {
+      m_by_key.erase(key);
+    }
+  }
+  m_requests.erase(it);
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/daemon/dispatcher.cc
@@ -0,0 +1,79 @@
+#include "daemon/dispatcher.h"
+
+#include <utility>
+
+#include "daemon/dispatcher_run.h"
+
+namespace quetzalridge {
+
+class Dispatcher::Handle : public DispatchRun {
+ public:
+  explicit Handle(std::shared_ptr<Run> run) : m_run(std::move(run)) {}
+  ~Handle() override { m_run->Cancel(); }
+  bool written() const override { return m_run->written(); }
+
+ private:
+  std::shared_ptr<Run> m_run;
+};
+
+Dispatcher::Dispatcher(Collaborators collaborators, DispatcherOptions options)
+    : m_collaborators(collaborators), m_options(std::move(options)) {}
+
+Dispatcher::~Dispatcher() {
+  std::map<uint64_t, std::shared_ptr<Run>> runs = m_runs;
+  for (auto& [id, run] : runs) {
+    run->Cancel();
+  }
+}
+
+std::unique_ptr<DispatchRun> Dispatcher::Start(DispatchRequest request, DispatchObserver* observer) {
+  const uint64_t id = ++m_next_run;
+  auto run = std::make_shared<Run>(this, id, std::move(request), observer);
+  m_runs[id] = run;
+  m_retries.OnRequest(m_collaborators.scheduler->clock().Now());
+  run->Begin();
+  return std::make_unique<Handle>(run);
+}
+
+void Dispatcher::OnAdmissionFreed() {
+  if (m_waiting.empty() || m_admission_timer != nullptr) {
+    return;
+  }
+  // A later turn, so that a run which ends while others are asked does not change the list under the loop.
+  m_admission_timer = m_collaborators.scheduler->After(Duration(), [this] {
+    m_admission_timer.reset();
+    const std::set<std::pair<int, uint64_t>> waiting = m_waiting;
+    for (const auto& [order, id] : waiting) {
+      const auto it = m_runs.find(id);
+      if (it != m_runs.end() && m_waiting.count({order, id}) > 0) {
+        const std::shared_ptr<Run> run = it->second;
+        run->AskAdmission();
+      }
+    }
+  });
+}
+
+// The connections of a crashed endpoint break one after the other. The first break blames all attempts that are in
+// flight there; the breaks of those attempts that follow belong to the same crash.
+void Dispatcher::OnConnectionLost(uint64_t run_id) {
+  const auto lost = m_in_flight.find(run_id);
+  if (lost == m_in_flight.end()) {
+    return;
+  }
+  const std::string& endpoint_id = lost->second.endpoint_id;
+  const EndpointState* endpoint = m_collaborators.endpoints->Find(endpoint_id);
+  // A leaving endpoint ends by order of the platform, which is no fault of its requests.
+  if (endpoint == nullptr || endpoint->leaving || lost->second.crashes_before < m_crashes[endpoint_id]) {
+    return;
+  }
+  ++m_crashes[endpoint_id];
+  std::vector<uint64_t> fingerprints;
+  for (const auto& [id, in_flight] : m_in_flight) {
+    if (in_flight.endpoint_id == endpoint_id) {
+      fingerprints.push_back(in_flight.fingerprint);
+    }
+  }
+  m_collaborators.quarantine->OnCrash(fingerprints, m_collaborators.scheduler->clock().Now());
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/daemon/dispatcher_run.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "daemon/dispatcher.h"
+
+namespace quetzalridge {
+
+// One request from admission to its end, over all of its attempts.
+class Dispatcher::Run : public HttpCallObserver, public std::enable_shared_from_this<Dispatcher::Run> {
+ public:
+  Run(Dispatcher* owner, uint64_t id, DispatchRequest request, DispatchObserver* observer);
+
+  void Begin();
+  // Asks for admission again.
+  void AskAdmission();
+  void Cancel();
+  bool written() const { return m_written; }
+
+  void OnHead(int status, const HttpHeaders& headers) override;
+  void OnBody(std::string_view data) override;
+  void OnEnd(const CallResult& result) override;
+
+ private:
+  enum class AnswerMode {
+    kNone,
+    kStreamed,
+    kCollected,
+  };
+
+  // What is to be done about an attempt that did not bring a whole answer.
+  struct Failure {
+    ErrorCode code = ErrorCode::kEndpointFailed;
+    // No byte was written, or the endpoint refused the request without running it.
+    bool not_run = false;
+    bool connection_lost = false;
+    std::string message;
+  };
+
+  AdmissionRequest MakeAdmissionRequest() const;
+  void ChooseEndpoint();
+  void WaitForEndpoint();
+  // Index into `endpoints` or -1; reserves an endpoint for a suspect when none is idle.
+  int ChooseForSuspect(const RouteRequest& route, const std::vector<EndpointState>& endpoints);
+  RouteRequest MakeRouteRequest(FingerprintVerdict verdict) const;
+  void StartAttempt(const EndpointState& endpoint, const std::vector<uint64_t>& prefix_hashes);
+  HttpCall MakeCall(const EndpointState& endpoint);
+  void PassHead();
+  void ArmGapTimer();
+  void EndAttempt(CallEffect effect);
+  void FailAttempt(const Failure& failure);
+  Failure FailureOf(const CallResult& result) const;
+  void Refuse(ErrorCode code, const std::string& message, Duration retry_after);
+  void Finish(DispatchEnd end);
+  void Leave();
+  TimePoint Now() const;
+
+  Dispatcher* m_owner;
+  uint64_t m_id;
+  DispatchRequest m_request;
+  DispatchObserver* m_observer;
+  TimePoint m_started_at;
+  TimePoint m_suspect_since;
+  bool m_suspect = false;
+  bool m_admitted = false;
+  bool m_written = false;
+  bool m_attempt_written = false;
+  // An earlier attempt may have run.
+  bool m_maybe_ran = false;
+  bool m_abandoned = false;
+  bool m_ended = false;
+  bool m_starting = false;
+  bool m_head_passed = false;
+  bool m_in_flight = false;
+  int m_attempts = 0;
+  std::string m_endpoint_id;
+  std::string m_address;
+  std::string m_request_id;
+  AnswerMode m_mode = AnswerMode::kNone;
+  DispatchHead m_head;
+  std::string m_collected;
+  std::unique_ptr<HttpExchange> m_exchange;
+  std::unique_ptr<Timer> m_timer;
+  std::unique_ptr<Timer> m_gap_timer;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/daemon/endpoint_registry.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/config_view.h"
+#include "coordination/endpoint_view.h"
+#include "coordination/platform.h"
+#include "coordination/scheduler.h"
+#include "state/circuit_breaker.h"
+#include "state/router.h"
+#include "transport/engine_client.h"
+
+namespace quetzalridge {
+
+struct EndpointRegistryOptions {
+  Duration load_poll = Duration::Milliseconds(500);
+  Duration list_poll = Duration::Milliseconds(1000);
+};
+
+// What an ended call says about its endpoint.
+enum class CallEffect {
+  kSuccess,
+  kFailure,
+  // Nothing, for example because the caller left.
+  kNone,
+};
+
+// The endpoints of the configuration and of the platform's list, with their load, cache events and circuit breakers.
+class EndpointRegistry : public EndpointView {
+ public:
+  EndpointRegistry(Scheduler* scheduler, ConfigView* config, Platform* platform, EngineClient* engines, Router* router,
+                   EndpointRegistryOptions options);
+  ~EndpointRegistry() override;
+
+  // Begins polling.
+  void Start();
+
+  const std::vector<EndpointState>& endpoints() const override { return m_endpoints; }
+  void SetAside(const std::string& endpoint_id, bool set_aside) override;
+
+  // The endpoints of the service that may take a call now. Reserved endpoints are listed for their owner only.
+  std::vector<EndpointState> Available(const std::string& service, uint64_t owner) const;
+  // Slots of the service's endpoints that are in use.
+  int Capacity(const std::string& service) const;
+  const EndpointState* Find(const std::string& endpoint_id) const;
+  // True when a reservation keeps calls from an otherwise usable endpoint of the service.
+  bool IsAnyReserved(const std::string& service) const;
+
+  // Keeps new calls of others from the endpoint. 0 is no owner.
+  void Reserve(const std::string& endpoint_id, uint64_t owner);
+  void Release(uint64_t owner);
+
+  void OnCallStarted(const std::string& endpoint_id);
+  void OnCallEnded(const std::string& endpoint_id, CallEffect effect);
+
+  // Reads the configuration and the last list again; tests call it without waiting for a poll.
+  void Refresh();
+
+ private:
+  // What is kept beside the state that routers see.
+  struct Record {
+    bool from_platform = false;
+    bool polls = true;
+    bool load_pending = false;
+    bool cache_pending = false;
+    int64_t next_cache_event = 0;
+    uint64_t reserved_by = 0;
+    CircuitBreaker breaker;
+    std::deque<TimePoint> recent_starts;
+  };
+
+  void OnList(const InstanceListResult& result);
+  void PollList();
+  void PollEndpoints();
+  void PollEndpoint(const std::string& endpoint_id);
+  void OnLoad(const std::string& endpoint_id, const std::optional<EngineLoad>& load);
+  void OnCacheEvents(const std::string& endpoint_id, const std::optional<CacheEventBatch>& batch);
+  std::map<std::string, EndpointState> Wanted() const;
+  EndpointState* FindMutable(const std::string& endpoint_id);
+  bool IsUsable(const EndpointState& endpoint, uint64_t owner) const;
+
+  Scheduler* m_scheduler;
+  ConfigView* m_config;
+  Platform* m_platform;
+  EngineClient* m_engines;
+  Router* m_router;
+  EndpointRegistryOptions m_options;
+  std::vector<EndpointState> m_endpoints;
+  std::map<std::string, Record> m_records;
+  std::vector<PlatformInstance> m_list;
+  int64_t m_list_revision = -1;
+  std::unique_ptr<Timer> m_list_timer;
+  std::unique_ptr<Timer> m_load_timer;
+  // Callbacks of calls in flight look here whether the registry still exists.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/protocol/completion_request.cc
@@ -0,0 +1,108 @@
+#include "protocol/completion_request.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+#include "protocol/json_depth.h"
+
+namespace quetzalridge {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// The JSON library writes nested values recursively, so deep nesting would exhaust the stack.
+constexpr int kMaxDepth = 64;
+
+[[noreturn]] void Refuse(const std::string& problem) {
+  throw Error(ErrorCode::kInvalidRequest, problem);
+}
+
+void AppendContent(const Json& content, std::string* prompt) {
+  if (content.is_string()) {
+    *prompt += content.get_ref<const std::string&>();
+  } else if (content.is_array()) {
+    for (const Json& part : content) {
+      AppendContent(part, prompt);
+    }
+  } else if (content.is_object() && content.contains("text")) {
+    AppendContent(content["text"], prompt);
+  }
+}
+
+std::string PromptOf(const Json& request) {
+  std::string prompt;
+  if (request.contains("prompt")) {
+    AppendContent(request["prompt"], &prompt);
+  }
+  const auto messages = request.find("messages");
+  if (messages == request.end() || !messages->is_array()) {
+    return prompt;
+  }
+  for (const Json& message : *messages) {
+    if (!message.is_object()) {
+      Refuse("'messages' must be a list of objects with 'role' and 'content'");
+    }
+    const auto role = message.find("role");
+    if (role != message.end() && role->is_string()) {
+      prompt += role->get_ref<const std::string&>() + "\n";
+    }
+    const auto content = message.find("content");
+    if (content != message.end()) {
+      AppendContent(*content, &prompt);
+    }
+    prompt += "\n";
+  }
+  return prompt;
+}
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace
+
+// The body is written again from the parsed object. A repeated key could otherwise be read one way here, where it
+// selects the route and its workspace check, and another way by the endpoint.
+CompletionRequest ParseCompletionRequest(const std::string& body, int priority) {
+  if (IsJsonDeeperThan(body, kMaxDepth)) {
+    Refuse("the body nests deeper than " + std::to_string(kMaxDepth) + " levels; flatten it");
+  }
+  Json json = Json::parse(body, nullptr, false);
+  if (json.is_discarded() || !json.is_object()) {
+    Refuse("the body is not a JSON object; check quotes and commas");
+  }
+  CompletionRequest request;
+  const auto model = json.find("model");
+  if (model == json.end() || !model->is_string() || model->get_ref<const std::string&>().empty()) {
+    Refuse("'model' is missing or not a string; GET /v1/models lists the models");
+  }
+  request.model = model->get<std::string>();
+  const auto stream = json.find("stream");
+  if (stream != json.end() && !stream->is_boolean() && !stream->is_null()) {
+    Refuse("'stream' must be true or false");
+  }
+  request.stream = stream != json.end() && stream->is_boolean() && stream->get<bool>();
+  // A handle in `resume` could name the state of another workspace's request.
+  if (json.contains("resume")) {
+    Refuse("'resume' is reserved for rollouts; send the text in the prompt");
+  }
+  request.prompt = PromptOf(json);
+  json["priority"] = priority;
+  request.body = Dump(json);
+  return request;
+}
+
+std::string EncodeSampleRequest(const std::string& model, const std::string& prompt, int max_tokens, int priority,
+                                const std::string& resume_text, int64_t resume_tokens) {
+  Json json = {{"model", model}, {"prompt", prompt}, {"stream", true}, {"priority", priority}};
+  if (max_tokens > 0) {
+    json["max_tokens"] = max_tokens;
+  }
+  if (resume_tokens > 0 || !resume_text.empty()) {
+    json["resume"] = {{"text", resume_text}, {"tokens", resume_tokens}};
+  }
+  return Dump(json);
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/protocol/completion_stream.cc
@@ -0,0 +1,46 @@
+#include "protocol/completion_stream.h"
+
+#include <algorithm>
+
+#include "protocol/sse_writer.h"
+
+namespace quetzalridge {
+
+std::vector<CompletionEvent> CompletionStream::Feed(std::string_view piece) {
+  std::vector<CompletionEvent> events;
+  if (m_broken) {
+    return events;
+  }
+  for (SseEvent& event : m_parser.Feed(piece)) {
+    // Bytes after the end belong to no answer.
+    if (m_done) {
+      m_broken = true;
+      return events;
+    }
+    CompletionEvent next;
+    next.done = event.data == kSseDone;
+    if (!next.done) {
+      const std::optional<CompletionAnswer> answer = ParseCompletionAnswer(event.data);
+      // A token index that does not grow shows tokens that came twice or in a wrong order.
+      if (!answer || (answer->token_index && m_last_index && *answer->token_index <= *m_last_index)) {
+        m_broken = true;
+        return events;
+      }
+      next.answer = *answer;
+      m_last_index = answer->token_index ? answer->token_index : m_last_index;
+      m_usage = answer->usage ? answer->usage : m_usage;
+      m_tokens += answer->text.empty() ? 0 : 1;
+    }
+    m_done = next.done;
+    next.event = std::move(event);
+    events.push_back(std::move(next));
+  }
+  m_broken = m_broken || m_parser.overflowed();
+  return events;
+}
+
+int64_t CompletionStream::completion_tokens() const {
+  return m_usage ? std::max(m_usage->completion_tokens, m_tokens) : m_tokens;
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/protocol/sse_parser.cc
@@ -0,0 +1,66 @@
+#include "protocol/sse_parser.h"
+
+namespace quetzalridge {
+
+namespace {
+
+constexpr std::string_view kByteOrderMark = "\xef\xbb\xbf";
+
+}  // namespace
+
+std::vector<SseEvent> SseParser::Feed(std::string_view piece) {
+  std::vector<SseEvent> events;
+  for (char c : piece) {
+    if (m_overflowed) {
+      break;
+    }
+    const bool second_of_pair = m_after_cr && c == '\n';
+    m_after_cr = c == '\r';
+    if (second_of_pair) {
+      continue;
+    }
+    if (c == '\n' || c == '\r') {
+      EndLine(&events);
+      continue;
+    }
+    m_line.push_back(c);
+    m_overflowed = m_line.size() + m_data.size() > m_max_event_bytes;
+  }
+  return events;
+}
+
+void SseParser::EndLine(std::vector<SseEvent>* events) {
+  std::string line;
+  line.swap(m_line);
+  if (m_at_start && std::string_view(line).substr(0, kByteOrderMark.size()) == kByteOrderMark) {
+    line.erase(0, kByteOrderMark.size());
+  }
+  m_at_start = false;
+  if (line.empty()) {
+    // An event without data lines is dropped, as the format's definition says.
+    if (m_has_data) {
+      events->push_back({m_type.empty() ? "message" : m_type, m_data});
+    }
+    m_type.clear();
+    m_data.clear();
+    m_has_data = false;
+    return;
+  }
+  const size_t colon = line.find(':');
+  const std::string field = line.substr(0, colon);
+  std::string value = colon == std::string::npos ? "" : line.substr(colon + 1);
+  if (!value.empty() && value[0] == ' ') {
+    value.erase(0, 1);
+  }
+  if (field == "data") {
+    if (m_has_data) {
+      m_data.push_back('\n');
+    }
+    m_data += value;
+    m_has_data = true;
+  } else if (field == "event") {
+    m_type = value;
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/circuit_breaker.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/clock.h"
+
+namespace quetzalridge {
+
+// Keeps work from an endpoint that fails, and tries it again with single calls.
+class CircuitBreaker {
+ public:
+  // While true, calls may start. After an open period only one trial call may.
+  bool Allows(TimePoint now) const;
+  // A call started; takes the trial after an open period.
+  void OnStart(TimePoint now);
+  void OnSuccess();
+  void OnFailure(TimePoint now);
+  // The call ended without saying anything about the endpoint, for example by a caller that left.
+  void OnNeutral();
+
+  bool open() const { return m_open; }
+
+ private:
+  bool m_open = false;
+  bool m_trial_running = false;
+  int m_failures = 0;
+  Duration m_open_for;
+  TimePoint m_opened_at;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/transport/engine_client.cc
@@ -0,0 +1,64 @@
+#include "transport/engine_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalridge {
+
+namespace {
+
+constexpr Duration kPollTimeout = Duration::Seconds(2);
+constexpr size_t kMaxLoadBytes = 64 << 10;
+constexpr size_t kMaxCacheEventBytes = 4 << 20;
+constexpr int kStatusOk = 200;
+
+HttpCall SmallCall(const std::string& address, const std::string& target) {
+  HttpCall call;
+  call.address = address;
+  call.target = target;
+  call.connect_timeout = kPollTimeout;
+  call.head_timeout = kPollTimeout;
+  call.idle_timeout = kPollTimeout;
+  call.total_timeout = kPollTimeout;
+  return call;
+}
+
+bool IsUsable(const HttpResponse& response) {
+  return response.result.outcome == CallOutcome::kWhole && response.status == kStatusOk;
+}
+
+}  // namespace
+
+std::unique_ptr<HttpExchange> EngineClient::Start(HttpCall call, HttpCallObserver* observer) {
+  return m_client->Start(std::move(call), observer);
+}
+
+void EngineClient::PollLoad(const std::string& address,
+                            std::function<void(const std::optional<EngineLoad>&)> callback) {
+  m_client->Fetch(
+      SmallCall(address, "/load"),
+      [callback = std::move(callback)](const HttpResponse& response) {
+        callback(IsUsable(response) ? ParseEngineLoad(response.body) : std::nullopt);
+      },
+      kMaxLoadBytes);
+}
+
+void EngineClient::PollCacheEvents(const std::string& address, int64_t since,
+                                   std::function<void(const std::optional<CacheEventBatch>&)> callback) {
+  m_client->Fetch(
+      SmallCall(address, "/cache_events?since=" + std::to_string(since)),
+      [callback = std::move(callback)](const HttpResponse& response) {
+        callback(IsUsable(response) ? ParseCacheEvents(response.body) : std::nullopt);
+      },
+      kMaxCacheEventBytes);
+}
+
+void EngineClient::Cancel(const std::string& address, const std::string& request_id) {
+  HttpCall call = SmallCall(address, "/cancel");
+  call.method = "POST";
+  call.headers = {{"content-type", "application/json"}};
+  call.body = nlohmann::json{{"request_id", request_id}}.dump();
+  m_client->Fetch(
+      std::move(call), [](const HttpResponse&) {}, kMaxLoadBytes);
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/daemon/caller_api_test.cc
@@ -0,0 +1,28 @@
+#include "daemon/caller_api.h"
+
+#include <catch2/catch.hpp>
+
+#include "protocol/sse_writer.h"
+#include "tests/daemon/caller_fixture.h"
+
+namespace quetzalridge {
+namespace {
+
+// Guards against a broken request path: the answers of an endpoint must reach the caller unchanged.
+TEST_CASE("whole and streamed completions reach their caller") {
+  CallerFixture f;
+  const CallerAnswer whole = f.Run(f.Completion("hides", false));
+  CHECK(whole.status() == 200);
+  CHECK(whole.body().find("echo hides") != std::string::npos);
+  const CallerAnswer streamed = f.Run(f.Completion("hides", true));
+  CHECK(streamed.status() == 200);
+  CHECK(streamed.body().find("\"text\":\"hides\"") != std::string::npos);
+  CHECK(streamed.body().find("data: [DONE]") != std::string::npos);
+  CHECK(f.usage.by_workspace["a"].requests == 2);
+  CHECK(f.usage.by_workspace["a"].completion_tokens == 4);
+  REQUIRE(f.endpoints["e0"]->requests.size() == 2);
+  CHECK(f.endpoints["e0"]->requests[0].body.find("\"priority\":0") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace quetzalridge
