--- /dev/null
+++ b/tests/daemon/settings_test.cc
@@ -0,0 +1,88 @@
+#include "daemon/settings.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "base/error.h"
+
+namespace quetzalridge {
+namespace {
+
+const char kValid[] = R"({
+  // One entry instance.
+  "instance": {"id": "entry-1", "zone": "a"},
+  "listen": {"caller": "127.0.0.1:8080", "admin": "127.0.0.1:8081", "peer": "127.0.0.1:8082"},
+  "platform": {"address": "127.0.0.1:9000"} /* the platform */
+})";
+
+std::string ErrorOf(const std::string& text) {
+  try {
+    ParseSettings(text);
+  } catch (const Error& error) {
+    CHECK(error.code() == ErrorCode::kInvalidSettings);
+    return error.what();
+  }
+  return "";
+}
+
+// Guards against a parser that rejects the documented format.
+TEST_CASE("settings with comments are read and defaults fill the rest") {
+  const Settings settings = ParseSettings(kValid);
+  CHECK(settings.instance.id == "entry-1");
+  CHECK(settings.listen.caller == "127.0.0.1:8080");
+  CHECK(settings.timing.permission == Duration::Seconds(3));
+}
+
+// Guards against start-up with a misspelled or ill-typed key, and against errors that are reported one at a time.
+TEST_CASE("every error is reported at once with its path and remedy") {
+  const std::string message = ErrorOf(R"({
+    "instance": {"id": "", "zone": "a", "colour": 1},
+    "listen": {"caller": "somewhere", "admin": "127.0.0.1:8081", "peer": "127.0.0.1:70000"},
+    "timing": {"permission_ms": 60000, "lease_ttl_ms": "long"},
+    "limits": 3
+  })");
+  CHECK(message.find("instance.id must not be empty") != std::string::npos);
+  CHECK(message.find("instance.colour is not a known key; remove it") != std::string::npos);
+  CHECK(message.find("listen.caller must be an IPv4 number and a port") != std::string::npos);
+  CHECK(message.find("listen.peer must be an IPv4 number") != std::string::npos);
+  CHECK(message.find("timing.permission_ms must be whole milliseconds from 100 to 3000") != std::string::npos);
+  CHECK(message.find("timing.lease_ttl_ms must be whole milliseconds") != std::string::npos);
+  CHECK(message.find("limits must be an object") != std::string::npos);
+  CHECK(message.find("platform.address is missing; add it") != std::string::npos);
+}
+
+// Guards against timings under which the guarantees on configuration and orders would not hold.
+TEST_CASE("combinations that break a guarantee are refused") {
+  std::string text = kValid;
+  text.insert(text.rfind('}'),
+              R"(, "timing": {"accept_wait_ms": 3000, "lease_ttl_ms": 4000, "lease_renewal_ms": 3000})");
+  const std::string message = ErrorOf(text);
+  CHECK(message.find("timing.accept_wait_ms must be at least") != std::string::npos);
+  CHECK(message.find("timing.lease_renewal_ms must be at most half") != std::string::npos);
+  CHECK(message.find("timing.lease_ttl_ms must exceed") != std::string::npos);
+}
+
+// Guards against a crash or a hang on malformed settings.
+TEST_CASE("malformed settings are refused") {
+  for (const char* text : {"", "{", "[]", "{\"instance\": {\"id\"}}", "{\"a\":1}", "nonsense", "{\"timing\":null}"}) {
+    INFO(text);
+    CHECK_FALSE(ErrorOf(text).empty());
+  }
+}
+
+// Guards against a reference page that lags behind the code.
+TEST_CASE("the settings reference lists each key with its type and default") {
+  std::ifstream file(QUETZALRIDGE_SOURCE_DIR "/docs/operations/settings.md");
+  std::ostringstream page;
+  page << file.rdbuf();
+  for (const SettingsKey& key : SettingsKeys()) {
+    const std::string row = "| `" + key.path + "` | " + key.type + " | " +
+                            (key.default_value.empty() ? "(empty)" : key.default_value) + " |";
+    INFO(row);
+    CHECK(page.str().find(row) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/state/config_document_test.cc
@@ -0,0 +1,90 @@
+#include "state/config_document.h"
+
+#include <catch2/catch.hpp>
+
+#include "base/error.h"
+#include "base/random.h"
+
+namespace quetzalridge {
+namespace {
+
+void Put(ConfigDocument* document, ConfigKind kind, const std::string& name, const std::string& value) {
+  document->Apply({document->version() + 1, kind, name, value});
+}
+
+ConfigDocument Sample() {
+  ConfigDocument document;
+  Put(&document, ConfigKind::kWorkspace, "w", R"({"share": 2})");
+  Put(&document, ConfigKind::kProfile, "p", R"({"staleness_bound": 3})");
+  Put(&document, ConfigKind::kService, "s", R"({"profile": "p"})");
+  Put(&document, ConfigKind::kRoute, "r", R"({"service": "s", "idempotent": false})");
+  Put(&document, ConfigKind::kKey, "digest", R"({"workspace": "w"})");
+  return document;
+}
+
+// Guards against snapshots that lose or change entries.
+TEST_CASE("a document survives the round trip through its snapshot") {
+  const ConfigDocument document = Sample();
+  const ConfigDocument copy = ConfigDocument::FromJson(document.ToJson());
+  CHECK(copy.ToJson() == document.ToJson());
+  CHECK(copy.version() == 5);
+  CHECK_FALSE(copy.routes().at("r").idempotent);
+}
+
+// Guards against changes that apply twice, out of order, or in part.
+TEST_CASE("refused changes leave the document as it was") {
+  ConfigDocument document = Sample();
+  const std::string before = document.ToJson();
+  const ConfigChange refused[] = {
+      {5, ConfigKind::kWorkspace, "w", "{}"},
+      {7, ConfigKind::kWorkspace, "w", "{}"},
+      {6, ConfigKind::kWorkspace, "w", R"({"shares": 1})"},
+      {6, ConfigKind::kWorkspace, "w", R"({"share": "much"})"},
+      {6, ConfigKind::kWorkspace, "w", R"({"share": -1})"},
+      {6, ConfigKind::kWorkspace, "", "{}"},
+      {6, ConfigKind::kWorkspace, "a/b", "{}"},
+      {6, ConfigKind::kWorkspace, "w", "not json"},
+      {6, ConfigKind::kWorkspace, "w", std::nullopt},
+      {6, ConfigKind::kService, "t", R"({"profile": "missing"})"},
+      {6, ConfigKind::kProfile, "p", std::nullopt},
+      {6, ConfigKind::kKey, "none", std::nullopt},
+  };
+  for (const ConfigChange& change : refused) {
+    CHECK_THROWS_AS(document.Apply(change), Error);
+    CHECK(document.ToJson() == before);
+  }
+}
+
+// Guards against a withdrawn key that stays in the document.
+TEST_CASE("an entry can be deleted when nothing refers to it") {
+  ConfigDocument document = Sample();
+  document.Apply({6, ConfigKind::kKey, "digest", std::nullopt});
+  document.Apply({7, ConfigKind::kWorkspace, "w", std::nullopt});
+  CHECK(document.keys().empty());
+  CHECK(document.workspaces().empty());
+}
+
+// Guards against a crash on malformed values and snapshots: every input either applies or throws Error.
+TEST_CASE("mutated values never do more than throw") {
+  Random random(7);
+  const std::string seedText = Sample().ToJson();
+  for (int round = 0; round < 3000; ++round) {
+    std::string text = seedText;
+    for (int i = 0; i < 4; ++i) {
+      text[random.Below(text.size())] = static_cast<char>(random.Below(256));
+    }
+    try {
+      ConfigDocument::FromJson(text);
+    } catch (const Error&) {
+    }
+    ConfigDocument document = Sample();
+    try {
+      document.Apply({6, static_cast<ConfigKind>(random.Below(8)), "n", text.substr(random.Below(text.size()))});
+    } catch (const Error&) {
+    }
+  }
+  SUCCEED();
+}
+
+}  // namespace
+}  // namespace quetzalridge
