Add the command-line tool and the service-level burn report

quetzalridgectl lists and changes each kind of entry with compare-and-set on the version it read, grants keys whose secret never leaves the operator's machine, and renders the burn report as a table, JSON or an HTML page. Exit codes tell refused, unreachable, unknown and conflict apart.

--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "ctl/admin_client.h"
+#include "ctl/exit_code.h"
+
+namespace quetzalridge {
+
+struct CommandOptions {
+  bool json = false;
+  // For `burn`: write an HTML page to this file.
+  std::string html_file;
+};
+
+struct CommandInfo {
+  std::string name;
+  std::string arguments;
+  std::string summary;
+  std::string details;
+};
+
+const std::vector<CommandInfo>& CommandCatalogue();
+std::string CommandHelp(const std::string& name);
+std::string BashCompletion();
+
+// Runs one command; `words` are the command and its arguments.
+ExitCode RunCommand(const std::vector<std::string>& words, const CommandOptions& options, AdminClient* client,
+                    std::ostream& out, std::ostream& err);
+
+}  // namespace quetzalridge
--- a/src/ctl/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-// The command-line tool's sources go here.
--- a/src/ctl/quetzalridgectl_main.cc
+++ b/src/ctl/quetzalridgectl_main.cc
@@ -1,3 +1,89 @@
-int main() {
-  return 0;
+#include <getopt.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "base/log_event.h"
+#include "ctl/commands.h"
+
+namespace quetzalridge {
+namespace {
+
+constexpr char kDefaultAddress[] = "127.0.0.1:8081";
+
+void PrintHelp() {
+  std::cout << "usage: quetzalridgectl [OPTIONS] COMMAND [ARGUMENTS]\n\noptions:\n"
+               "  -a, --address IP:PORT  admin address of an instance (QUETZALRIDGE_ADMIN_ADDRESS; default "
+            << kDefaultAddress
+            << ")\n"
+               "  -t, --token TOKEN      admin token (QUETZALRIDGE_ADMIN_TOKEN)\n"
+               "  -j, --json             print JSON for programs\n"
+               "      --html FILE        for burn: write an HTML page\n"
+               "  -h, --help             this help, or the help of COMMAND\n\ncommands:\n";
+  for (const CommandInfo& info : CommandCatalogue()) {
+    std::cout << "  " << info.name << std::string(info.name.size() < 12 ? 12 - info.name.size() : 1, ' ')
+              << info.summary << "\n";
+  }
+  std::cout << "\nexit codes: 0 done, 1 refused, 2 usage, 3 unreachable, 4 outcome unknown, 5 conflict\n";
+}
+
+std::string Environment(const char* name, const char* fallback) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? fallback : value;
+}
+
+int Main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  ConfigureLogging(LogSeverity::kError);
+  std::string address = Environment("QUETZALRIDGE_ADMIN_ADDRESS", kDefaultAddress);
+  std::string token = Environment("QUETZALRIDGE_ADMIN_TOKEN", "");
+  CommandOptions options;
+  bool help = false;
+  constexpr int kHtmlOption = 256;
+  const option long_options[] = {
+      {"address", required_argument, nullptr, 'a'}, {"token", required_argument, nullptr, 't'},
+      {"json", no_argument, nullptr, 'j'},          {"html", required_argument, nullptr, kHtmlOption},
+      {"help", no_argument, nullptr, 'h'},          {nullptr, 0, nullptr, 0}};
+  int flag = 0;
+  while ((flag = getopt_long(argc, argv, "a:t:jh", long_options, nullptr)) != -1) {
+    switch (flag) {
+      case 'a':
+        address = optarg;
+        break;
+      case 't':
+        token = optarg;
+        break;
+      case 'j':
+        options.json = true;
+        break;
+      case kHtmlOption:
+        options.html_file = optarg;
+        break;
+      case 'h':
+        help = true;
+        break;
+      default:
+        std::cerr << "see: quetzalridgectl --help\n";
+        return static_cast<int>(ExitCode::kUsage);
+    }
+  }
+  const std::vector<std::string> words(argv + optind, argv + argc);
+  if (help && !words.empty() && !CommandHelp(words[0]).empty()) {
+    std::cout << CommandHelp(words[0]);
+    return 0;
+  }
+  if (help || words.empty()) {
+    PrintHelp();
+    return help ? 0 : static_cast<int>(ExitCode::kUsage);
+  }
+  HttpAdminClient client(address, token);
+  return static_cast<int>(RunCommand(words, options, &client, std::cout, std::cerr));
+}
+
+}  // namespace
+}  // namespace quetzalridge
+
+int main(int argc, char** argv) {
+  return quetzalridge::Main(argc, argv);
 }
--- /dev/null
+++ b/tests/ctl/commands_test.cc
@@ -0,0 +1,115 @@
+#include "ctl/commands.h"
+
+#include <catch2/catch.hpp>
+#include <sstream>
+
+#include "base/hash.h"
+#include "ctl/burn_report.h"
+
+namespace quetzalridge {
+namespace {
+
+// Answers as an instance would and keeps what was sent.
+class FakeAdminClient : public AdminClient {
+ public:
+  AdminResponse Call(const std::string& method, const std::string& target, const std::string& body) override {
+    if (target == "/admin/change") {
+      change = body;
+      return change_response;
+    }
+    if (target == "/admin/config") {
+      return {200, true, config, ""};
+    }
+    return {200, true, R"({"state":"serving","peers":[{"id":"b","zone":"z"}]})", ""};
+  }
+
+  std::string config = R"({"version":4,"profile":{"p":{"staleness_bound":2}},"key":{"aa11":{"workspace":"w"},)"
+                       R"("aa22":{"workspace":"w"}}})";
+  std::string change;
+  AdminResponse change_response = {200, true, R"({"version":5})", ""};
+};
+
+struct Fixture {
+  FakeAdminClient client;
+  CommandOptions options;
+  std::ostringstream out;
+  std::ostringstream err;
+  ExitCode Run(const std::vector<std::string>& words) { return RunCommand(words, options, &client, out, err); }
+};
+
+// Guards against a change that drops members or names no base version, which would overwrite another operator's edit.
+TEST_CASE("set merges members and sends the version that was read") {
+  Fixture f;
+  CHECK(f.Run({"profile", "set", "p", "cheap_share_max=0.25"}) == ExitCode::kOk);
+  CHECK(f.client.change ==
+        R"({"base_version":4,"kind":"profile","name":"p","value":{"cheap_share_max":0.25,"staleness_bound":2}})");
+  CHECK(f.out.str().find("version 5") != std::string::npos);
+}
+
+// Guards against a secret that leaves the operator's machine.
+TEST_CASE("a granted key is sent as its digest only") {
+  Fixture f;
+  CHECK(f.Run({"key", "grant", "w", "laptop"}) == ExitCode::kOk);
+  const std::string text = f.out.str();
+  const size_t at = text.find("qr-");
+  REQUIRE(at != std::string::npos);
+  const std::string secret = text.substr(at, text.find('\n', at) - at);
+  CHECK(f.client.change.find(secret) == std::string::npos);
+  CHECK(f.client.change.find(Sha256Hex(secret)) != std::string::npos);
+}
+
+// Guards against withdrawing the wrong key.
+TEST_CASE("an ambiguous or unknown key is not withdrawn") {
+  Fixture f;
+  CHECK(f.Run({"key", "withdraw", "aa"}) == ExitCode::kUsage);
+  CHECK(f.Run({"key", "withdraw", "bb"}) == ExitCode::kRefused);
+  CHECK(f.client.change.empty());
+  CHECK(f.Run({"key", "withdraw", "aa1"}) == ExitCode::kOk);
+  CHECK(f.client.change.find("\"name\":\"aa11\",\"value\":null") != std::string::npos);
+}
+
+// Guards against scripts that take an unknown outcome or a lost race for success.
+TEST_CASE("outcomes become the documented exit codes") {
+  Fixture f;
+  f.client.change_response = {0, true, "", "timeout"};
+  CHECK(f.Run({"zone", "set", "z", "{}"}) == ExitCode::kUnknown);
+  f.client.change_response = {0, false, "", "refused"};
+  CHECK(f.Run({"zone", "set", "z", "{}"}) == ExitCode::kUnreachable);
+  f.client.change_response = {409, true, R"({"error":{"message":"changed"},"changes":[{"version":5,"name":"x"}]})", ""};
+  CHECK(f.Run({"zone", "set", "z", "{}"}) == ExitCode::kConflict);
+  CHECK(f.err.str().find("changes since the version that you read") != std::string::npos);
+  f.client.change_response = {400, true, R"({"error":{"message":"bad range"}})", ""};
+  CHECK(f.Run({"zone", "set", "z", "{}"}) == ExitCode::kRefused);
+  CHECK(f.Run({"nonsense"}) == ExitCode::kUsage);
+  CHECK(f.Run({"zone", "set", "z"}) == ExitCode::kUsage);
+}
+
+// Guards against commands without help and names without completion.
+TEST_CASE("every command has help and is completed") {
+  for (const CommandInfo& info : CommandCatalogue()) {
+    INFO(info.name);
+    CHECK(CommandHelp(info.name).find(info.summary) != std::string::npos);
+    CHECK(BashCompletion().find(info.name) != std::string::npos);
+  }
+  Fixture f;
+  CHECK(f.Run({"names", "profile"}) == ExitCode::kOk);
+  CHECK(f.out.str() == "p\n");
+}
+
+// Guards against a report that hides the worst row or lets names break the page.
+TEST_CASE("the burn report lists the worst row first, as table and page") {
+  const std::string json =
+      R"({"services":[{"service":"a","workspace":"w","objective_ms":500,"target":0.99,"requests":100,"bad":0},)"
+      R"({"service":"<b>","workspace":"w","objective_ms":500,"target":0.99,"requests":100,"bad":5,"budget_left":-4,)"
+      R"("burn_5m":7.5,"burn_1h":5,"consumed_by":{"slow":1,"errors":4}}]})";
+  const std::string table = FormatBurnTable(json);
+  CHECK(table.find("<b>") < table.find("a  "));
+  CHECK(table.find("errors 4, slow 1") != std::string::npos);
+  const std::string page = FormatBurnHtml(json);
+  CHECK(page.find("<b>") == std::string::npos);
+  CHECK(page.find("&lt;b&gt;") != std::string::npos);
+  CHECK(page.find("<svg") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace quetzalridge
