Close the connection when a request is aborted before its head

h2o sent a head with status 500 and no length, so a lost answer of a stand-in, and an abort in the daemon, looked like an answer (outcome kCut, status 500). The socket is now shut down before the response is dropped. Test 'an abort before the head closes the connection without a byte': failed before (kCut, 500), passes now (kNoAnswer, no status).

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -78,6 +78,9 @@
     m_ended = true;
     m_aborted = true;
     if (!m_started) {
+      // h2o would send a head with status 500, which a caller could take for an answer.
+      h2o_socket_t* socket = m_request->conn->callbacks->get_socket(m_request->conn);
+      shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
       m_request->http1_is_persistent = 0;
       StartResponse(500, {});
     }
--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -27,6 +27,8 @@
       responder->Start(200, {{"content-type", "text/plain"}});
       responder->Write("half an answer");
       m_timer = m_loop->After(Duration::Milliseconds(20), [responder] { responder->Abort(); });
+    } else if (request.path == "/abort") {
+      responder->Abort();
     } else if (request.path == "/silent") {
       silent = responder;
       responder->SetCloseCallback([this] { silent_closed = true; });
@@ -92,6 +94,14 @@
   CHECK(response.body == "half an answer");
 }
 
+// Guards against a status 500 in place of a closed connection: the caller would take it for the server's answer.
+TEST_CASE("an abort before the head closes the connection without a byte") {
+  Fixture f;
+  HttpResponse response = f.Run(f.Call("/abort"));
+  CHECK(response.result.outcome == CallOutcome::kNoAnswer);
+  CHECK(response.status == 0);
+}
+
 // Guards against waiting forever on a connection that went silent after the request was written.
 TEST_CASE("a silent server ends the call as unanswered") {
   Fixture f;
