--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -1,6 +1,7 @@
 #include "transport/event_loop.h"
 
 #include <algorithm>
+#include <csignal>
 #include <vector>
 
 #include "transport/detail_h2o.h"
@@ -29,7 +30,10 @@
   TimerKey m_key;
 };
 
-EventLoop::EventLoop() : m_loop(h2o_evloop_create()), m_alive(std::make_shared<bool>(true)) {}
+EventLoop::EventLoop() : m_loop(h2o_evloop_create()), m_alive(std::make_shared<bool>(true)) {
+  // A write to a connection that is closed must fail with an error, not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+}
 
 // The h2o loop is not destroyed: its sockets and timeouts are owned by objects whose order of destruction is open, and
 // the process ends with the loop.
