--- a/src/state/router.cc
+++ b/src/state/router.cc
@@ -20,4 +20,14 @@
   return std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) == request.excluded.end();
 }
 
+// A report may be older than the first of this instance's requests, so the requests in flight are a lower bound.
+int EstimatedLoad(const EndpointState& endpoint) {
+  const int reported = endpoint.reported_running + endpoint.reported_queued + endpoint.own_since_report;
+  return std::max(reported, endpoint.own_in_flight);
+}
+
+double LoadPerSlot(const EndpointState& endpoint) {
+  return static_cast<double>(EstimatedLoad(endpoint)) / std::max(endpoint.slots, 1);
+}
+
 }  // namespace quetzalridge
--- a/src/state/router.h
+++ b/src/state/router.h
@@ -49,4 +49,10 @@
 // True when the endpoint may serve the request at all, whatever its load.
 bool IsEligible(const RouteRequest& request, const EndpointState& endpoint);
 
+// Requests that the endpoint is expected to hold: those of its last report and this instance's own since then.
+int EstimatedLoad(const EndpointState& endpoint);
+
+// The estimated load per slot; 1 means that all slots are taken.
+double LoadPerSlot(const EndpointState& endpoint);
+
 }  // namespace quetzalridge
