--- /dev/null
+++ b/src/state/prefix_affinity_router.cc
@@ -0,0 +1,168 @@
+#include "state/prefix_affinity_router.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzalridge {
+
+namespace {
+
+// With a tighter bound the cache hits fall; with a wider one a popular prefix overloads its holder.
+constexpr double kLoadBound = 1.25;
+constexpr Duration kSlowStart = Duration::Seconds(10);
+// A new endpoint starts with a tenth of its slots, so that its cold cache and its start-up do not meet a full load.
+constexpr double kSlowStartFloor = 0.1;
+// About 10 MB at a mean of one holder per prefix.
+constexpr size_t kMaxIndexedPrefixes = 100'000;
+// In load per slot: a neighbouring zone adds about 1 ms to a request, so zones decide only between similar loads.
+constexpr double kZonePreference = 0.05;
+
+double SlowStartFactor(const EndpointState& endpoint, TimePoint now) {
+  const Duration age = now - endpoint.first_seen;
+  if (age >= kSlowStart) {
+    return 1.0;
+  }
+  return std::max(kSlowStartFloor, static_cast<double>(age.ms()) / static_cast<double>(kSlowStart.ms()));
+}
+
+// splitmix64's finalizer over both numbers.
+uint64_t MixPair(uint64_t a, uint64_t b) {
+  uint64_t z = a ^ (b + 0x9e3779b97f4a7c15ULL + (a << 6));
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+  return z ^ (z >> 31);
+}
+
+}  // namespace
+
+PrefixAffinityRouter::PrefixAffinityRouter(uint64_t seed) : m_random(seed), m_index(kMaxIndexedPrefixes) {}
+
+int PrefixAffinityRouter::Choose(const RouteRequest& request, const std::vector<EndpointState>& endpoints,
+                                 TimePoint now) {
+  CollectCandidates(request, endpoints, now);
+  if (m_candidates.empty()) {
+    return -1;
+  }
+  if (!request.prefix_hashes.empty()) {
+    const int holder = ChooseHolder(request, endpoints);
+    if (holder >= 0) {
+      return holder;
+    }
+    const int home = ChooseHome(request.prefix_hashes.back());
+    if (home >= 0) {
+      return home;
+    }
+  }
+  return ChooseOfTwo(request, endpoints);
+}
+
+void PrefixAffinityRouter::CollectCandidates(const RouteRequest& request, const std::vector<EndpointState>& endpoints,
+                                             TimePoint now) {
+  m_candidates.clear();
+  double total_load = 0;
+  double total_slots = 0;
+  for (size_t i = 0; i < endpoints.size(); ++i) {
+    if (!IsEligible(request, endpoints[i])) {
+      continue;
+    }
+    Candidate candidate;
+    candidate.index = static_cast<int>(i);
+    candidate.number = m_index.NumberOf(endpoints[i].id);
+    candidate.load = EstimatedLoad(endpoints[i]);
+    candidate.slots = std::max(endpoints[i].slots, 1) * SlowStartFactor(endpoints[i], now);
+    total_load += candidate.load;
+    total_slots += candidate.slots;
+    m_candidates.push_back(candidate);
+  }
+  m_candidate_of_number.assign(m_candidate_of_number.size(), -1);
+  for (size_t c = 0; c < m_candidates.size(); ++c) {
+    Candidate& candidate = m_candidates[c];
+    // The bound counts the request itself and is rounded up, so that some endpoint is always below it.
+    const double bound = std::ceil(kLoadBound * (total_load + 1) * candidate.slots / total_slots);
+    candidate.below_bound = candidate.load + 1 <= bound;
+    if (candidate.number >= m_candidate_of_number.size()) {
+      m_candidate_of_number.resize(candidate.number + 1, -1);
+    }
+    m_candidate_of_number[candidate.number] = static_cast<int>(c);
+  }
+}
+
+// Among holders of the longest known prefix, entries without lost events come before others, then the lower load.
+int PrefixAffinityRouter::ChooseHolder(const RouteRequest& request, const std::vector<EndpointState>& endpoints) const {
+  for (const uint64_t hash : request.prefix_hashes) {
+    const Candidate* best = nullptr;
+    double best_cost = 0;
+    for (const PrefixIndex::Holder& holder : m_index.Holders(hash)) {
+      const int c = holder.endpoint < m_candidate_of_number.size() ? m_candidate_of_number[holder.endpoint] : -1;
+      if (c < 0 || !m_candidates[c].below_bound || !m_index.IsUsable(holder)) {
+        continue;
+      }
+      const Candidate& candidate = m_candidates[c];
+      const bool far = !request.zone.empty() && endpoints[candidate.index].zone != request.zone;
+      // One whole unit of load per slot separates unreliable entries from reliable ones.
+      const double cost =
+          candidate.load / candidate.slots + (far ? kZonePreference : 0.0) + (m_index.IsReliable(holder) ? 0.0 : 1.0);
+      if (best == nullptr || cost < best_cost) {
+        best = &candidate;
+        best_cost = cost;
+      }
+    }
+    if (best != nullptr) {
+      return best->index;
+    }
+  }
+  return -1;
+}
+
+// A prefix that nobody holds goes to its highest-ranked endpoint below the bound (rendezvous hashing). All instances
+// rank alike, so the first requests with a new prefix meet on one endpoint before any cache event arrives.
+int PrefixAffinityRouter::ChooseHome(uint64_t prefix_hash) const {
+  int best = -1;
+  uint64_t best_rank = 0;
+  for (const Candidate& candidate : m_candidates) {
+    if (!candidate.below_bound) {
+      continue;
+    }
+    const uint64_t rank = MixPair(prefix_hash, m_index.StableHash(candidate.number));
+    if (best < 0 || rank > best_rank) {
+      best = candidate.index;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+int PrefixAffinityRouter::ChooseOfTwo(const RouteRequest& request, const std::vector<EndpointState>& endpoints) {
+  const size_t count = m_candidates.size();
+  const size_t first = m_random.Below(count);
+  const size_t second = count == 1 ? first : (first + 1 + m_random.Below(count - 1)) % count;
+  const auto cost = [&](const Candidate& candidate) {
+    const bool far = !request.zone.empty() && endpoints[candidate.index].zone != request.zone;
+    return (candidate.load + 1) / candidate.slots + (far ? kZonePreference : 0.0);
+  };
+  const Candidate& a = m_candidates[first];
+  const Candidate& b = m_candidates[second];
+  return cost(b) < cost(a) ? b.index : a.index;
+}
+
+void PrefixAffinityRouter::OnCacheStored(const std::string& endpoint_id, uint64_t prefix_hash) {
+  m_index.Add(prefix_hash, m_index.NumberOf(endpoint_id));
+}
+
+void PrefixAffinityRouter::OnCacheEvicted(const std::string& endpoint_id, uint64_t prefix_hash) {
+  m_index.Remove(prefix_hash, m_index.NumberOf(endpoint_id));
+}
+
+void PrefixAffinityRouter::OnCacheGap(const std::string& endpoint_id) {
+  m_index.MarkGap(m_index.NumberOf(endpoint_id));
+}
+
+// Cache events are late, so a dispatch counts as stored at once; an eviction event corrects it.
+void PrefixAffinityRouter::OnDispatched(const std::string& endpoint_id, const std::vector<uint64_t>& prefix_hashes) {
+  const uint32_t number = m_index.NumberOf(endpoint_id);
+  for (const uint64_t hash : prefix_hashes) {
+    m_index.Add(hash, number);
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/prefix_affinity_router.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "state/prefix_index.h"
+#include "state/router.h"
+
+namespace quetzalridge {
+
+// Prefers the endpoint that holds the longest prefix of the prompt, as long as its load stays near the mean.
+class PrefixAffinityRouter : public Router {
+ public:
+  explicit PrefixAffinityRouter(uint64_t seed);
+
+  int Choose(const RouteRequest& request, const std::vector<EndpointState>& endpoints, TimePoint now) override;
+  void OnCacheStored(const std::string& endpoint_id, uint64_t prefix_hash) override;
+  void OnCacheEvicted(const std::string& endpoint_id, uint64_t prefix_hash) override;
+  void OnCacheGap(const std::string& endpoint_id) override;
+  void OnDispatched(const std::string& endpoint_id, const std::vector<uint64_t>& prefix_hashes) override;
+
+  size_t indexed_prefixes() const { return m_index.size(); }
+
+ private:
+  struct Candidate {
+    int index = 0;
+    uint32_t number = 0;
+    double load = 0;
+    double slots = 0;
+    bool below_bound = false;
+  };
+
+  void CollectCandidates(const RouteRequest& request, const std::vector<EndpointState>& endpoints, TimePoint now);
+  int ChooseHolder(const RouteRequest& request, const std::vector<EndpointState>& endpoints) const;
+  int ChooseHome(uint64_t prefix_hash) const;
+  int ChooseOfTwo(const RouteRequest& request, const std::vector<EndpointState>& endpoints);
+
+  Random m_random;
+  PrefixIndex m_index;
+  // Scratch space of one choice.
+  std::vector<Candidate> m_candidates;
+  std::vector<int> m_candidate_of_number;
+};
+
+}  // namespace quetzalridge
