--- /dev/null
+++ b/tests/coordination/fakes_test.cc
@@ -0,0 +1,49 @@
+#include <catch2/catch.hpp>
+
+#include "tests/fakes/fake_table_store.h"
+
+namespace quetzalridge {
+namespace {
+
+TableTransaction Insert(const std::string& id, const std::string& key) {
+  return {id, {{key, 0}}, {{key, "value of " + id}}};
+}
+
+// Guards against a fake that is kinder than the platform: a lost answer must leave the transaction applied, and a
+// second attempt must conflict on the row that carries the same identity.
+TEST_CASE("a transaction whose answer is lost is applied and conflicts when it is sent again") {
+  ManualScheduler world;
+  PausableScheduler process(&world);
+  FakeTable table(&world, 1);
+  FakeTableStore store(&table, &process);
+  std::vector<TransactResult> results;
+  const auto collect = [&](const TransactResult& result) { results.push_back(result); };
+  table.lose_next_answers = 1;
+  store.Transact(Insert("a", "k"), collect);
+  world.Advance(Duration::Seconds(6));
+  store.Transact(Insert("a", "k"), collect);
+  world.Advance(Duration::Seconds(1));
+  REQUIRE(results.size() == 2);
+  CHECK(results[0].outcome == TransactOutcome::kUnknown);
+  CHECK(results[1].outcome == TransactOutcome::kConflict);
+  CHECK(results[1].rows.at(0).transaction_id == "a");
+}
+
+// Guards against answers that a paused process would see before it resumes.
+TEST_CASE("answers and timers of a paused process wait until it resumes") {
+  ManualScheduler world;
+  PausableScheduler process(&world);
+  FakeTable table(&world, 1);
+  FakeTableStore store(&table, &process);
+  int answers = 0;
+  store.Read({"k"}, [&](const ReadResult&) { ++answers; });
+  const std::unique_ptr<Timer> timer = process.After(Duration::Seconds(1), [&] { ++answers; });
+  process.Pause();
+  world.Advance(Duration::Seconds(10));
+  CHECK(answers == 0);
+  process.Resume();
+  CHECK(answers == 2);
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/fakes/fake_table_store.h
@@ -0,0 +1,212 @@
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "coordination/table_store.h"
+#include "tests/fakes/manual_scheduler.h"
+
+namespace quetzalridge {
+
+// The platform's table service in memory, on a manual clock. It can be unavailable, slow, and lose answers; a
+// transaction whose answer is lost is applied before the loss, applied later, or never applied.
+class FakeTable {
+ public:
+  FakeTable(ManualScheduler* world, uint64_t seed) : m_world(world), m_random(seed) {}
+
+  // Faults.
+  bool unavailable = false;
+  Duration latency = Duration::Milliseconds(1);
+  double lost_answer_chance = 0.0;
+  // Answers that are certain to be lost, counted down.
+  int lose_next_answers = 0;
+  // Of the lost answers, the share whose transaction is applied within `request_timeout` instead of at once, and the
+  // share that is never applied.
+  double late_chance = 0.0;
+  double never_chance = 0.0;
+  // Time until a lost answer is reported as unknown, and the longest delay of a late transaction.
+  Duration request_timeout = Duration::Seconds(5);
+  // Runs after each committed transaction.
+  std::function<void(const TableTransaction&, int64_t revision)> on_commit;
+
+  // Counters of requests that reached the table.
+  int transacts = 0;
+  int reads = 0;
+
+  int64_t revision() const { return m_revision; }
+  const std::map<std::string, TableRow>& rows() const { return m_rows; }
+  TableRow Row(const std::string& key) const {
+    const auto it = m_rows.find(key);
+    return it == m_rows.end() ? TableRow{key, 0, "", ""} : it->second;
+  }
+
+  TransactResult Apply(const TableTransaction& transaction) {
+    ++transacts;
+    TransactResult result;
+    for (const TableCheck& check : transaction.checks) {
+      const TableRow row = Row(check.key);
+      if (row.version != check.version) {
+        result.rows.push_back(row);
+      }
+    }
+    if (!result.rows.empty()) {
+      result.outcome = TransactOutcome::kConflict;
+      return result;
+    }
+    ++m_revision;
+    for (const TableWrite& write : transaction.writes) {
+      if (write.value.has_value()) {
+        m_rows[write.key] = {write.key, m_revision, *write.value, transaction.id};
+      } else {
+        m_rows.erase(write.key);
+      }
+    }
+    if (on_commit) {
+      on_commit(transaction, m_revision);
+    }
+    result.outcome = TransactOutcome::kCommitted;
+    result.revision = m_revision;
+    return result;
+  }
+
+  ReadResult ReadRows(const std::vector<std::string>& keys) {
+    ++reads;
+    ReadResult result{true, m_revision, {}};
+    for (const std::string& key : keys) {
+      result.rows.push_back(Row(key));
+    }
+    return result;
+  }
+
+  ReadResult ScanRows(const std::string& prefix, const std::string& after, int limit) {
+    ++reads;
+    ReadResult result{true, m_revision, {}};
+    for (auto it = m_rows.lower_bound(std::max(prefix, after)); it != m_rows.end(); ++it) {
+      if (it->first.compare(0, prefix.size(), prefix) != 0 || static_cast<int>(result.rows.size()) == limit) {
+        break;
+      }
+      if (it->first > after) {
+        result.rows.push_back(it->second);
+      }
+    }
+    return result;
+  }
+
+  ManualScheduler* world() { return m_world; }
+
+  bool DrawLostAnswer() {
+    if (lose_next_answers > 0) {
+      --lose_next_answers;
+      return true;
+    }
+    return lost_answer_chance > 0 && m_random.Chance(lost_answer_chance);
+  }
+
+  // Applies a transaction whose answer is lost.
+  void ApplyUnanswered(TableTransaction transaction) {
+    const double draw = m_random.Uniform();
+    if (draw < never_chance) {
+      return;
+    }
+    if (draw < never_chance + late_chance) {
+      const Duration delay =
+          Duration::Milliseconds(static_cast<int64_t>(m_random.Below(static_cast<uint64_t>(request_timeout.ms()))));
+      m_world->Post(delay, [this, transaction = std::move(transaction)] { Apply(transaction); });
+      return;
+    }
+    Apply(transaction);
+  }
+
+ private:
+  ManualScheduler* m_world;
+  Random m_random;
+  int64_t m_revision = 0;
+  std::map<std::string, TableRow> m_rows;
+};
+
+// One process's connection to a FakeTable. Answers run on the process's scheduler, and are dropped after the
+// connection is destroyed. `partitioned` cuts off this process only.
+class FakeTableStore : public TableStore {
+ public:
+  FakeTableStore(FakeTable* table, Scheduler* scheduler)
+      : m_table(table), m_scheduler(scheduler), m_state(std::make_shared<State>()) {}
+
+  bool partitioned = false;
+
+  void Transact(TableTransaction transaction, TransactCallback callback) override {
+    if (Unreachable()) {
+      Answer<TransactResult>(m_table->latency, {TransactOutcome::kUnavailable, 0, {}}, std::move(callback));
+      return;
+    }
+    if (m_table->DrawLostAnswer()) {
+      m_table->world()->Post(m_table->latency, [table = m_table, transaction] { table->ApplyUnanswered(transaction); });
+      Answer<TransactResult>(m_table->request_timeout, {TransactOutcome::kUnknown, 0, {}}, std::move(callback));
+      return;
+    }
+    m_table->world()->Post(m_table->latency,
+                           [this, state = std::weak_ptr<State>(m_state), table = m_table,
+                            transaction = std::move(transaction), callback = std::move(callback)]() mutable {
+                             const TransactResult result = table->Apply(transaction);
+                             if (!state.expired()) {
+                               Answer<TransactResult>(table->latency, result, std::move(callback));
+                             }
+                           });
+  }
+
+  void Read(std::vector<std::string> keys, ReadCallback callback) override {
+    ReadWith([keys = std::move(keys)](FakeTable* table) { return table->ReadRows(keys); }, std::move(callback));
+  }
+
+  void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
+    ReadWith([prefix = std::move(prefix), after = std::move(after),
+              limit](FakeTable* table) { return table->ScanRows(prefix, after, limit); },
+             std::move(callback));
+  }
+
+ private:
+  struct State {
+    std::map<uint64_t, std::unique_ptr<Timer>> answers;
+    uint64_t next_answer = 0;
+  };
+
+  bool Unreachable() const { return partitioned || m_table->unavailable; }
+
+  void ReadWith(std::function<ReadResult(FakeTable*)> read, ReadCallback callback) {
+    if (Unreachable()) {
+      Answer<ReadResult>(m_table->latency, {}, std::move(callback));
+      return;
+    }
+    m_table->world()->Post(m_table->latency, [this, state = std::weak_ptr<State>(m_state), table = m_table,
+                                              read = std::move(read), callback = std::move(callback)]() mutable {
+      const ReadResult result = read(table);
+      if (!state.expired()) {
+        Answer<ReadResult>(table->latency, result, std::move(callback));
+      }
+    });
+  }
+
+  template <typename Result>
+  void Answer(Duration delay, Result result, std::function<void(const Result&)> callback) {
+    const uint64_t id = m_state->next_answer++;
+    m_state->answers[id] = m_scheduler->After(
+        delay, [state = std::weak_ptr<State>(m_state), id, result = std::move(result), callback = std::move(callback)] {
+          const std::shared_ptr<State> locked = state.lock();
+          if (locked != nullptr) {
+            locked->answers.erase(id);
+          }
+          callback(result);
+        });
+  }
+
+  FakeTable* m_table;
+  Scheduler* m_scheduler;
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace quetzalridge
