--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -20,6 +20,22 @@
        "A TLS certificate and key were read and are in use for new connections."},
       {LogEvent::kTlsCertificateRejected, LogSeverity::kError, "tls_certificate_rejected",
        "A TLS certificate or key could not be read; the previous one stays in use. Replace the files."},
+      {LogEvent::kConfigLoaded, LogSeverity::kInfo, "config_loaded",
+       "The configuration was loaded for the first time since the start."},
+      {LogEvent::kConfigChangeAccepted, LogSeverity::kInfo, "config_change_accepted",
+       "This instance added a change to the configuration log."},
+      {LogEvent::kConfigChangeRejected, LogSeverity::kError, "config_change_rejected",
+       "A logged change cannot be applied; this program is older than the one that accepted it. Update it."},
+      {LogEvent::kConfigStoreDamaged, LogSeverity::kError, "config_store_damaged",
+       "A row or snapshot of the configuration log is malformed or missing; restore it."},
+      {LogEvent::kConfigSnapshotFailed, LogSeverity::kWarning, "config_snapshot_failed",
+       "A snapshot of the configuration was not written; the next one replaces it."},
+      {LogEvent::kStoreReachable, LogSeverity::kInfo, "store_reachable", "The table service answers again."},
+      {LogEvent::kStoreUnreachable, LogSeverity::kWarning, "store_unreachable",
+       "The table service does not answer; changes and duties wait."},
+      {LogEvent::kPermissionLapsed, LogSeverity::kWarning, "permission_lapsed",
+       "Keyed routes are refused, since the configuration is not confirmed as current."},
+      {LogEvent::kPermissionRegained, LogSeverity::kInfo, "permission_regained", "Keyed routes are served again."},
   };
   return kCatalogue;
 }
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -22,6 +22,15 @@
   kSettingsRejected = 1003,
   kTlsCertificateLoaded = 2000,
   kTlsCertificateRejected = 2001,
+  kConfigLoaded = 3000,
+  kConfigChangeAccepted = 3001,
+  kConfigChangeRejected = 3002,
+  kConfigStoreDamaged = 3003,
+  kConfigSnapshotFailed = 3004,
+  kStoreReachable = 3005,
+  kStoreUnreachable = 3006,
+  kPermissionLapsed = 3007,
+  kPermissionRegained = 3008,
 };
 
 struct LogEventInfo {
--- /dev/null
+++ b/src/coordination/config_log.cc
@@ -0,0 +1,96 @@
+#include "coordination/config_log.h"
+
+#include <utility>
+
+#include "base/log_event.h"
+#include "coordination/config_record.h"
+
+namespace quetzalridge {
+
+ConfigLog::ConfigLog(TableStore* store, ObjectStore* objects, Scheduler* scheduler, ConfigLogOptions options)
+    : m_objects(objects),
+      m_scheduler(scheduler),
+      m_options(std::move(options)),
+      m_reader(store, objects, scheduler, &m_replica),
+      m_proposer(store, scheduler, &m_replica, &m_reader,
+                 {m_options.accept_wait, m_options.answer_timeout, m_options.incarnation}) {
+  m_proposer.SetAcceptedCallback([this](int64_t version) { WriteSnapshot(version); });
+}
+
+void ConfigLog::Start() {
+  Poll();
+}
+
+void ConfigLog::SetPeers(const ConfigPeers* peers) {
+  m_peers = peers;
+  m_proposer.SetPeers(peers);
+}
+
+// Polls overlap when the store is slow: a poll that hangs on a silent connection must not delay the next one.
+void ConfigLog::Poll() {
+  m_poll_timer = m_scheduler->After(m_options.poll, [this] { Poll(); });
+  const uint64_t poll = ++m_next_poll;
+  m_reader.Refresh([this, poll](const ConfigReader::Result& result) { OnPolled(poll, result); });
+}
+
+void ConfigLog::OnPolled(uint64_t poll, const ConfigReader::Result& result) {
+  if (poll < m_last_ended_poll) {
+    return;
+  }
+  m_last_ended_poll = poll;
+  if (m_store_reachable != result.ok) {
+    Log(result.ok ? LogEvent::kStoreReachable : LogEvent::kStoreUnreachable, "configuration poll");
+  }
+  m_store_reachable = result.ok;
+  if (result.complete && !m_started) {
+    m_started = true;
+    Log(LogEvent::kConfigLoaded, "version " + std::to_string(m_replica.version()));
+  }
+}
+
+bool ConfigLog::MayServeKeyedRoutes(TimePoint now) const {
+  if (!m_started) {
+    return false;
+  }
+  const std::optional<HeadConfirmation> confirmation = m_replica.confirmation();
+  if (confirmation.has_value() && now - confirmation->at <= m_options.permission) {
+    return true;
+  }
+  return m_peers != nullptr && !m_store_reachable && m_peers->AllReportStoreUnreachable(now, m_options.permission);
+}
+
+void ConfigLog::Propose(ConfigProposal proposal, ConfigProposer::Callback callback) {
+  m_proposer.Propose(std::move(proposal), std::move(callback));
+}
+
+void ConfigLog::OnPeerConfirmation(const HeadConfirmation& confirmation) {
+  m_replica.Confirm(confirmation);
+}
+
+void ConfigLog::OnPeerChanges(const std::vector<ConfigChange>& changes) {
+  for (const ConfigChange& change : changes) {
+    m_replica.Apply(change);
+  }
+}
+
+void ConfigLog::OnPeersAgree() {
+  if (!m_started) {
+    m_started = true;
+    Log(LogEvent::kConfigLoaded, "version " + std::to_string(m_replica.version()) + " from peers");
+  }
+}
+
+// Snapshots are written by the instance that accepted the change. A failed write is not repeated: the next snapshot
+// replaces it, and the changes in between stay readable.
+void ConfigLog::WriteSnapshot(int64_t version) {
+  if (version % kConfigSnapshotInterval != 0 || m_replica.version() != version) {
+    return;
+  }
+  m_objects->Put(ConfigSnapshotName(version), m_replica.document().ToJson(), [version](const ObjectResult& result) {
+    if (result.outcome != ObjectOutcome::kOk) {
+      Log(LogEvent::kConfigSnapshotFailed, "version " + std::to_string(version));
+    }
+  });
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/config_proposer.cc
@@ -0,0 +1,179 @@
+#include "coordination/config_proposer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/error.h"
+#include "base/log_event.h"
+#include "coordination/config_record.h"
+
+namespace quetzalridge {
+
+namespace {
+
+// The own roster row is renewed every few seconds, which can make a proposal fail once; more often is a fault.
+constexpr int kMaxAttempts = 5;
+
+}  // namespace
+
+struct ConfigProposer::Pending {
+  ConfigProposal proposal;
+  ConfigChange change;
+  Callback callback;
+  int attempts = 0;
+  bool answered = false;
+  bool committed = false;
+  std::unique_ptr<Timer> answer_timer;
+  std::unique_ptr<Timer> accept_timer;
+};
+
+ConfigProposer::ConfigProposer(TableStore* store, Scheduler* scheduler, ConfigReplica* replica, ConfigReader* reader,
+                               Options options)
+    : m_scheduler(scheduler),
+      m_replica(replica),
+      m_reader(reader),
+      m_options(std::move(options)),
+      m_store(store, scheduler) {}
+
+void ConfigProposer::Propose(ConfigProposal proposal, Callback callback) {
+  auto pending = std::make_shared<Pending>();
+  pending->proposal = std::move(proposal);
+  pending->callback = std::move(callback);
+  Begin(pending);
+}
+
+void ConfigProposer::Begin(const std::shared_ptr<Pending>& pending) {
+  ++pending->attempts;
+  m_reader->Refresh([this, pending](const ConfigReader::Result& refreshed) { OnRefreshed(pending, refreshed); });
+}
+
+void ConfigProposer::OnRefreshed(const std::shared_ptr<Pending>& pending, const ConfigReader::Result& refreshed) {
+  if (!refreshed.ok || !refreshed.complete) {
+    Answer(pending, ProposalOutcome::kNotAccepted, "the table service cannot be read now; send the change again later");
+    return;
+  }
+  if (refreshed.head != pending->proposal.base_version) {
+    Answer(pending, ProposalOutcome::kConflict,
+           "the configuration is at version " + std::to_string(refreshed.head) +
+               "; check the changes since your base version and send the change again on top of them");
+    return;
+  }
+  if (m_peers != nullptr) {
+    if (const std::optional<std::string> obstacle = m_peers->AcceptObstacle()) {
+      Answer(pending, ProposalOutcome::kNotAccepted, *obstacle);
+      return;
+    }
+  }
+  pending->change = {refreshed.head + 1, pending->proposal.kind, pending->proposal.name, pending->proposal.value};
+  try {
+    m_replica->document().Check(pending->change);
+  } catch (const Error& error) {
+    // The replica may have moved on since the refresh; then the base version is no longer the head.
+    const bool moved_on = m_replica->version() != refreshed.head;
+    Answer(pending, moved_on ? ProposalOutcome::kConflict : ProposalOutcome::kInvalid, error.what());
+    return;
+  }
+  Commit(pending, refreshed.head_row_version);
+}
+
+void ConfigProposer::Commit(const std::shared_ptr<Pending>& pending, int64_t head_row_version) {
+  const std::string change_key = ConfigChangeKey(pending->change.version);
+  TableTransaction transaction;
+  transaction.id = m_options.incarnation + "-config-" + std::to_string(m_next_transaction++);
+  transaction.checks = {{kConfigHeadKey, head_row_version}, {change_key, 0}};
+  if (m_peers != nullptr) {
+    if (const std::optional<TableCheck> own_row = m_peers->OwnRowCheck()) {
+      transaction.checks.push_back(*own_row);
+    }
+  }
+  transaction.writes = {{kConfigHeadKey, EncodeConfigHead(pending->change.version)},
+                        {change_key, EncodeConfigChange(pending->change)}};
+  pending->answer_timer = m_scheduler->After(m_options.answer_timeout, [this, pending] {
+    Answer(pending, ProposalOutcome::kUnknown,
+           "the table service did not answer; read the configuration and compare before sending the change again");
+  });
+  m_store.Transact(std::move(transaction), change_key,
+                   [this, pending](const TransactResult& result) { OnTransacted(pending, result); });
+}
+
+void ConfigProposer::OnTransacted(const std::shared_ptr<Pending>& pending, const TransactResult& result) {
+  switch (result.outcome) {
+    case TransactOutcome::kCommitted:
+      OnCommitted(pending);
+      return;
+    case TransactOutcome::kConflict:
+      OnConflict(pending, result);
+      return;
+    case TransactOutcome::kUnavailable:
+    case TransactOutcome::kUnknown:
+      Answer(pending, ProposalOutcome::kNotAccepted,
+             "the table service refused the change; send it again when the service is back");
+      return;
+  }
+}
+
+void ConfigProposer::OnConflict(const std::shared_ptr<Pending>& pending, const TransactResult& result) {
+  pending->answer_timer.reset();
+  if (pending->answered) {
+    return;
+  }
+  // After a new refresh the base version is compared with the new head; only a renewed own row leads to a second
+  // attempt.
+  if (pending->attempts < kMaxAttempts) {
+    Begin(pending);
+    return;
+  }
+  Answer(pending, ProposalOutcome::kNotAccepted,
+         "the change failed " + std::to_string(pending->attempts) + " times; send it again");
+}
+
+void ConfigProposer::OnCommitted(const std::shared_ptr<Pending>& pending) {
+  Log(LogEvent::kConfigChangeAccepted, "version " + std::to_string(pending->change.version));
+  pending->committed = true;
+  pending->answer_timer.reset();
+  m_replica->Apply(pending->change);
+  if (m_accepted) {
+    m_accepted(pending->change.version);
+  }
+  if (pending->answered) {
+    return;
+  }
+  m_waiting.push_back(pending);
+  // The commit was before now, so this wait ends late rather than early.
+  pending->accept_timer =
+      m_scheduler->After(m_options.accept_wait, [this, pending] { Answer(pending, ProposalOutcome::kInForce, ""); });
+  OnPeerProgress();
+}
+
+void ConfigProposer::OnPeerProgress() {
+  const std::vector<std::shared_ptr<Pending>> waiting = m_waiting;
+  for (const std::shared_ptr<Pending>& pending : waiting) {
+    if (m_peers == nullptr || m_peers->AllApplied(pending->change.version)) {
+      Answer(pending, ProposalOutcome::kInForce, "");
+    }
+  }
+}
+
+void ConfigProposer::Answer(const std::shared_ptr<Pending>& pending, ProposalOutcome outcome,
+                            const std::string& message) {
+  if (pending->answered) {
+    return;
+  }
+  pending->answered = true;
+  m_waiting.erase(std::remove(m_waiting.begin(), m_waiting.end(), pending), m_waiting.end());
+  ProposalResult result;
+  result.outcome = outcome;
+  result.message = message;
+  result.version = pending->committed ? pending->change.version : m_replica->newest_known();
+  if (outcome == ProposalOutcome::kConflict) {
+    result.changes = m_replica->ChangesSince(pending->proposal.base_version);
+  }
+  const Callback callback = std::move(pending->callback);
+  pending->callback = nullptr;
+  callback(result);
+  // The timers hold the pending proposal; releasing them ends the cycle.
+  pending->answer_timer.reset();
+  pending->accept_timer.reset();
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/config_reader.cc
@@ -0,0 +1,146 @@
+#include "coordination/config_reader.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "base/log_event.h"
+#include "coordination/config_record.h"
+
+namespace quetzalridge {
+
+namespace {
+
+// Of one read request; a row has at most 64 KB.
+constexpr int64_t kChangesPerRead = 64;
+
+}  // namespace
+
+ConfigReader::ConfigReader(TableStore* store, ObjectStore* objects, Scheduler* scheduler, ConfigReplica* replica)
+    : m_store(store), m_objects(objects), m_scheduler(scheduler), m_replica(replica) {}
+
+void ConfigReader::Refresh(Callback callback) {
+  auto refresh = std::make_shared<Refreshing>();
+  refresh->callback = std::move(callback);
+  // The head was current at some time after the request left; the earlier time is the safe one.
+  const TimePoint asked_at = m_scheduler->clock().Now();
+  m_store->Read({kConfigHeadKey}, [this, refresh, asked_at, alive = std::weak_ptr<bool>(m_alive)](const ReadResult& r) {
+    if (!alive.expired()) {
+      OnHead(refresh, asked_at, r);
+    }
+  });
+}
+
+void ConfigReader::OnHead(const std::shared_ptr<Refreshing>& refresh, TimePoint asked_at, const ReadResult& read) {
+  if (!read.ok) {
+    Finish(refresh, false);
+    return;
+  }
+  const TableRow& row = read.rows.front();
+  refresh->result.head_row_version = row.version;
+  if (row.version != 0) {
+    const std::optional<int64_t> head = DecodeConfigHead(row.value);
+    if (!head.has_value()) {
+      Log(LogEvent::kConfigStoreDamaged, "the row config/head is malformed; restore it from the newest change row");
+      Finish(refresh, false);
+      return;
+    }
+    refresh->result.head = *head;
+  }
+  m_replica->Confirm({refresh->result.head, asked_at});
+  ReadMissing(refresh);
+}
+
+void ConfigReader::ReadMissing(const std::shared_ptr<Refreshing>& refresh) {
+  const int64_t version = m_replica->version();
+  const int64_t head = refresh->result.head;
+  if (version >= head) {
+    refresh->result.complete = true;
+    Finish(refresh, true);
+    return;
+  }
+  if (head - version > kConfigSnapshotInterval && !refresh->snapshot_tried) {
+    ReadSnapshot(refresh, head - head % kConfigSnapshotInterval);
+    return;
+  }
+  std::vector<std::string> keys;
+  for (int64_t v = version + 1; v <= std::min(head, version + kChangesPerRead); ++v) {
+    keys.push_back(ConfigChangeKey(v));
+  }
+  m_store->Read(std::move(keys), [this, refresh, alive = std::weak_ptr<bool>(m_alive)](const ReadResult& r) {
+    if (!alive.expired()) {
+      OnChanges(refresh, r);
+    }
+  });
+}
+
+void ConfigReader::OnChanges(const std::shared_ptr<Refreshing>& refresh, const ReadResult& read) {
+  if (!read.ok) {
+    Finish(refresh, true);
+    return;
+  }
+  const int64_t before = m_replica->version();
+  for (const TableRow& row : read.rows) {
+    const std::optional<ConfigChange> change = row.version == 0 ? std::nullopt : DecodeConfigChange(row.value);
+    if (!change.has_value()) {
+      break;
+    }
+    // Peers or an overlapping refresh may have brought this change already.
+    if (change->version > m_replica->version() && !m_replica->Apply(*change)) {
+      break;
+    }
+  }
+  if (m_replica->version() > before || m_replica->version() >= refresh->result.head) {
+    ReadMissing(refresh);
+    return;
+  }
+  // The next change row is gone; only a snapshot holds its effect.
+  if (!refresh->snapshot_tried) {
+    ReadSnapshot(refresh, refresh->result.head - refresh->result.head % kConfigSnapshotInterval);
+    return;
+  }
+  Log(LogEvent::kConfigStoreDamaged,
+      "change " + std::to_string(before + 1) + " is missing and no snapshot replaces it; restore the row");
+  Finish(refresh, true);
+}
+
+// The newest snapshot may not have been written, since the instance that should write it may have died.
+void ConfigReader::ReadSnapshot(const std::shared_ptr<Refreshing>& refresh, int64_t version) {
+  if (version <= m_replica->version() || version <= 0) {
+    refresh->snapshot_tried = true;
+    ReadMissing(refresh);
+    return;
+  }
+  m_objects->Get(ConfigSnapshotName(version),
+                 [this, refresh, version, alive = std::weak_ptr<bool>(m_alive)](const ObjectResult& object) {
+                   if (!alive.expired()) {
+                     OnSnapshot(refresh, version, object);
+                   }
+                 });
+}
+
+void ConfigReader::OnSnapshot(const std::shared_ptr<Refreshing>& refresh, int64_t version, const ObjectResult& object) {
+  if (object.outcome == ObjectOutcome::kNotFound) {
+    ReadSnapshot(refresh, version - kConfigSnapshotInterval);
+    return;
+  }
+  refresh->snapshot_tried = true;
+  if (object.outcome == ObjectOutcome::kOk) {
+    try {
+      m_replica->Replace(ConfigDocument::FromJson(object.data));
+    } catch (const Error& error) {
+      Log(LogEvent::kConfigStoreDamaged, ConfigSnapshotName(version) + ": " + error.what());
+    }
+  }
+  // Without a snapshot, the changes are read one by one.
+  ReadMissing(refresh);
+}
+
+void ConfigReader::Finish(const std::shared_ptr<Refreshing>& refresh, bool ok) {
+  refresh->result.ok = ok;
+  const Callback callback = std::move(refresh->callback);
+  callback(refresh->result);
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/config_replica.cc
@@ -0,0 +1,145 @@
+#include "coordination/config_replica.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "base/error.h"
+#include "base/log_event.h"
+
+namespace quetzalridge {
+
+namespace {
+
+// Enough to pass on to peers and to show to the loser of a race; older changes are read from the store.
+constexpr size_t kKeptChanges = 256;
+// A confirmation that waits for its version is of no use after the permission time; this bounds what a faulty peer can
+// make an instance keep.
+constexpr size_t kKeptPending = 64;
+
+template <typename Config>
+std::set<std::string> Names(const std::map<std::string, Config>& a, const std::map<std::string, Config>& b) {
+  std::set<std::string> names;
+  for (const auto& entry : a) {
+    names.insert(entry.first);
+  }
+  for (const auto& entry : b) {
+    names.insert(entry.first);
+  }
+  return names;
+}
+
+// The differences between two documents as changes that carry the newer version.
+class Difference {
+ public:
+  Difference(const ConfigDocument& from, const ConfigDocument& to) : m_from(from), m_to(to) {
+    Compare(ConfigKind::kWorkspace, Names(from.workspaces(), to.workspaces()));
+    Compare(ConfigKind::kProfile, Names(from.profiles(), to.profiles()));
+    Compare(ConfigKind::kService, Names(from.services(), to.services()));
+    Compare(ConfigKind::kRoute, Names(from.routes(), to.routes()));
+    Compare(ConfigKind::kQueue, Names(from.queues(), to.queues()));
+    Compare(ConfigKind::kEndpoint, Names(from.endpoints(), to.endpoints()));
+    Compare(ConfigKind::kZone, Names(from.zones(), to.zones()));
+    Compare(ConfigKind::kKey, Names(from.keys(), to.keys()));
+  }
+
+  const std::vector<ConfigChange>& changes() const { return m_changes; }
+
+ private:
+  void Compare(ConfigKind kind, const std::set<std::string>& names) {
+    for (const std::string& name : names) {
+      std::optional<std::string> value = m_to.EntryJson(kind, name);
+      if (value != m_from.EntryJson(kind, name)) {
+        m_changes.push_back({m_to.version(), kind, name, std::move(value)});
+      }
+    }
+  }
+
+  const ConfigDocument& m_from;
+  const ConfigDocument& m_to;
+  std::vector<ConfigChange> m_changes;
+};
+
+}  // namespace
+
+bool ConfigReplica::Apply(const ConfigChange& change) {
+  if (change.version != version() + 1) {
+    return false;
+  }
+  try {
+    m_document.Apply(change);
+  } catch (const Error& error) {
+    Log(LogEvent::kConfigChangeRejected, "version " + std::to_string(change.version) + ": " + error.what());
+    return false;
+  }
+  m_recent.push_back(change);
+  if (m_recent.size() > kKeptChanges) {
+    m_recent.pop_front();
+  }
+  m_newest_known = std::max(m_newest_known, version());
+  PromoteConfirmations();
+  Notify(change);
+  return true;
+}
+
+void ConfigReplica::Replace(ConfigDocument document) {
+  if (document.version() <= version()) {
+    return;
+  }
+  const ConfigDocument previous = std::move(m_document);
+  m_document = std::move(document);
+  m_recent.clear();
+  m_newest_known = std::max(m_newest_known, version());
+  PromoteConfirmations();
+  const Difference difference(previous, m_document);
+  for (const ConfigChange& change : difference.changes()) {
+    Notify(change);
+  }
+}
+
+void ConfigReplica::Confirm(const HeadConfirmation& confirmation) {
+  m_newest_known = std::max(m_newest_known, confirmation.version);
+  const auto [it, inserted] = m_pending.emplace(confirmation.version, confirmation.at);
+  if (!inserted) {
+    it->second = std::max(it->second, confirmation.at);
+  }
+  PromoteConfirmations();
+  if (m_pending.size() > kKeptPending) {
+    m_pending.erase(std::prev(m_pending.end()));
+  }
+}
+
+// A confirmation of an older version than the applied one is still valid: at its time the head was not newer, so the
+// applied document has every change up to then.
+void ConfigReplica::PromoteConfirmations() {
+  while (!m_pending.empty() && m_pending.begin()->first <= version()) {
+    const TimePoint at = m_pending.begin()->second;
+    if (!m_confirmation.has_value() || m_confirmation->at < at) {
+      m_confirmation = HeadConfirmation{m_pending.begin()->first, at};
+    }
+    m_pending.erase(m_pending.begin());
+  }
+}
+
+std::vector<ConfigChange> ConfigReplica::ChangesSince(int64_t from) const {
+  std::vector<ConfigChange> changes;
+  if (m_recent.empty() || m_recent.front().version > from + 1) {
+    return changes;
+  }
+  for (const ConfigChange& change : m_recent) {
+    if (change.version > from) {
+      changes.push_back(change);
+    }
+  }
+  return changes;
+}
+
+void ConfigReplica::Notify(const ConfigChange& change) {
+  // A listener may add another listener.
+  for (size_t i = 0; i < m_listeners.size(); ++i) {
+    m_listeners[i](change);
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/resolving_store.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordination/scheduler.h"
+#include "coordination/table_store.h"
+
+namespace quetzalridge {
+
+// Turns unknown outcomes into known ones: sends the same transaction again until it is answered, and resolves a
+// conflict of a repeated transaction by reading a row that only this transaction can have written.
+class ResolvingStore {
+ public:
+  // kCommitted, kConflict or kUnavailable; kUnavailable only when no attempt can have been applied.
+  using Callback = TableStore::TransactCallback;
+
+  ResolvingStore(TableStore* store, Scheduler* scheduler);
+  ~ResolvingStore();
+  ResolvingStore(const ResolvingStore&) = delete;
+  ResolvingStore& operator=(const ResolvingStore&) = delete;
+
+  // `witness_key` names a row that the transaction writes and that no other transaction overwrites or deletes while
+  // this one is unanswered. The callback waits as long as the store is unreachable after an unknown outcome, and is
+  // dropped when this object is destroyed.
+  void Transact(TableTransaction transaction, std::string witness_key, Callback callback);
+  // Transactions whose outcome is not known yet, because an attempt was not answered.
+  int unresolved() const { return m_unresolved; }
+
+ private:
+  struct Attempt;
+
+  void Send(uint64_t id);
+  void OnAnswer(uint64_t id, const TransactResult& result);
+  void SendLater(uint64_t id);
+  void ReadWitness(uint64_t id, const TransactResult& conflict);
+  void Finish(uint64_t id, const TransactResult& result);
+
+  TableStore* m_store;
+  Scheduler* m_scheduler;
+  std::map<uint64_t, std::unique_ptr<Attempt>> m_attempts;
+  uint64_t m_next_id = 0;
+  int m_unresolved = 0;
+  // Expires with this object; answers that come later find it gone.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/transport/http_table_store.cc
@@ -0,0 +1,58 @@
+#include "transport/http_table_store.h"
+
+#include <utility>
+
+#include "protocol/platform_message.h"
+
+namespace quetzalridge {
+
+HttpTableStore::HttpTableStore(HttpClient* client, PlatformClientOptions options)
+    : m_client(client), m_options(std::move(options)) {}
+
+HttpCall HttpTableStore::Call(const std::string& target, std::string body, Duration timeout) const {
+  HttpCall call;
+  call.address = m_options.address;
+  call.method = "POST";
+  call.target = target;
+  call.headers = {{"content-type", "application/json"}};
+  call.body = std::move(body);
+  call.connect_timeout = m_options.connect_timeout;
+  call.head_timeout = timeout;
+  call.idle_timeout = timeout;
+  call.total_timeout = m_options.connect_timeout + timeout;
+  return call;
+}
+
+void HttpTableStore::Transact(TableTransaction transaction, TransactCallback callback) {
+  HttpCall call = Call("/table/transact", EncodeTransaction(transaction), m_options.request_timeout);
+  m_client->Fetch(std::move(call), [callback = std::move(callback)](const HttpResponse& response) {
+    TransactResult result;
+    if (response.result.outcome == CallOutcome::kNotSent) {
+      result.outcome = TransactOutcome::kUnavailable;
+    } else if (response.result.outcome == CallOutcome::kWhole) {
+      result = DecodeTransactAnswer(response.status, response.body);
+    } else {
+      result.outcome = TransactOutcome::kUnknown;
+    }
+    callback(result);
+  });
+}
+
+void HttpTableStore::Read(std::vector<std::string> keys, ReadCallback callback) {
+  HttpCall call = Call("/table/read", EncodeRead(keys), m_options.read_timeout);
+  m_client->Fetch(std::move(call),
+                  [keys = std::move(keys), callback = std::move(callback)](const HttpResponse& response) {
+                    const bool whole = response.result.outcome == CallOutcome::kWhole;
+                    callback(whole ? OrderRows(DecodeRows(response.status, response.body), keys) : ReadResult{});
+                  });
+}
+
+void HttpTableStore::Scan(std::string prefix, std::string after, int limit, ReadCallback callback) {
+  HttpCall call = Call("/table/scan", EncodeScan(prefix, after, limit), m_options.read_timeout);
+  m_client->Fetch(std::move(call), [callback = std::move(callback)](const HttpResponse& response) {
+    const bool whole = response.result.outcome == CallOutcome::kWhole;
+    callback(whole ? DecodeRows(response.status, response.body) : ReadResult{});
+  });
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/coordination/config_log_test.cc
@@ -0,0 +1,143 @@
+#include "coordination/config_log.h"
+
+#include <catch2/catch.hpp>
+
+#include "coordination/config_record.h"
+#include "tests/fakes/fake_object_store.h"
+#include "tests/fakes/fake_table_store.h"
+
+namespace quetzalridge {
+namespace {
+
+struct Instance {
+  Instance(ManualScheduler* world, FakeTable* table, FakeObjectStore* objects, const std::string& name)
+      : process(world), store(table, &process), log(&store, objects, &process, Options(name)) {
+    log.Start();
+  }
+
+  static ConfigLogOptions Options(const std::string& name) {
+    ConfigLogOptions options;
+    options.incarnation = name;
+    return options;
+  }
+
+  bool MayServe() const { return log.MayServeKeyedRoutes(process.clock().Now()); }
+
+  PausableScheduler process;
+  FakeTableStore store;
+  ConfigLog log;
+};
+
+struct Fixture {
+  ManualScheduler world;
+  FakeTable table{&world, 1};
+  FakeObjectStore objects{&world};
+
+  ProposalResult Propose(Instance* instance, ConfigProposal proposal, Duration wait = Duration::Seconds(60)) {
+    ProposalResult result;
+    instance->log.Propose(std::move(proposal), [&](const ProposalResult& r) { result = r; });
+    world.Advance(wait);
+    return result;
+  }
+
+  static ConfigProposal Workspace(int64_t base, const std::string& name) {
+    return {base, ConfigKind::kWorkspace, name, "{\"share\":2}"};
+  }
+};
+
+// Guards against instances that miss accepted changes.
+TEST_CASE("a change that one instance accepts is applied by the others within a poll") {
+  Fixture f;
+  Instance a(&f.world, &f.table, &f.objects, "a");
+  Instance b(&f.world, &f.table, &f.objects, "b");
+  f.world.Advance(Duration::Milliseconds(10));
+  const ProposalResult result = f.Propose(&a, Fixture::Workspace(0, "w"), Duration::Milliseconds(1100));
+  CHECK(result.outcome == ProposalOutcome::kInForce);
+  CHECK(result.version == 1);
+  CHECK(b.log.document().workspaces().count("w") == 1);
+}
+
+// Guards against a lost update when operators race: the loser must see what it missed.
+TEST_CASE("the loser of a race gets the changes since its base version") {
+  Fixture f;
+  Instance a(&f.world, &f.table, &f.objects, "a");
+  Instance b(&f.world, &f.table, &f.objects, "b");
+  f.world.Advance(Duration::Milliseconds(10));
+  ProposalResult first;
+  a.log.Propose(Fixture::Workspace(0, "one"), [&](const ProposalResult& r) { first = r; });
+  const ProposalResult second = f.Propose(&b, Fixture::Workspace(0, "two"));
+  CHECK(first.outcome == ProposalOutcome::kInForce);
+  CHECK(second.outcome == ProposalOutcome::kConflict);
+  REQUIRE(second.changes.size() == 1);
+  CHECK(second.changes[0].name == "one");
+  CHECK(second.version == 1);
+}
+
+// Guards against a change that is accepted twice, or reported as failed although it was accepted.
+TEST_CASE("a lost answer is resolved by the identity of the change row") {
+  Fixture f;
+  Instance a(&f.world, &f.table, &f.objects, "a");
+  f.world.Advance(Duration::Milliseconds(10));
+  f.table.lose_next_answers = 1;
+  const ProposalResult result = f.Propose(&a, Fixture::Workspace(0, "w"));
+  CHECK(result.outcome == ProposalOutcome::kInForce);
+  CHECK(a.log.document().version() == 1);
+  CHECK(f.table.Row(ConfigChangeKey(2)).version == 0);
+}
+
+// Guards against bad values in the log, which no instance could apply.
+TEST_CASE("a bad value is refused and leaves the log as it was") {
+  Fixture f;
+  Instance a(&f.world, &f.table, &f.objects, "a");
+  f.world.Advance(Duration::Milliseconds(10));
+  const ProposalResult result = f.Propose(&a, {0, ConfigKind::kWorkspace, "w", "{\"share\":-1}"});
+  CHECK(result.outcome == ProposalOutcome::kInvalid);
+  CHECK(f.table.Row(kConfigHeadKey).version == 0);
+}
+
+// Guards against serving with withdrawn keys: without a confirmation, or after a pause, an instance must refuse.
+TEST_CASE("serving permission lapses 3 s after the last confirmation") {
+  Fixture f;
+  Instance a(&f.world, &f.table, &f.objects, "a");
+  CHECK_FALSE(a.MayServe());
+  f.world.Advance(Duration::Milliseconds(10));
+  CHECK(a.MayServe());
+  SECTION("when the store is unreachable") {
+    a.store.partitioned = true;
+    f.world.Advance(Duration::Milliseconds(2900));
+    CHECK(a.MayServe());
+    f.world.Advance(Duration::Milliseconds(200));
+    CHECK_FALSE(a.MayServe());
+  }
+  SECTION("when the process was paused") {
+    a.process.Pause();
+    f.world.Advance(Duration::Seconds(60));
+    CHECK_FALSE(a.MayServe());
+    a.process.Resume();
+    CHECK_FALSE(a.MayServe());
+    f.world.Advance(Duration::Milliseconds(1010));
+    CHECK(a.MayServe());
+  }
+}
+
+// Guards against a start that replays the whole history, and against a snapshot that was never written.
+TEST_CASE("a new instance starts from a snapshot and the changes after it") {
+  Fixture f;
+  const bool with_snapshots = GENERATE(true, false);
+  f.objects.unavailable = !with_snapshots;
+  Instance a(&f.world, &f.table, &f.objects, "a");
+  f.world.Advance(Duration::Milliseconds(10));
+  constexpr int kChanges = 150;
+  for (int i = 0; i < kChanges; ++i) {
+    f.Propose(&a, Fixture::Workspace(i, "w" + std::to_string(i)), Duration::Milliseconds(20));
+  }
+  f.objects.unavailable = false;
+  Instance b(&f.world, &f.table, &f.objects, "b");
+  f.world.Advance(Duration::Milliseconds(100));
+  CHECK(b.log.started());
+  CHECK(b.log.document().ToJson() == a.log.document().ToJson());
+  CHECK(f.objects.objects().count(ConfigSnapshotName(128)) == (with_snapshots ? 1 : 0));
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/fakes/fake_object_store.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "coordination/object_store.h"
+#include "tests/fakes/manual_scheduler.h"
+
+namespace quetzalridge {
+
+// The platform's object store in memory; answers after `latency`.
+class FakeObjectStore : public ObjectStore {
+ public:
+  explicit FakeObjectStore(ManualScheduler* world) : m_world(world) {}
+
+  bool unavailable = false;
+  // Puts take effect, and their answers say unavailable.
+  bool lose_answers = false;
+  Duration latency = Duration::Milliseconds(1);
+
+  const std::map<std::string, std::string>& objects() const { return m_objects; }
+
+  void Put(std::string name, std::string data, Callback callback) override {
+    ObjectResult result;
+    if (!unavailable) {
+      const auto [it, inserted] = m_objects.emplace(std::move(name), data);
+      result.outcome = inserted || it->second == data ? ObjectOutcome::kOk : ObjectOutcome::kConflict;
+      if (lose_answers) {
+        result.outcome = ObjectOutcome::kUnavailable;
+      }
+    }
+    Answer(result, std::move(callback));
+  }
+
+  void Get(std::string name, Callback callback) override {
+    ObjectResult result;
+    if (!unavailable) {
+      const auto it = m_objects.find(name);
+      result.outcome = it == m_objects.end() ? ObjectOutcome::kNotFound : ObjectOutcome::kOk;
+      result.data = it == m_objects.end() ? "" : it->second;
+    }
+    Answer(result, std::move(callback));
+  }
+
+  void Delete(std::string name, Callback callback) override {
+    ObjectResult result;
+    if (!unavailable) {
+      result.outcome = m_objects.erase(name) > 0 ? ObjectOutcome::kOk : ObjectOutcome::kNotFound;
+    }
+    Answer(result, std::move(callback));
+  }
+
+ private:
+  void Answer(ObjectResult result, Callback callback) {
+    m_world->Post(latency, [result = std::move(result), callback = std::move(callback)] { callback(result); });
+  }
+
+  ManualScheduler* m_world;
+  std::map<std::string, std::string> m_objects;
+};
+
+}  // namespace quetzalridge
