Add fair-share admission over all instances and the admit-all baseline

admission.h: AdmissionRequest has an id (0 cannot wait), the limits of workspace and profile, and a capacity that now means the service's slots over all instances. AdmissionPolicy gains the queue (NextQueued, CancelQueued), preemption of rollouts, and the demand exchanged with peers; all have defaults.

FairSharePolicy divides the slots by weighted max-min shares and each workspace's slots among the instances by the demand they report. A tenth of the slots stays free of borrowed work, so a workspace below its share need not wait; rollouts keep a tenth during a peak. Ruled out: equal parts per instance, which waste slots where the traffic is uneven.

Beside a workspace with four times the capacity, four instances admit at most 84 for 80 slots; admit-all exceeds it.

--- /dev/null
+++ b/src/state/fair_share_policy.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "state/admission.h"
+#include "state/share_allocation.h"
+
+namespace quetzalridge {
+
+// Holds weighted shares per workspace over all instances: the slots of a workspace are divided among the instances by
+// the demand that each of them reports. Interactive requests go before rollouts, and excess work is shed early.
+class FairSharePolicy : public AdmissionPolicy {
+ public:
+  AdmissionResult Decide(const AdmissionRequest& request, TimePoint now) override;
+  void OnFinished(const AdmissionRequest& request, TimePoint now) override;
+  std::vector<QueueOutcome> NextQueued(TimePoint now) override;
+  void CancelQueued(uint64_t id) override;
+  std::vector<uint64_t> TakePreemptions(TimePoint now) override;
+  std::vector<WorkspaceDemand> LocalDemand() const override;
+  void OnPeerDemand(const std::string& peer, const std::vector<WorkspaceDemand>& demand, TimePoint now) override;
+
+ private:
+  static constexpr size_t kClasses = 2;
+
+  struct Waiting {
+    uint64_t id = 0;
+    TimePoint since;
+  };
+  struct ClassState {
+    int running = 0;
+    std::deque<Waiting> queue;
+    int peers_running = 0;
+    int peers_waiting = 0;
+    // This instance's slots, from the last allocation.
+    int limit = 0;
+
+    int LocalDemand() const { return running + static_cast<int>(queue.size()); }
+    int Demand() const { return LocalDemand() + peers_running + peers_waiting; }
+  };
+  struct Workspace {
+    double share = 1.0;
+    int max_concurrent = 0;
+    TimePoint last_active;
+    std::array<ClassState, kClasses> classes;
+  };
+  struct RunningRequest {
+    std::string workspace;
+    WorkClass work_class = WorkClass::kInteractive;
+    TimePoint since;
+    bool preempted = false;
+  };
+  struct Service {
+    int capacity = 0;
+    double rollout_share_max = 1.0;
+    // Moving averages of how long requests run.
+    std::array<double, kClasses> mean_run_ms = {1000.0, 1000.0};
+    std::map<std::string, Workspace> workspaces;
+    std::map<uint64_t, RunningRequest> running;
+    // This instance's part of the slots, and of the rollouts' floor, from the last allocation.
+    int limit = 0;
+    int rollout_floor = 0;
+    int rollout_limit = 0;
+  };
+  struct PeerReport {
+    TimePoint at;
+    std::vector<WorkspaceDemand> demand;
+  };
+
+  void DropSilentPeers(TimePoint now);
+  void AddPeerDemand(const std::vector<WorkspaceDemand>& demand, int sign, TimePoint now);
+  static void Allocate(Service* service, TimePoint now);
+  static int RunningOf(const Service& service, WorkClass work_class);
+  static bool MayStart(const Service& service, const Workspace& workspace, WorkClass work_class);
+  static bool IsWithinClassLimit(const Service& service, WorkClass work_class, int running);
+  static std::string NextWorkspace(const Service& service, WorkClass work_class);
+  static Duration ExpectedWait(const Service& service, const Workspace& workspace, WorkClass work_class);
+  static void Start(Service* service, const std::string& workspace, WorkClass work_class, uint64_t id, TimePoint now);
+  static void ShedOverdue(Service* service, TimePoint now, std::vector<QueueOutcome>* outcomes);
+  static void StartQueued(Service* service, TimePoint now, std::vector<QueueOutcome>* outcomes);
+  static void PreemptRollouts(Service* service, std::vector<uint64_t>* ids);
+
+  std::map<std::string, Service> m_services;
+  std::map<std::string, PeerReport> m_peers;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/state/admission_test.cc
@@ -0,0 +1,236 @@
+#include "state/admission.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "state/admit_all_policy.h"
+#include "state/fair_share_policy.h"
+#include "state/share_allocation.h"
+
+namespace quetzalridge {
+namespace {
+
+const TimePoint kStart = TimePoint::FromMilliseconds(1'000'000);
+
+AdmissionRequest MakeRequest(uint64_t id, const std::string& workspace, int capacity,
+                             WorkClass work_class = WorkClass::kInteractive) {
+  AdmissionRequest request;
+  request.id = id;
+  request.workspace = workspace;
+  request.service = "svc";
+  request.work_class = work_class;
+  request.capacity = capacity;
+  return request;
+}
+
+// Guards against slots left idle while a workspace wants them, and against more than was asked for.
+TEST_CASE("weighted max-min shares use all capacity and never exceed a demand") {
+  const std::vector<double> slots = WaterFill(10, {{1, 2}, {1, 100}, {2, 100}});
+  CHECK(slots[0] == Approx(2));
+  CHECK(slots[1] == Approx(8.0 / 3));
+  CHECK(slots[2] == Approx(16.0 / 3));
+}
+
+struct NeighbourResult {
+  int most_running = 0;
+  int modest_late = 0;
+  int modest_shed = 0;
+};
+
+// One workspace offers four times the capacity, a second one a twentieth of it. The instances get uneven parts of both.
+NeighbourResult RunNeighbours(bool fair) {
+  constexpr int kInstances = 4;
+  constexpr int kCapacity = 80;
+  constexpr int kRunMs = 1000;
+  constexpr int kTickMs = 10;
+  Random random(5);
+  std::vector<std::unique_ptr<AdmissionPolicy>> policies;
+  for (int i = 0; i < kInstances; ++i) {
+    if (fair) {
+      policies.push_back(std::make_unique<FairSharePolicy>());
+    } else {
+      policies.push_back(std::make_unique<AdmitAllPolicy>());
+    }
+  }
+  struct Running {
+    int instance;
+    AdmissionRequest request;
+    TimePoint end;
+  };
+  std::vector<Running> running;
+  std::map<uint64_t, AdmissionRequest> waiting;
+  std::map<uint64_t, TimePoint> modest_since;
+  NeighbourResult result;
+  uint64_t id = 0;
+  const auto start = [&](int instance, const AdmissionRequest& request, TimePoint now) {
+    running.push_back({instance, request, now + Duration::Milliseconds(kRunMs)});
+    if (request.workspace == "modest" && now - modest_since[request.id] > Duration::Milliseconds(200)) {
+      ++result.modest_late;
+    }
+  };
+  for (int ms = 0; ms < 20'000; ms += kTickMs) {
+    const TimePoint now = kStart + Duration::Milliseconds(ms);
+    for (size_t r = 0; r < running.size();) {
+      if (running[r].end > now) {
+        ++r;
+        continue;
+      }
+      policies[running[r].instance]->OnFinished(running[r].request, now);
+      running[r] = running.back();
+      running.pop_back();
+    }
+    for (const char* workspace : {"greedy", "modest"}) {
+      const double per_tick = (workspace[0] == 'g' ? 4.0 : 0.05) * kCapacity * kTickMs / kRunMs;
+      for (double left = per_tick; left > 0; left -= 1) {
+        if (!random.Chance(left)) {
+          continue;
+        }
+        const int instance = static_cast<int>(random.Chance(0.5) ? 0 : random.Below(kInstances));
+        const AdmissionRequest request = MakeRequest(++id, workspace, kCapacity);
+        if (request.workspace == "modest") {
+          modest_since[id] = now;
+        }
+        const AdmissionResult decided = policies[instance]->Decide(request, now);
+        if (decided.verdict == AdmissionVerdict::kAdmit) {
+          start(instance, request, now);
+        } else if (decided.verdict == AdmissionVerdict::kQueue) {
+          waiting[id] = request;
+        } else if (request.workspace == "modest") {
+          ++result.modest_shed;
+        }
+      }
+    }
+    for (int i = 0; i < kInstances; ++i) {
+      for (const QueueOutcome& outcome : policies[i]->NextQueued(now)) {
+        if (outcome.result.verdict == AdmissionVerdict::kAdmit) {
+          start(i, waiting[outcome.id], now);
+        }
+        waiting.erase(outcome.id);
+      }
+      for (int j = 0; ms % 1000 == 0 && j < kInstances; ++j) {
+        if (i != j) {
+          policies[j]->OnPeerDemand("peer" + std::to_string(i), policies[i]->LocalDemand(), now);
+        }
+      }
+    }
+    if (ms > 5000) {
+      result.most_running = std::max(result.most_running, static_cast<int>(running.size()));
+    }
+  }
+  return result;
+}
+
+// Guards against a greedy neighbour that delays others, and against instances that together admit more than the
+// capacity because each one sees only its own traffic. One slot per instance is allowed for rounding.
+TEST_CASE("shares hold over all instances beside a greedy workspace") {
+  const NeighbourResult fair = RunNeighbours(true);
+  CHECK(fair.most_running <= 80 + 4);
+  CHECK(fair.modest_shed == 0);
+  CHECK(fair.modest_late <= 2);
+  // The check must fail without the mechanism.
+  CHECK(RunNeighbours(false).most_running > 80 + 4);
+}
+
+// Guards against slots that stay assigned to an instance that is gone.
+TEST_CASE("the demand of a silent peer expires") {
+  FairSharePolicy policy;
+  policy.OnPeerDemand("gone", {{"svc", "a", WorkClass::kInteractive, 1.0, 40, 40}}, kStart);
+  int admitted = 0;
+  int queued = 0;
+  const TimePoint later = kStart + Duration::Seconds(9);
+  for (uint64_t id = 1; id <= 20; ++id) {
+    const AdmissionResult result = policy.Decide(MakeRequest(id, "a", 10), later);
+    admitted += result.verdict == AdmissionVerdict::kAdmit ? 1 : 0;
+    queued += result.verdict == AdmissionVerdict::kQueue ? 1 : 0;
+  }
+  CHECK(admitted < 5);
+  CHECK(queued > 0);
+  for (const QueueOutcome& outcome : policy.NextQueued(kStart + Duration::Milliseconds(10'001))) {
+    CHECK(outcome.result.verdict == AdmissionVerdict::kAdmit);
+    --queued;
+  }
+  CHECK(queued == 0);
+}
+
+// Guards against interactive requests that wait behind rollouts, and against rollouts that are stopped altogether.
+TEST_CASE("waiting interactive requests preempt the newest rollouts down to the floor") {
+  FairSharePolicy policy;
+  uint64_t id = 0;
+  std::set<uint64_t> rollouts;
+  for (int i = 0; i < 30; ++i) {
+    const AdmissionRequest request = MakeRequest(++id, "trainer", 20, WorkClass::kRollout);
+    if (policy.Decide(request, kStart).verdict == AdmissionVerdict::kAdmit) {
+      rollouts.insert(id);
+    }
+  }
+  CHECK(rollouts.size() == 18);
+  int interactive = 0;
+  for (int i = 0; i < 30; ++i) {
+    interactive += policy.Decide(MakeRequest(++id, "clerk", 20), kStart).verdict == AdmissionVerdict::kAdmit ? 1 : 0;
+  }
+  // The reserve serves the first ones at once.
+  CHECK(interactive == 2);
+  const std::vector<uint64_t> preempted = policy.TakePreemptions(kStart);
+  // A reserve of two slots stays free for interactive requests of the other workspace.
+  CHECK(preempted.size() == 14);
+  CHECK(policy.TakePreemptions(kStart).empty());
+  for (const uint64_t each : preempted) {
+    CHECK(rollouts.erase(each) == 1);
+    policy.OnFinished(MakeRequest(each, "trainer", 20, WorkClass::kRollout), kStart);
+  }
+  CHECK(*rollouts.rbegin() < *std::min_element(preempted.begin(), preempted.end()));
+  for (const QueueOutcome& outcome : policy.NextQueued(kStart)) {
+    interactive += outcome.id > 30 && outcome.result.verdict == AdmissionVerdict::kAdmit ? 1 : 0;
+  }
+  CHECK(interactive == 16);
+}
+
+// Guards against work admitted to slots of endpoints that were lost, and against shedding without a retry time.
+TEST_CASE("after the loss of endpoints nothing starts until the rest has room, and excess is shed") {
+  FairSharePolicy policy;
+  uint64_t id = 0;
+  for (int i = 0; i < 18; ++i) {
+    REQUIRE(policy.Decide(MakeRequest(++id, "a", 20), kStart).verdict == AdmissionVerdict::kAdmit);
+  }
+  Duration retry;
+  for (int i = 0; i < 60; ++i) {
+    const AdmissionResult result = policy.Decide(MakeRequest(++id, "a", 10), kStart);
+    CHECK(result.verdict != AdmissionVerdict::kAdmit);
+    retry = result.retry_after;
+  }
+  CHECK(retry > Duration::Milliseconds(0));
+  for (uint64_t finished = 1; finished <= 8; ++finished) {
+    policy.OnFinished(MakeRequest(finished, "a", 10), kStart);
+    CHECK(policy.NextQueued(kStart).empty());
+  }
+}
+
+// Guards against a request that is answered "not run" and started later from the queue.
+TEST_CASE("a cancelled request leaves the queue") {
+  FairSharePolicy policy;
+  REQUIRE(policy.Decide(MakeRequest(1, "a", 1), kStart).verdict == AdmissionVerdict::kAdmit);
+  REQUIRE(policy.Decide(MakeRequest(2, "a", 1), kStart).verdict == AdmissionVerdict::kQueue);
+  policy.CancelQueued(2);
+  policy.OnFinished(MakeRequest(1, "a", 1), kStart);
+  CHECK(policy.NextQueued(kStart).empty());
+  CHECK(policy.LocalDemand().empty());
+}
+
+// Guards against a workspace that exceeds its limit by spreading its requests over the instances.
+TEST_CASE("the limit of concurrent requests counts those of peers") {
+  FairSharePolicy policy;
+  policy.OnPeerDemand("peer", {{"svc", "a", WorkClass::kInteractive, 1.0, 3, 0}}, kStart);
+  AdmissionRequest request = MakeRequest(1, "a", 100);
+  request.max_concurrent = 4;
+  CHECK(policy.Decide(request, kStart).verdict == AdmissionVerdict::kAdmit);
+  request.id = 2;
+  CHECK(policy.Decide(request, kStart).verdict == AdmissionVerdict::kQueue);
+}
+
+}  // namespace
+}  // namespace quetzalridge
