Add rollout samples and at-most-once calls to the request path

Purpose: DispatchedSampleEngine runs samples with rollout priority; OnceLedger writes a row once/<workspace>/<request id> before a non-idempotent call is dispatched. Admission uses the policy's own queue and preemptions.

A caller that leaves a call with an idempotency key does not cancel it, so that its repetition gets the stored answer. Ruled out: cancelling it, which would leave an unknown outcome for each impatient caller. Adds max_concurrent and rollout_share_max to what the dispatcher tells the policy.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -2,11 +2,12 @@
 
 #include <nlohmann/json.hpp>
 
-#include "base/hash.h"
 #include "daemon/caller_request.h"
 #include "protocol/completion_request.h"
 #include "protocol/error_body.h"
 #include "protocol/header_allow_list.h"
+#include "state/prefix_hash.h"
+#include "state/request_fingerprint.h"
 
 namespace quetzalridge {
 
@@ -17,6 +18,10 @@
 // Engines run requests with smaller numbers first.
 constexpr int kInteractivePriority = 0;
 constexpr std::string_view kPlainPrefix = "/s/";
+constexpr std::string_view kIdempotencyKey = "idempotency-key";
+// A whole answer comes with its last token, so its deadline grows with its length.
+constexpr Duration kTimePerToken = Duration::Milliseconds(100);
+constexpr int64_t kTokensWhenNotNamed = 256;
 constexpr int kStatusOk = 200;
 
 HttpHeaders AllowedHeaders(const HttpHeaders& headers, ServiceKind kind) {
@@ -34,8 +39,21 @@
                   EncodeErrorBody(error.code(), error.what(), error.ran(), retry_after_ms));
 }
 
-uint64_t Fingerprint(const std::string& workspace, const std::string& path, const std::string& body) {
-  return Hash64(body, Hash64(path, Hash64(workspace)));
+// Two identities could be read either way, so they are refused.
+std::string OnceIdOf(const HttpRequest& request) {
+  std::string once_id;
+  for (const HttpHeader& header : request.headers) {
+    if (header.name != kIdempotencyKey) {
+      continue;
+    }
+    if (!once_id.empty() || !IsValidOnceId(header.value)) {
+      throw Error(ErrorCode::kInvalidRequest,
+                  "'idempotency-key' must be given once and have 1 to 128 printable characters without slashes, quotes "
+                  "and backslashes");
+    }
+    once_id = header.value;
+  }
+  return once_id;
 }
 
 // A target with spaces or control characters would be read differently by the endpoint.
@@ -67,25 +85,25 @@
     if (m_draining) {
       throw Error(ErrorCode::kDraining, "this instance is stopping; send the request to another instance");
     }
-    Route(std::move(request), responder);
+    Route(request, responder);
   } catch (const Error& error) {
     SendError(responder.get(), error, error.code() == ErrorCode::kDraining ? kDrainRetryMs : 0);
   }
 }
 
-void CallerApi::Route(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+void CallerApi::Route(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
   if (request.path == "/v1/completions" || request.path == "/v1/chat/completions") {
     if (request.method != "POST") {
       throw Error(ErrorCode::kMethodNotAllowed, request.path + " takes POST");
     }
-    StartCompletion(std::move(request), responder);
+    StartCompletion(request, responder);
   } else if (request.path == "/v1/models") {
     if (request.method != "GET") {
       throw Error(ErrorCode::kMethodNotAllowed, "/v1/models takes GET");
     }
     ListModels(request, responder);
   } else if (request.path.compare(0, kPlainPrefix.size(), kPlainPrefix) == 0) {
-    StartPlain(std::move(request), responder);
+    StartPlain(request, responder);
   } else {
     throw Error(ErrorCode::kNotFound, "no such path; see the interface description for the paths that exist");
   }
@@ -139,7 +157,7 @@
   return identity;
 }
 
-void CallerApi::StartCompletion(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+void CallerApi::StartCompletion(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
   const CompletionRequest completion = ParseCompletionRequest(request.body, kInteractivePriority);
   const RouteConfig& route = FindRoute(completion.model, ServiceKind::kInference);
   const CallerIdentity identity = Admit(request, route);
@@ -154,14 +172,16 @@
   dispatch.body = completion.body;
   dispatch.idempotent = route.idempotent;
   dispatch.stream = completion.stream;
-  dispatch.fingerprint = Fingerprint(identity.workspace, request.path, completion.body);
-  if (m_collaborators.prompt_hasher) {
-    dispatch.prefix_hashes = m_collaborators.prompt_hasher(completion.prompt);
+  if (!completion.stream) {
+    const int64_t tokens = completion.max_tokens > 0 ? completion.max_tokens : kTokensWhenNotNamed;
+    dispatch.answer_time = kTimePerToken * tokens;
   }
-  StartRequest(std::move(dispatch), identity, !route.open, responder);
+  dispatch.fingerprint = RequestFingerprint(identity.workspace, request.path, completion.body);
+  dispatch.prefix_hashes = PrefixHashes(completion.prompt);
+  StartRequest(std::move(dispatch), identity, !route.open, request, responder);
 }
 
-void CallerApi::StartPlain(HttpRequest request, const std::shared_ptr<HttpResponder>& responder) {
+void CallerApi::StartPlain(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
   const size_t name_end = request.path.find('/', kPlainPrefix.size());
   const std::string name = request.path.substr(kPlainPrefix.size(), name_end - kPlainPrefix.size());
   const std::string path = name_end == std::string::npos ? "/" : request.path.substr(name_end);
@@ -174,29 +194,27 @@
   dispatch.target = path + (request.query.empty() ? "" : "?" + request.query);
   dispatch.headers = AllowedHeaders(request.headers, ServiceKind::kPlain);
   dispatch.idempotent = route.idempotent;
-  dispatch.fingerprint = Fingerprint(identity.workspace, request.method + " " + dispatch.target, request.body);
-  dispatch.body = std::move(request.body);
-  StartRequest(std::move(dispatch), identity, !route.open, responder);
+  dispatch.fingerprint = RequestFingerprint(identity.workspace, request.method + " " + dispatch.target, request.body);
+  dispatch.body = request.body;
+  StartRequest(std::move(dispatch), identity, !route.open, request, responder);
 }
 
-void CallerApi::StartRequest(DispatchRequest dispatch, CallerIdentity identity, bool keyed,
-                             const std::shared_ptr<HttpResponder>& responder) {
+void CallerApi::StartRequest(DispatchRequest dispatch, const CallerIdentity& identity, bool keyed,
+                             const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+  const std::string once_id = dispatch.idempotent ? "" : OnceIdOf(request);
   const uint64_t id = ++m_next_request;
   dispatch.workspace = identity.workspace;
-  const auto& workspaces = m_collaborators.config->document().workspaces();
-  const auto workspace = workspaces.find(identity.workspace);
-  dispatch.workspace_share = workspace == workspaces.end() ? 1.0 : workspace->second.share;
   // The key could be withdrawn while the request waits; this is the last look before the endpoint gets a byte.
   dispatch.before_write = [this, identity, keyed] {
     return m_authenticator.IsValid(identity) &&
            (!keyed || m_collaborators.config->MayServeKeyedRoutes(m_collaborators.scheduler->clock().Now()));
   };
-  auto request = std::make_shared<Request>(this, id, std::move(dispatch), identity, keyed, responder);
-  m_requests[id] = request;
+  auto started = std::make_shared<Request>(this, id, std::move(dispatch), identity, keyed, once_id, responder);
+  m_requests[id] = started;
   if (!identity.key_digest.empty()) {
-    m_by_key[identity.key_digest][id] = request.get();
+    m_by_key[identity.key_digest][id] = started.get();
   }
-  request->Begin();
+  started->Begin();
   if (m_permission_timer == nullptr) {
     CheckPermission();
   }
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "coordination/config_view.h"
+#include "coordination/once_ledger.h"
 #include "coordination/scheduler.h"
 #include "coordination/usage_sink.h"
 #include "daemon/dispatcher.h"
@@ -27,16 +28,13 @@
 // Serves /v1/completions, /v1/chat/completions, /v1/models and /s/<route>/....
 class CallerApi : public HttpHandler {
  public:
-  // Hashes of a prompt's prefixes, longest first.
-  using PromptHasher = std::function<std::vector<uint64_t>(const std::string& prompt)>;
-
   struct Collaborators {
     Scheduler* scheduler = nullptr;
     ConfigView* config = nullptr;
     Dispatcher* dispatcher = nullptr;
+    OnceLedger* once = nullptr;
     UsageSink* usage = nullptr;
     RequestMetrics* metrics = nullptr;
-    PromptHasher prompt_hasher;
   };
 
   CallerApi(Collaborators collaborators, CallerApiOptions options);
@@ -46,19 +44,19 @@
 
   // From now on requests are refused as not run; those in progress go on.
   void BeginDrain() { m_draining = true; }
-  // Requests that have not been answered.
-  size_t active() const { return m_requests.size(); }
+  // Requests that have not been answered, and rows of non-idempotent calls that are still being written.
+  size_t active() const { return m_requests.size() + m_collaborators.once->pending(); }
 
  private:
   class Request;
 
-  void Route(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
+  void Route(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void ListModels(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
-  void StartCompletion(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
-  void StartPlain(HttpRequest request, const std::shared_ptr<HttpResponder>& responder);
+  void StartCompletion(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+  void StartPlain(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   const RouteConfig& FindRoute(const std::string& name, ServiceKind kind) const;
   CallerIdentity Admit(const HttpRequest& request, const RouteConfig& route) const;
-  void StartRequest(DispatchRequest dispatch, CallerIdentity identity, bool keyed,
+  void StartRequest(DispatchRequest dispatch, const CallerIdentity& identity, bool keyed, const HttpRequest& request,
                     const std::shared_ptr<HttpResponder>& responder);
   void CheckKeys();
   void CheckPermission();
--- a/src/daemon/caller_request.cc
+++ b/src/daemon/caller_request.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Stands for the workspace in the rows of open routes.
+constexpr char kOpenWorkspace[] = "-";
+constexpr Duration kStoreRetry = Duration::Milliseconds(2000);
 constexpr int kStatusServerError = 500;
 constexpr int kStatusBadRequest = 400;
 
@@ -32,13 +35,15 @@
 }  // namespace
 
 CallerApi::Request::Request(CallerApi* owner, uint64_t id, DispatchRequest dispatch, CallerIdentity identity,
-                            bool keyed, std::shared_ptr<HttpResponder> responder)
+                            bool keyed, std::string once_id, std::shared_ptr<HttpResponder> responder)
     : m_owner(owner),
       m_id(id),
       m_dispatch(std::move(dispatch)),
       m_identity(std::move(identity)),
       m_keyed(keyed),
       m_responder(std::move(responder)),
+      m_once_id(std::move(once_id)),
+      m_wants_stream(m_dispatch.stream),
       m_started_at(Now()),
       m_service(m_dispatch.service),
       m_workspace(m_dispatch.workspace) {}
@@ -50,10 +55,63 @@
 void CallerApi::Request::Begin() {
   m_responder->SetCloseCallback([weak = weak_from_this()] {
     if (const std::shared_ptr<Request> self = weak.lock()) {
-      self->Close(RequestOutcome::kCallerError);
+      self->OnCallerGone();
     }
   });
-  m_run = m_owner->m_collaborators.dispatcher->Start(std::move(m_dispatch), this);
+  if (m_once_id.empty()) {
+    m_run = m_owner->m_collaborators.dispatcher->Start(std::move(m_dispatch), this);
+    return;
+  }
+  const std::string workspace = m_workspace.empty() ? kOpenWorkspace : m_workspace;
+  m_owner->m_collaborators.once->Begin(
+      workspace, m_once_id, m_dispatch.fingerprint,
+      [self = shared_from_this()](const OnceBegin& begin) { self->OnOnceBegin(begin); });
+}
+
+void CallerApi::Request::OnOnceBegin(const OnceBegin& begin) {
+  if (m_closed) {
+    if (begin.verdict == OnceVerdict::kRun) {
+      m_owner->m_collaborators.once->Abandon(begin.row_key, [] {});
+    }
+    return;
+  }
+  switch (begin.verdict) {
+    case OnceVerdict::kRun:
+      m_once_row = begin.row_key;
+      m_run = m_owner->m_collaborators.dispatcher->Start(std::move(m_dispatch), this);
+      return;
+    case OnceVerdict::kFinished:
+      if (begin.answer.has_value() && MayForward()) {
+        m_responder->Send(begin.answer->status, {{"content-type", begin.answer->content_type}}, begin.answer->body);
+        Close(OutcomeOfStatus(begin.answer->status));
+        return;
+      }
+      SendError(ErrorCode::kDuplicateRequest, "the call with this idempotency key has run; its answer is not stored",
+                Ran::kYes, Duration());
+      return;
+    case OnceVerdict::kUnknown:
+      SendError(ErrorCode::kDuplicateRequest,
+                "a call with this idempotency key was started and its end is not known; look before sending it again",
+                Ran::kUnknown, Duration());
+      return;
+    case OnceVerdict::kOtherRequest:
+      SendError(ErrorCode::kConflict, "the idempotency key was used for another request; draw a new one", Ran::kNo,
+                Duration());
+      return;
+    case OnceVerdict::kStoreUnavailable:
+      SendError(ErrorCode::kStoreUnavailable,
+                "the platform's table cannot be reached, so a single run cannot be ensured; send the request again "
+                "later",
+                Ran::kNo, kStoreRetry);
+      return;
+  }
+}
+
+// A call that runs at most once goes on without its caller, whose repetition then gets the stored answer.
+void CallerApi::Request::OnCallerGone() {
+  if (m_once_row.empty()) {
+    Close(RequestOutcome::kCallerError);
+  }
 }
 
 // Runs at each piece, by the boot clock: a process that was paused must not forward what it read after the pause
@@ -97,7 +155,7 @@
   m_head = head;
   m_head.headers = AllowedResponseHeaders(head.headers);
   const std::string* type = FindHeader(m_head.headers, "content-type");
-  m_streaming = type != nullptr && type->compare(0, 17, "text/event-stream") == 0;
+  m_streaming = m_wants_stream && type != nullptr && type->compare(0, 17, "text/event-stream") == 0;
 }
 
 void CallerApi::Request::OnBody(std::string_view data) {
@@ -193,12 +251,32 @@
 }
 
 void CallerApi::Request::SendAnswer() {
+  if (!m_once_row.empty()) {
+    const std::string* type = FindHeader(m_head.headers, "content-type");
+    m_owner->m_collaborators.once->Finish(m_once_row, {m_head.status, type == nullptr ? "" : *type, m_answer});
+    m_once_row.clear();
+  }
   m_responder->Send(m_head.status, m_head.headers, m_answer);
   Close(OutcomeOfStatus(m_head.status));
 }
 
 // After the head of a stream, the error is an event, and the end mark that a whole stream has is left out.
 void CallerApi::Request::SendError(ErrorCode code, const std::string& message, Ran ran, Duration retry_after) {
+  if (!m_once_row.empty()) {
+    const std::string row_key = std::move(m_once_row);
+    m_once_row.clear();
+    if (ran == Ran::kNo) {
+      // Answered when the row is written, so that the caller may use the identity again at once.
+      m_owner->m_collaborators.once->Abandon(row_key, [self = shared_from_this(), code, message, ran, retry_after] {
+        self->SendError(code, message, ran, retry_after);
+      });
+      return;
+    }
+    m_owner->m_collaborators.once->Forget(row_key);
+  }
+  if (m_closed) {
+    return;
+  }
   const std::string body = EncodeErrorBody(code, message, ran, retry_after.ms());
   if (m_responder->started()) {
     m_responder->Write(EncodeSseEvent(body.substr(0, body.size() - 1), "error"));
@@ -217,6 +295,7 @@
   const Ran ran = m_run != nullptr && !m_run->written() ? Ran::kNo : Ran::kUnknown;
   m_held.clear();
   m_held_end.reset();
+  m_run.reset();
   SendError(code, message, ran, Duration());
 }
 
@@ -257,6 +336,9 @@
   const std::shared_ptr<Request> self = shared_from_this();
   m_closed = true;
   m_run.reset();
+  if (!m_once_row.empty()) {
+    m_owner->m_collaborators.once->Forget(m_once_row);
+  }
   Record(outcome);
   m_owner->Remove(m_id);
 }
--- a/src/daemon/caller_request.h
+++ b/src/daemon/caller_request.h
@@ -13,7 +13,7 @@
 class CallerApi::Request : public DispatchObserver, public std::enable_shared_from_this<CallerApi::Request> {
  public:
   Request(CallerApi* owner, uint64_t id, DispatchRequest dispatch, CallerIdentity identity, bool keyed,
-          std::shared_ptr<HttpResponder> responder);
+          std::string once_id, std::shared_ptr<HttpResponder> responder);
 
   void Begin();
   const CallerIdentity& identity() const { return m_identity; }
@@ -27,6 +27,8 @@
   void OnEnd(const DispatchEnd& end) override;
 
  private:
+  void OnOnceBegin(const OnceBegin& begin);
+  void OnCallerGone();
   bool MayForward();
   void ForwardStream(std::string_view data);
   void Send(std::string_view data);
@@ -43,6 +45,11 @@
   CallerIdentity m_identity;
   bool m_keyed;
   std::shared_ptr<HttpResponder> m_responder;
+  // Identity of a non-idempotent call; empty without one.
+  std::string m_once_id;
+  bool m_wants_stream;
+  // The call's row while this request owns it.
+  std::string m_once_row;
   std::unique_ptr<DispatchRun> m_run;
   TimePoint m_started_at;
   std::optional<TimePoint> m_first_byte_at;
--- a/src/daemon/dispatch.h
+++ b/src/daemon/dispatch.h
@@ -18,7 +18,6 @@
 struct DispatchRequest {
   std::string service;
   std::string workspace;
-  double workspace_share = 1.0;
   WorkClass work_class = WorkClass::kInteractive;
   std::string method = "POST";
   std::string target;
@@ -33,10 +32,8 @@
   std::vector<uint64_t> prefix_hashes;
   std::vector<std::string> excluded;
   int64_t min_weight_version = 0;
-  // Waits for admission and for an endpoint; false ends the run at once as not started.
-  bool may_wait = true;
-  // From the write to the first byte of the answer; 0 selects the default.
-  Duration first_byte_timeout;
+  // What the answer as a whole may take, added to the deadline of the first byte.
+  Duration answer_time;
   // Runs as the last step before the first byte is written; false ends the run as not run.
   std::function<bool()> before_write;
 };
--- /dev/null
+++ b/src/daemon/dispatched_sample_engine.cc
@@ -0,0 +1,137 @@
+#include "daemon/dispatched_sample_engine.h"
+
+#include <utility>
+
+#include "protocol/completion_request.h"
+#include "protocol/completion_stream.h"
+#include "state/prefix_hash.h"
+#include "state/request_fingerprint.h"
+
+namespace quetzalridge {
+
+namespace {
+
+// Engines run requests with smaller numbers first; interactive requests have 0.
+constexpr int kRolloutPriority = 10;
+constexpr int kStatusOk = 200;
+constexpr char kTarget[] = "/v1/completions";
+
+// The run and its observer live until the sample ends or its owner destroys it.
+class DispatchedSample : public SampleRun, public DispatchObserver {
+ public:
+  DispatchedSample(std::string workspace, UsageSink* usage, int64_t resume_tokens, SampleObserver* observer)
+      : m_workspace(std::move(workspace)), m_usage(usage), m_next_index(resume_tokens), m_observer(observer) {}
+
+  ~DispatchedSample() override {
+    *m_alive = false;
+    AddUsage(0);
+  }
+
+  void Begin(Dispatcher* dispatcher, DispatchRequest request) { m_run = dispatcher->Start(std::move(request), this); }
+
+  void OnAttempt(const std::string& endpoint_id) override { m_observer->OnSampleStarted(endpoint_id); }
+
+  void OnHead(const DispatchHead& head) override { m_status = head.status; }
+
+  void OnBody(std::string_view data) override {
+    const std::shared_ptr<bool> alive = m_alive;
+    for (const CompletionEvent& event : m_stream.Feed(data)) {
+      if (event.done || m_broken) {
+        break;
+      }
+      PassToken(event.answer);
+      if (!*alive) {
+        return;
+      }
+    }
+    m_broken = m_broken || m_stream.broken();
+    if (m_broken) {
+      // The rest cannot be trusted; what came before can be resumed elsewhere.
+      m_run.reset();
+      End(SampleEnd::kInterrupted);
+    }
+  }
+
+  void OnEnd(const DispatchEnd& end) override {
+    m_run.reset();
+    if (end.error == ErrorCode::kQuarantined) {
+      End(SampleEnd::kQuarantined);
+    } else if (end.error.has_value()) {
+      End(end.ran == Ran::kNo ? SampleEnd::kNotStarted : SampleEnd::kInterrupted);
+    } else {
+      End(m_status == kStatusOk && m_stream.done() ? SampleEnd::kFinished : SampleEnd::kInterrupted);
+    }
+  }
+
+ private:
+  // Tokens need a stamp, since a sample names the versions that produced it. A gap in the indices is a lost token, and
+  // an index below the resume point shows an engine that started again.
+  void PassToken(const CompletionAnswer& answer) {
+    if (answer.text.empty() && !answer.token_index.has_value()) {
+      return;
+    }
+    if (answer.is_error || !answer.weight_version.has_value() ||
+        answer.token_index.value_or(m_next_index) != m_next_index) {
+      m_broken = true;
+      return;
+    }
+    ++m_next_index;
+    m_observer->OnSampleToken(answer.text, *answer.weight_version);
+  }
+
+  void End(SampleEnd end) {
+    AddUsage(end == SampleEnd::kFinished ? 1 : 0);
+    m_observer->OnSampleEnd(end);
+  }
+
+  void AddUsage(int64_t samples) {
+    if (m_usage_added) {
+      return;
+    }
+    m_usage_added = true;
+    UsageFigures figures;
+    figures.samples = samples;
+    figures.prompt_tokens = m_stream.prompt_tokens();
+    figures.completion_tokens = m_stream.streamed_tokens();
+    if (m_usage != nullptr && (samples > 0 || figures.completion_tokens > 0)) {
+      m_usage->Add(m_workspace, figures);
+    }
+  }
+
+  std::string m_workspace;
+  UsageSink* m_usage;
+  int64_t m_next_index;
+  SampleObserver* m_observer;
+  std::unique_ptr<DispatchRun> m_run;
+  CompletionStream m_stream;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  int m_status = 0;
+  bool m_broken = false;
+  bool m_usage_added = false;
+};
+
+}  // namespace
+
+std::unique_ptr<SampleRun> DispatchedSampleEngine::Start(const SampleRequest& request, SampleObserver* observer) {
+  DispatchRequest dispatch;
+  dispatch.service = request.service;
+  dispatch.workspace = request.workspace;
+  dispatch.work_class = WorkClass::kRollout;
+  dispatch.target = kTarget;
+  dispatch.headers = {{"content-type", "application/json"}};
+  dispatch.body = EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kRolloutPriority,
+                                      request.resume_text, request.resume_tokens);
+  dispatch.stream = true;
+  // What is resumed differs between attempts, so the fingerprint covers the sample as first sent.
+  const std::string first_body =
+      EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kRolloutPriority, "", 0);
+  dispatch.fingerprint = RequestFingerprint(request.workspace, kTarget, first_body);
+  dispatch.prefix_hashes = PrefixHashes(request.prompt);
+  dispatch.excluded = request.excluded;
+  dispatch.min_weight_version = request.min_weight_version;
+  auto sample = std::make_unique<DispatchedSample>(request.workspace, m_usage, request.resume_tokens, observer);
+  sample->Begin(m_dispatcher, std::move(dispatch));
+  return sample;
+}
+
+}  // namespace quetzalridge
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -6,6 +6,12 @@
 
 namespace quetzalridge {
 
+namespace {
+
+constexpr Duration kAdmissionPoll = Duration::Milliseconds(100);
+
+}  // namespace
+
 class Dispatcher::Handle : public DispatchRun {
  public:
   explicit Handle(std::shared_ptr<Run> run) : m_run(std::move(run)) {}
@@ -32,25 +38,40 @@
   m_runs[id] = run;
   m_retries.OnRequest(m_collaborators.scheduler->clock().Now());
   run->Begin();
+  AskAdmissionSoon(kAdmissionPoll);
   return std::make_unique<Handle>(run);
 }
 
-void Dispatcher::OnAdmissionFreed() {
-  if (m_waiting.empty() || m_admission_timer != nullptr) {
+// A later turn of the loop, so that a run which ends while others are asked does not change their list meanwhile.
+void Dispatcher::AskAdmissionSoon(Duration delay) {
+  const TimePoint due = m_collaborators.scheduler->clock().Now() + delay;
+  if (m_admission_timer != nullptr && m_admission_due <= due) {
     return;
   }
-  // A later turn, so that a run which ends while others are asked does not change the list under the loop.
-  m_admission_timer = m_collaborators.scheduler->After(Duration(), [this] {
-    m_admission_timer.reset();
-    const std::set<std::pair<int, uint64_t>> waiting = m_waiting;
-    for (const auto& [order, id] : waiting) {
-      const auto it = m_runs.find(id);
-      if (it != m_runs.end() && m_waiting.count({order, id}) > 0) {
-        const std::shared_ptr<Run> run = it->second;
-        run->AskAdmission();
-      }
+  m_admission_due = due;
+  m_admission_timer = m_collaborators.scheduler->After(delay, [this] { AskAdmission(); });
+}
+
+void Dispatcher::AskAdmission() {
+  const TimePoint now = m_collaborators.scheduler->clock().Now();
+  m_admission_timer.reset();
+  for (const QueueOutcome& outcome : m_collaborators.admission->NextQueued(now)) {
+    const auto it = m_runs.find(outcome.id);
+    if (it != m_runs.end()) {
+      const std::shared_ptr<Run> run = it->second;
+      run->OnAdmissionResult(outcome.result);
     }
-  });
+  }
+  for (uint64_t id : m_collaborators.admission->TakePreemptions(now)) {
+    const auto it = m_runs.find(id);
+    if (it != m_runs.end()) {
+      const std::shared_ptr<Run> run = it->second;
+      run->Preempt();
+    }
+  }
+  if (!m_runs.empty()) {
+    AskAdmissionSoon(kAdmissionPoll);
+  }
 }
 
 // The connections of a crashed endpoint break one after the other. The first break blames all attempts that are in
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -3,10 +3,10 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
+#include "coordination/config_view.h"
 #include "coordination/scheduler.h"
 #include "daemon/dispatch.h"
 #include "daemon/endpoint_registry.h"
@@ -36,6 +36,7 @@
  public:
   struct Collaborators {
     Scheduler* scheduler = nullptr;
+    ConfigView* config = nullptr;
     EndpointRegistry* endpoints = nullptr;
     EngineClient* engines = nullptr;
     Router* router = nullptr;
@@ -65,7 +66,9 @@
     int64_t crashes_before = 0;
   };
 
-  void OnAdmissionFreed();
+  // Starts queued requests and stops preempted ones; again after 100 ms while there are runs.
+  void AskAdmissionSoon(Duration delay);
+  void AskAdmission();
   void OnConnectionLost(uint64_t run_id);
 
   Collaborators m_collaborators;
@@ -75,9 +78,8 @@
   std::map<uint64_t, std::shared_ptr<Run>> m_runs;
   std::map<uint64_t, InFlight> m_in_flight;
   std::map<std::string, int64_t> m_crashes;
-  // Runs that wait for admission, interactive ones first, then in order of arrival.
-  std::set<std::pair<int, uint64_t>> m_waiting;
   std::unique_ptr<Timer> m_admission_timer;
+  TimePoint m_admission_due;
 };
 
 }  // namespace quetzalridge
--- a/src/daemon/dispatcher_run.cc
+++ b/src/daemon/dispatcher_run.cc
@@ -14,6 +14,7 @@
 constexpr Duration kEndpointRetry = Duration::Milliseconds(20);
 constexpr Duration kRefusalRetry = Duration::Milliseconds(1000);
 constexpr size_t kMaxCollectedBytes = 64 << 20;
+constexpr char kQuarantinedMessage[] = "this request crashed endpoints twice; change it or ask an operator to clear it";
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusBadGateway = 502;
 constexpr int kStatusServiceUnavailable = 503;
@@ -46,43 +47,70 @@
 }
 
 AdmissionRequest Dispatcher::Run::MakeAdmissionRequest() const {
+  const ConfigDocument& document = m_owner->m_collaborators.config->document();
   AdmissionRequest request;
+  request.id = m_id;
   request.workspace = m_request.workspace;
   request.service = m_request.service;
   request.work_class = m_request.work_class;
-  request.workspace_share = m_request.workspace_share;
   request.capacity = m_owner->m_collaborators.endpoints->Capacity(m_request.service);
+  const auto workspace = document.workspaces().find(m_request.workspace);
+  if (workspace != document.workspaces().end()) {
+    request.workspace_share = workspace->second.share;
+    request.max_concurrent = workspace->second.max_concurrent;
+  }
+  const auto service = document.services().find(m_request.service);
+  if (service != document.services().end()) {
+    const auto profile = document.profiles().find(service->second.profile);
+    request.rollout_share_max =
+        profile == document.profiles().end() ? request.rollout_share_max : profile->second.rollout_share_max;
+  }
   return request;
 }
 
 void Dispatcher::Run::AskAdmission() {
-  const std::pair<int, uint64_t> place(static_cast<int>(m_request.work_class), m_id);
   const FingerprintVerdict verdict = m_owner->m_collaborators.quarantine->Check(m_request.fingerprint, Now());
   if (verdict == FingerprintVerdict::kQuarantined) {
-    Refuse(ErrorCode::kQuarantined, "this request crashed endpoints twice; change it or ask an operator to clear it",
-           Duration());
-    return;
-  }
-  const AdmissionResult result = m_owner->m_collaborators.admission->Decide(MakeAdmissionRequest(), Now());
-  if (result.verdict == AdmissionVerdict::kAdmit) {
-    m_owner->m_waiting.erase(place);
-    m_timer.reset();
-    m_admitted = true;
-    ChooseEndpoint();
-    return;
-  }
-  if (result.verdict == AdmissionVerdict::kShed || !m_request.may_wait) {
-    Refuse(ErrorCode::kOverloaded, "the workspace's share of the service is in use; send the request again later",
-           std::max(result.retry_after, kRefusalRetry));
+    Refuse(ErrorCode::kQuarantined, kQuarantinedMessage, Duration());
     return;
   }
-  if (m_owner->m_waiting.insert(place).second) {
-    m_timer = m_owner->m_collaborators.scheduler->After(m_owner->m_options.queue_timeout, [self = shared_from_this()] {
-      self->Refuse(ErrorCode::kOverloaded, "no slot became free in time; send the request again later", kRefusalRetry);
-    });
+  m_admission = MakeAdmissionRequest();
+  OnAdmissionResult(m_owner->m_collaborators.admission->Decide(m_admission, Now()));
+}
+
+void Dispatcher::Run::OnAdmissionResult(const AdmissionResult& result) {
+  m_timer.reset();
+  m_queued = false;
+  switch (result.verdict) {
+    case AdmissionVerdict::kAdmit:
+      m_admitted = true;
+      ChooseEndpoint();
+      return;
+    case AdmissionVerdict::kShed:
+      Refuse(ErrorCode::kOverloaded, "the workspace's share of the service is in use; send the request again later",
+             std::max(result.retry_after, kRefusalRetry));
+      return;
+    case AdmissionVerdict::kQueue:
+      m_queued = true;
+      m_timer =
+          m_owner->m_collaborators.scheduler->After(m_owner->m_options.queue_timeout, [self = shared_from_this()] {
+            self->Refuse(ErrorCode::kOverloaded, "no slot became free in time; send the request again later",
+                         kRefusalRetry);
+          });
+      return;
   }
 }
 
+void Dispatcher::Run::Preempt() {
+  DispatchEnd end;
+  end.error = ErrorCode::kOverloaded;
+  end.message = "the work was stopped in favour of interactive requests; resume it later";
+  end.endpoint_id = m_endpoint_id;
+  end.ran = m_written ? Ran::kUnknown : Ran::kNo;
+  CancelAttempt();
+  Finish(end);
+}
+
 RouteRequest Dispatcher::Run::MakeRouteRequest(FingerprintVerdict verdict) const {
   RouteRequest route;
   route.service = m_request.service;
@@ -100,8 +128,7 @@
 void Dispatcher::Run::ChooseEndpoint() {
   const FingerprintVerdict verdict = m_owner->m_collaborators.quarantine->Check(m_request.fingerprint, Now());
   if (verdict == FingerprintVerdict::kQuarantined) {
-    Refuse(ErrorCode::kQuarantined, "this request crashed endpoints twice; change it or ask an operator to clear it",
-           Duration());
+    Refuse(ErrorCode::kQuarantined, kQuarantinedMessage, Duration());
     return;
   }
   const RouteRequest route = MakeRouteRequest(verdict);
@@ -118,7 +145,7 @@
   }
   const bool worth_waiting =
       route.alone ? !endpoints.empty() : m_owner->m_collaborators.endpoints->IsAnyReserved(m_request.service);
-  if (worth_waiting && m_request.may_wait && Now() < m_started_at + m_owner->m_options.queue_timeout) {
+  if (worth_waiting && Now() < m_started_at + m_owner->m_options.queue_timeout) {
     WaitForEndpoint();
     return;
   }
@@ -175,8 +202,7 @@
   // An idle connection can close at the moment of the write, which leaves the outcome open.
   call.fresh_connection = !m_request.idempotent;
   call.connect_timeout = options.connect_timeout;
-  call.head_timeout =
-      m_request.first_byte_timeout > Duration() ? m_request.first_byte_timeout : options.first_token_timeout;
+  call.head_timeout = options.first_token_timeout + m_request.answer_time;
   call.idle_timeout = options.first_token_timeout;
   call.total_timeout = std::max(options.total_timeout - (Now() - m_started_at), Duration::Milliseconds(1));
   call.before_write = [this] {
@@ -386,11 +412,16 @@
     return;
   }
   const std::shared_ptr<Run> self = shared_from_this();
+  CancelAttempt();
+  Leave();
+}
+
+// Closing the connection already cancels the work; the order reaches engines that notice a closed connection late.
+void Dispatcher::Run::CancelAttempt() {
   if (m_in_flight && m_attempt_written && m_request.stream) {
     m_owner->m_collaborators.engines->Cancel(m_address, m_request_id);
   }
   EndAttempt(CallEffect::kNone);
-  Leave();
 }
 
 void Dispatcher::Run::Leave() {
@@ -398,13 +429,15 @@
   m_observer = nullptr;
   m_timer.reset();
   m_gap_timer.reset();
-  m_owner->m_waiting.erase({static_cast<int>(m_request.work_class), m_id});
+  if (m_queued) {
+    m_owner->m_collaborators.admission->CancelQueued(m_id);
+  }
   m_owner->m_collaborators.endpoints->Release(m_id);
   if (m_admitted) {
     m_admitted = false;
-    m_owner->m_collaborators.admission->OnFinished(MakeAdmissionRequest(), Now());
+    m_owner->m_collaborators.admission->OnFinished(m_admission, Now());
   }
-  m_owner->OnAdmissionFreed();
+  m_owner->AskAdmissionSoon(Duration());
   m_owner->m_runs.erase(m_id);
 }
 
--- a/src/daemon/dispatcher_run.h
+++ b/src/daemon/dispatcher_run.h
@@ -13,8 +13,10 @@
   Run(Dispatcher* owner, uint64_t id, DispatchRequest request, DispatchObserver* observer);
 
   void Begin();
-  // Asks for admission again.
-  void AskAdmission();
+  // The policy's answer, at once or from its queue.
+  void OnAdmissionResult(const AdmissionResult& result);
+  // Stops work that yields to interactive requests; it can be resumed.
+  void Preempt();
   void Cancel();
   bool written() const { return m_written; }
 
@@ -38,6 +40,7 @@
     std::string message;
   };
 
+  void AskAdmission();
   AdmissionRequest MakeAdmissionRequest() const;
   void ChooseEndpoint();
   void WaitForEndpoint();
@@ -49,6 +52,7 @@
   void PassHead();
   void ArmGapTimer();
   void EndAttempt(CallEffect effect);
+  void CancelAttempt();
   void FailAttempt(const Failure& failure);
   Failure FailureOf(const CallResult& result) const;
   void Refuse(ErrorCode code, const std::string& message, Duration retry_after);
@@ -60,10 +64,12 @@
   uint64_t m_id;
   DispatchRequest m_request;
   DispatchObserver* m_observer;
+  AdmissionRequest m_admission;
   TimePoint m_started_at;
   TimePoint m_suspect_since;
   bool m_suspect = false;
   bool m_admitted = false;
+  bool m_queued = false;
   bool m_written = false;
   bool m_attempt_written = false;
   // An earlier attempt may have run.
--- a/src/protocol/completion_answer.cc
+++ b/src/protocol/completion_answer.cc
@@ -12,9 +12,16 @@
 
 constexpr int kMaxDepth = 64;
 
-int64_t Integer(const Json& object, const char* key) {
+std::optional<int64_t> OptionalInteger(const Json& object, const char* key) {
   const auto it = object.find(key);
-  return it != object.end() && it->is_number_integer() ? it->get<int64_t>() : 0;
+  if (it == object.end() || !it->is_number_integer()) {
+    return std::nullopt;
+  }
+  return it->get<int64_t>();
+}
+
+int64_t Integer(const Json& object, const char* key) {
+  return OptionalInteger(object, key).value_or(0);
 }
 
 std::string String(const Json& object, const char* key) {
@@ -48,11 +55,8 @@
   }
   CompletionAnswer answer;
   answer.is_error = json.contains("error");
-  answer.weight_version = Integer(json, "weight_version");
-  const auto index = json.find("token_index");
-  if (index != json.end() && index->is_number_integer()) {
-    answer.token_index = index->get<int64_t>();
-  }
+  answer.weight_version = OptionalInteger(json, "weight_version");
+  answer.token_index = OptionalInteger(json, "token_index");
   const auto choices = json.find("choices");
   if (choices != json.end() && choices->is_array() && !choices->empty()) {
     ReadChoice((*choices)[0], &answer);
--- a/src/protocol/completion_answer.h
+++ b/src/protocol/completion_answer.h
@@ -16,7 +16,8 @@
 // One event of a streamed answer, or a whole answer.
 struct CompletionAnswer {
   std::string text;
-  int64_t weight_version = 0;
+  // The version stamped on the token; absent on events without a token.
+  std::optional<int64_t> weight_version;
   std::optional<int64_t> token_index;
   std::optional<CompletionUsage> usage;
   // Empty until the engine names why it stopped.
--- a/src/protocol/completion_request.cc
+++ b/src/protocol/completion_request.cc
@@ -13,6 +13,7 @@
 
 // The JSON library writes nested values recursively, so deep nesting would exhaust the stack.
 constexpr int kMaxDepth = 64;
+constexpr int64_t kMaxTokens = 1'000'000;
 
 [[noreturn]] void Refuse(const std::string& problem) {
   throw Error(ErrorCode::kInvalidRequest, problem);
@@ -56,6 +57,21 @@
   return prompt;
 }
 
+// Newer clients of chat completions use the second name.
+int64_t MaxTokensOf(const Json& request) {
+  for (const char* key : {"max_tokens", "max_completion_tokens"}) {
+    const auto it = request.find(key);
+    if (it == request.end() || it->is_null()) {
+      continue;
+    }
+    if (!it->is_number_integer() || *it < 0 || *it > kMaxTokens) {
+      Refuse("'" + std::string(key) + "' must be a whole number from 0 to " + std::to_string(kMaxTokens));
+    }
+    return it->get<int64_t>();
+  }
+  return 0;
+}
+
 std::string Dump(const Json& json) {
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -83,6 +99,7 @@
     Refuse("'stream' must be true or false");
   }
   request.stream = stream != json.end() && stream->is_boolean() && stream->get<bool>();
+  request.max_tokens = MaxTokensOf(json);
   // A handle in `resume` could name the state of another workspace's request.
   if (json.contains("resume")) {
     Refuse("'resume' is reserved for rollouts; send the text in the prompt");
--- a/src/protocol/completion_request.h
+++ b/src/protocol/completion_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace quetzalridge {
@@ -8,6 +9,8 @@
 struct CompletionRequest {
   std::string model;
   bool stream = false;
+  // 0 when the request leaves it to the engine.
+  int64_t max_tokens = 0;
   // The prompt, or the messages one after the other; for prefix affinity only.
   std::string prompt;
   // The request as sent to endpoints: one JSON object without repeated keys, with `priority` set.
--- a/src/protocol/completion_stream.h
+++ b/src/protocol/completion_stream.h
@@ -29,6 +29,8 @@
   bool broken() const { return m_broken; }
   // Tokens seen, or the engine's own count once it came.
   int64_t completion_tokens() const;
+  // Tokens seen, whatever the engine counts.
+  int64_t streamed_tokens() const { return m_tokens; }
   int64_t prompt_tokens() const { return m_usage ? m_usage->prompt_tokens : 0; }
 
  private:
--- a/tests/daemon/caller_fixture.cc
+++ b/tests/daemon/caller_fixture.cc
@@ -1,5 +1,6 @@
 #include "tests/daemon/caller_fixture.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
@@ -23,19 +24,34 @@
   m_loop->Post([this, callback = std::move(callback)] { callback(list); });
 }
 
-AdmissionResult LimitPolicy::Decide(const AdmissionRequest&, TimePoint) {
+AdmissionResult LimitPolicy::Decide(const AdmissionRequest& request, TimePoint) {
   AdmissionResult result;
   if (shed) {
     result.verdict = AdmissionVerdict::kShed;
     result.retry_after = Duration::Milliseconds(700);
   } else if (running >= limit) {
     result.verdict = AdmissionVerdict::kQueue;
+    queue.push_back(request.id);
   } else {
     ++running;
   }
   return result;
 }
 
+std::vector<QueueOutcome> LimitPolicy::NextQueued(TimePoint) {
+  std::vector<QueueOutcome> outcomes;
+  while (!queue.empty() && running < limit) {
+    outcomes.push_back({queue.front(), {}});
+    queue.erase(queue.begin());
+    ++running;
+  }
+  return outcomes;
+}
+
+void LimitPolicy::CancelQueued(uint64_t id) {
+  queue.erase(std::remove(queue.begin(), queue.end(), id), queue.end());
+}
+
 int LeastOwnRouter::Choose(const RouteRequest& request, const std::vector<EndpointState>& endpoints, TimePoint) {
   int best = -1;
   for (size_t i = 0; i < endpoints.size(); ++i) {
@@ -46,6 +62,55 @@
   return best;
 }
 
+TableRow FakeLoopTable::Row(const std::string& key) const {
+  const auto it = rows.find(key);
+  return it == rows.end() ? TableRow{key, 0, "", ""} : it->second;
+}
+
+TransactResult FakeLoopTable::Apply(const TableTransaction& transaction) {
+  TransactResult result;
+  for (const TableCheck& check : transaction.checks) {
+    if (Row(check.key).version != check.version) {
+      result.rows.push_back(Row(check.key));
+    }
+  }
+  if (!result.rows.empty()) {
+    result.outcome = TransactOutcome::kConflict;
+    return result;
+  }
+  result.outcome = TransactOutcome::kCommitted;
+  result.revision = ++m_revision;
+  for (const TableWrite& write : transaction.writes) {
+    rows[write.key] = {write.key, m_revision, write.value.value_or(""), transaction.id};
+  }
+  return result;
+}
+
+void FakeLoopTable::Transact(TableTransaction transaction, TransactCallback callback) {
+  TransactResult result;
+  if (!unavailable) {
+    result = Apply(transaction);
+    if (lose_answers > 0) {
+      --lose_answers;
+      result = {TransactOutcome::kUnknown, 0, {}};
+    }
+  }
+  m_loop->Post([result, callback = std::move(callback)] { callback(result); });
+}
+
+void FakeLoopTable::Read(std::vector<std::string> keys, ReadCallback callback) {
+  ReadResult result;
+  result.ok = !unavailable;
+  for (const std::string& key : keys) {
+    result.rows.push_back(Row(key));
+  }
+  m_loop->Post([result, callback = std::move(callback)] { callback(result); });
+}
+
+void FakeLoopTable::Scan(std::string, std::string, int, ReadCallback callback) {
+  m_loop->Post([callback = std::move(callback)] { callback({}); });
+}
+
 FakeEndpoint::FakeEndpoint(EventLoop* loop) : m_server(std::make_unique<HttpServer>(loop, HttpServerOptions{}, this)) {}
 
 HttpHeaders FakeEndpoint::EchoHeaders(const HttpRequest& request, const std::string& content_type) {
@@ -125,11 +190,12 @@
     AddEndpoint("d" + std::to_string(i), "desk");
   }
   dispatcher = std::make_unique<Dispatcher>(
-      Dispatcher::Collaborators{&loop, registry.get(), &engines, &router, &admission, &quarantine}, options);
+      Dispatcher::Collaborators{&loop, &config, registry.get(), &engines, &router, &admission, &quarantine}, options);
   CallerApi::Collaborators collaborators;
   collaborators.scheduler = &loop;
   collaborators.config = &config;
   collaborators.dispatcher = dispatcher.get();
+  collaborators.once = &once;
   collaborators.usage = &usage;
   collaborators.metrics = &metrics;
   api = std::make_unique<CallerApi>(collaborators, CallerApiOptions{});
--- a/tests/daemon/caller_fixture.h
+++ b/tests/daemon/caller_fixture.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "coordination/config_view.h"
+#include "coordination/once_ledger.h"
 #include "coordination/platform.h"
+#include "coordination/table_store.h"
 #include "daemon/caller_api.h"
 #include "daemon/dispatcher.h"
 #include "daemon/endpoint_registry.h"
@@ -53,10 +55,13 @@
  public:
   AdmissionResult Decide(const AdmissionRequest&, TimePoint) override;
   void OnFinished(const AdmissionRequest&, TimePoint) override { --running; }
+  std::vector<QueueOutcome> NextQueued(TimePoint now) override;
+  void CancelQueued(uint64_t id) override;
 
   int limit = 1'000'000;
   int running = 0;
   bool shed = false;
+  std::vector<uint64_t> queue;
 };
 
 // The eligible endpoint with the fewest own calls.
@@ -98,6 +103,27 @@
   std::unique_ptr<HttpServer> m_server;
 };
 
+// The platform's table on the event loop.
+class FakeLoopTable : public TableStore {
+ public:
+  explicit FakeLoopTable(EventLoop* loop) : m_loop(loop) {}
+  void Transact(TableTransaction transaction, TransactCallback callback) override;
+  void Read(std::vector<std::string> keys, ReadCallback callback) override;
+  void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override;
+
+  bool unavailable = false;
+  // Transactions that are applied and then answered as unknown.
+  int lose_answers = 0;
+  std::map<std::string, TableRow> rows;
+
+ private:
+  TransactResult Apply(const TableTransaction& transaction);
+  TableRow Row(const std::string& key) const;
+
+  EventLoop* m_loop;
+  int64_t m_revision = 0;
+};
+
 // What a caller received.
 struct CallerAnswer {
   bool done = false;
@@ -128,6 +154,8 @@
   LeastOwnRouter router;
   LimitPolicy admission;
   Quarantine quarantine;
+  FakeLoopTable table{&loop};
+  OnceLedger once{&table, &loop, "i1"};
   RecordingUsage usage;
   RecordingMetrics metrics;
   std::map<std::string, std::unique_ptr<FakeEndpoint>> endpoints;
