--- /dev/null
+++ b/src/state/sunset_forecast.cc
@@ -0,0 +1,80 @@
+#include "state/sunset_forecast.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzalridge {
+
+namespace {
+
+constexpr int64_t kDayMs = 24 * 3600 * 1000LL;
+constexpr int64_t kHourMs = 3600 * 1000LL;
+constexpr int64_t kBinMs = 15 * 60 * 1000LL;
+// A day counts for three tenths, so that one unusual day does not dominate the forecast.
+constexpr double kDayWeight = 0.3;
+constexpr double kLevelWeight = 0.25;
+constexpr double kMinLevel = 0.5;
+constexpr double kMaxLevel = 2.0;
+constexpr double kDegree = M_PI / 180.0;
+// The upper edge of the sun, with refraction, is on the horizon.
+constexpr double kSunsetAltitude = -0.833;
+
+}  // namespace
+
+int64_t SunsetNear(const Location& location, int64_t wall_ms) {
+  // Days are counted in local solar time, so that a sunset belongs to the noon before it.
+  const auto offset_ms = static_cast<int64_t>(location.longitude / 15.0 * static_cast<double>(kHourMs));
+  const int64_t day = (wall_ms + offset_ms) / kDayMs;
+  // The Unix epoch is a first of January, and a quarter of a day a year keeps the leap years in step.
+  const double day_of_year = std::fmod(static_cast<double>(day), 365.2425);
+  const double angle = 2.0 * M_PI * (day_of_year - 80.0) / 365.2425;
+  const double equation_of_time_min = 9.87 * std::sin(2 * angle) - 7.53 * std::cos(angle) - 1.5 * std::sin(angle);
+  const double declination = -23.44 * kDegree * std::cos(2.0 * M_PI * (day_of_year + 10.0) / 365.2425);
+  const double latitude = location.latitude * kDegree;
+  const double cosine = (std::sin(kSunsetAltitude * kDegree) - std::sin(latitude) * std::sin(declination)) /
+                        (std::cos(latitude) * std::cos(declination));
+  const double hours_after_noon = std::abs(cosine) > 1.0 ? 6.0 : std::acos(cosine) / kDegree / 15.0;
+  const double hours = 12.0 + hours_after_noon - equation_of_time_min / 60.0;
+  return day * kDayMs - offset_ms + static_cast<int64_t>(hours * static_cast<double>(kHourMs));
+}
+
+int SunsetForecast::BinOf(int64_t wall_ms) const {
+  const int64_t distance = (wall_ms - SunsetNear(m_location, wall_ms)) % kDayMs;
+  return static_cast<int>(((distance + kDayMs) % kDayMs) / kBinMs) % kBins;
+}
+
+void SunsetForecast::CloseBin() {
+  Bin& bin = m_bins[m_open_bin];
+  const double mean = m_open_sum / std::max(m_open_count, 1);
+  if (bin.known && bin.demand > 0) {
+    const double level = std::min(kMaxLevel, std::max(kMinLevel, mean / bin.demand));
+    m_level += kLevelWeight * (level - m_level);
+  }
+  bin.demand = bin.known ? bin.demand + kDayWeight * (mean - bin.demand) : mean;
+  bin.known = true;
+}
+
+void SunsetForecast::Observe(int64_t wall_ms, double demand) {
+  const int bin = BinOf(wall_ms);
+  if (bin != m_open_bin) {
+    if (m_open_bin >= 0) {
+      CloseBin();
+    }
+    m_open_bin = bin;
+    m_open_sum = 0;
+    m_open_count = 0;
+  }
+  m_open_sum += demand;
+  ++m_open_count;
+}
+
+double SunsetForecast::PeakBetween(int64_t from_wall_ms, int64_t to_wall_ms) const {
+  double peak = 0;
+  for (int64_t at = from_wall_ms; at <= to_wall_ms; at += kBinMs) {
+    const Bin& bin = m_bins[BinOf(at)];
+    peak = std::max(peak, bin.known ? bin.demand : 0.0);
+  }
+  return peak * m_level;
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/sunset_planner.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "state/capacity_planner.h"
+#include "state/sunset_forecast.h"
+
+namespace quetzalridge {
+
+// Orders ahead of the sunset peak, spreads cheap endpoints over zones, and keeps within the spending limit.
+class SunsetPlanner : public CapacityPlanner {
+ public:
+  explicit SunsetPlanner(Location location) : m_forecast(location) {}
+  CapacityPlan Plan(const CapacityInput& input, TimePoint now) override;
+  void OnReclaim(const std::string& zone, TimePoint now) override;
+  void OnNoneAvailable(const std::string& zone, bool cheap, TimePoint now) override;
+
+ private:
+  struct Need {
+    TimePoint at;
+    int interactive = 0;
+    int total = 0;
+  };
+  struct Blocks {
+    TimePoint steady_until;
+    TimePoint cheap_until;
+  };
+
+  Need CurrentNeed(const CapacityInput& input, TimePoint now);
+  std::vector<int> Spread(const CapacityInput& input, int count, bool cheap, int max_per_zone, TimePoint now) const;
+  static void LimitSpending(const CapacityInput& input, int interactive, CapacityPlan* plan);
+  static bool RefuseOne(const CapacityInput& input, bool cheap, CapacityPlan* plan);
+
+  SunsetForecast m_forecast;
+  std::deque<Need> m_needs;
+  std::map<std::string, Blocks> m_blocks;
+};
+
+}  // namespace quetzalridge
