Add rollout groups and their delivery: submit, run, ready, fetch, confirm

Purpose: the path of a sample from the trainer's submission to its confirmation, over the abstract table, object store, platform and engine. A group is accepted as a row, run by its owner, stored as one object and made ready by one transaction. A batch is one cursor transaction that consumes the ready rows; it stays open, with the same bytes, until it is confirmed or void.

Delivered groups leave a done row, so that a repeated submission does not run them again. Each claim begins a new attempt, so that object names of two executions never meet.

WeightVersionRun moved from coordination/sample_engine.h to state/weight_version_run.h, because the pure sample group needs it.

Ruled out: finding groups to take over by an index of owners; it needs a second row for each group.

--- /dev/null
+++ b/src/coordination/group_runner.cc
@@ -0,0 +1,137 @@
+#include "coordination/group_runner.h"
+
+namespace quetzalridge {
+
+// Receives what the engine produces for one copy.
+class GroupRunner::Copy : public SampleObserver {
+ public:
+  Copy(GroupRunner* runner, SampleGroup::CopyId id) : m_runner(runner), m_id(id) {}
+
+  void OnSampleStarted(const std::string& endpoint_id) override { m_runner->m_group.OnStarted(m_id, endpoint_id); }
+  void OnSampleToken(std::string_view text, int64_t weight_version) override {
+    m_runner->m_forecast->Observe(weight_version, m_runner->m_scheduler->clock().Now());
+    m_runner->m_group.OnToken(m_id, text, weight_version);
+  }
+  void OnSampleEnd(SampleEnd end) override { m_runner->OnCopyEnd(m_id, end); }
+
+  std::unique_ptr<SampleRun> run;
+  std::unique_ptr<Timer> start_timer;
+
+ private:
+  GroupRunner* m_runner;
+  SampleGroup::CopyId m_id;
+};
+
+GroupRunner::GroupRunner(SampleEngine* engine, Scheduler* scheduler, VersionForecast* forecast, SampleGroupSpec spec,
+                         GroupRunOptions options, std::function<void()> on_complete)
+    : m_engine(engine),
+      m_scheduler(scheduler),
+      m_forecast(forecast),
+      m_options(std::move(options)),
+      m_freshness(m_options.staleness_bound),
+      m_group(std::move(spec), m_options.straggler_factor),
+      m_on_complete(std::move(on_complete)) {}
+
+GroupRunner::~GroupRunner() = default;
+
+void GroupRunner::Start() {
+  for (const int member : m_group.UnstartedMembers()) {
+    RunMember(member);
+  }
+  CheckStragglers();
+}
+
+void GroupRunner::RunMember(int member) {
+  const SampleGroup::CopyId id = m_group.AddCopy(member, m_scheduler->clock().Now());
+  m_copies.push_back(std::make_unique<Copy>(this, id));
+  Launch(id);
+}
+
+void GroupRunner::Launch(SampleGroup::CopyId id) {
+  m_copies[id]->run = m_engine->Start(MakeRequest(id), m_copies[id].get());
+}
+
+void GroupRunner::LaunchLater(SampleGroup::CopyId id) {
+  m_copies[id]->start_timer = m_scheduler->After(kStartRetryDelay, [this, id] { Launch(id); });
+}
+
+SampleRequest GroupRunner::MakeRequest(SampleGroup::CopyId id) {
+  const int64_t min_version = m_freshness.MinVersion(m_forecast->newest().value_or(0));
+  // Text that is already past the bound can never be handed over; the sample starts again.
+  if (!m_group.copy(id).runs.empty() && OldestVersion(m_group.copy(id).runs) < min_version) {
+    m_group.DiscardText(id);
+  }
+  const SampleCopy& copy = m_group.copy(id);
+  SampleRequest request;
+  request.service = m_options.service;
+  request.workspace = m_options.workspace;
+  request.model = m_group.spec().model;
+  request.prompt = m_group.spec().prompt;
+  request.max_tokens = m_group.spec().max_tokens;
+  request.resume_text = copy.text;
+  request.resume_tokens = TokenCount(copy.runs);
+  request.excluded = copy.avoided_endpoints;
+  request.min_weight_version = min_version;
+  return request;
+}
+
+void GroupRunner::OnCopyEnd(SampleGroup::CopyId id, SampleEnd end) {
+  m_copies[id]->run.reset();
+  switch (end) {
+    case SampleEnd::kFinished:
+      m_group.OnFinished(id, m_scheduler->clock().Now());
+      break;
+    case SampleEnd::kInterrupted:
+      m_group.OnInterrupted(id);
+      break;
+    case SampleEnd::kNotStarted:
+      m_group.OnNotStarted(id);
+      break;
+    case SampleEnd::kQuarantined:
+      m_group.OnMemberFailed(id);
+      break;
+  }
+  const bool run_again = end == SampleEnd::kInterrupted || end == SampleEnd::kNotStarted;
+  if (run_again && !m_group.IsSurplus(id)) {
+    LaunchLater(id);
+  }
+  Settle();
+}
+
+void GroupRunner::CheckStragglers() {
+  if (m_options.strategy == StragglerStrategy::kNone || m_group.complete()) {
+    return;
+  }
+  for (const SampleGroup::CopyId id : m_group.Stragglers(m_scheduler->clock().Now())) {
+    HandleStraggler(id);
+  }
+  m_straggler_timer = m_scheduler->After(kStragglerCheckInterval, [this] { CheckStragglers(); });
+}
+
+void GroupRunner::HandleStraggler(SampleGroup::CopyId id) {
+  const TimePoint now = m_scheduler->clock().Now();
+  const SampleGroup::CopyId next = m_options.strategy == StragglerStrategy::kSecondCopy
+                                       ? m_group.AddCopy(m_group.copy(id).member, now)
+                                       : m_group.AddCopyFrom(id, now);
+  m_copies.push_back(std::make_unique<Copy>(this, next));
+  if (m_options.strategy == StragglerStrategy::kResume) {
+    m_group.Abandon(id);
+    m_copies[id]->run.reset();
+  }
+  Launch(next);
+}
+
+void GroupRunner::Settle() {
+  for (SampleGroup::CopyId id = 0; id < m_copies.size(); ++id) {
+    if (m_group.IsSurplus(id)) {
+      m_copies[id]->run.reset();
+      m_copies[id]->start_timer.reset();
+    }
+  }
+  if (m_group.complete() && !m_reported) {
+    m_reported = true;
+    m_on_complete();
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/group_runner.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/callback_guard.h"
+#include "coordination/sample_engine.h"
+#include "coordination/scheduler.h"
+#include "state/freshness_rule.h"
+#include "state/sample_group.h"
+
+namespace quetzalridge {
+
+enum class StragglerStrategy {
+  kNone,
+  // The straggler is cancelled and goes on elsewhere from its text.
+  kResume,
+  // A second copy starts from the prompt; the first to finish is used.
+  kSecondCopy,
+  // A second copy goes on from the straggler's text; the first to finish is used.
+  kSecondCopyFromText,
+};
+
+struct GroupRunOptions {
+  std::string service;
+  std::string workspace;
+  int64_t staleness_bound = 2;
+  double straggler_factor = 2.0;
+  StragglerStrategy strategy = StragglerStrategy::kSecondCopyFromText;
+};
+
+// Runs the samples of one group until the group is complete. Destroying it cancels them.
+class GroupRunner {
+ public:
+  // `forecast` belongs to the service and is shared by its groups. `on_complete` runs once; it must not destroy the
+  // runner, because it runs in a callback of the engine.
+  GroupRunner(SampleEngine* engine, Scheduler* scheduler, VersionForecast* forecast, SampleGroupSpec spec,
+              GroupRunOptions options, std::function<void()> on_complete);
+  ~GroupRunner();
+  GroupRunner(const GroupRunner&) = delete;
+  GroupRunner& operator=(const GroupRunner&) = delete;
+
+  void Start();
+  const SampleGroup& group() const { return m_group; }
+
+ private:
+  class Copy;
+  static constexpr Duration kStartRetryDelay = Duration::Milliseconds(250);
+  static constexpr Duration kStragglerCheckInterval = Duration::Milliseconds(500);
+
+  void RunMember(int member);
+  void Launch(SampleGroup::CopyId id);
+  void LaunchLater(SampleGroup::CopyId id);
+  SampleRequest MakeRequest(SampleGroup::CopyId id);
+  void OnCopyEnd(SampleGroup::CopyId id, SampleEnd end);
+  void CheckStragglers();
+  void HandleStraggler(SampleGroup::CopyId id);
+  // Cancels surplus copies and reports completion.
+  void Settle();
+
+  SampleEngine* m_engine;
+  Scheduler* m_scheduler;
+  VersionForecast* m_forecast;
+  GroupRunOptions m_options;
+  FreshnessRule m_freshness;
+  SampleGroup m_group;
+  std::function<void()> m_on_complete;
+  // By copy identity. An ended copy keeps its observer, because it may be running in it.
+  std::vector<std::unique_ptr<Copy>> m_copies;
+  std::unique_ptr<Timer> m_straggler_timer;
+  bool m_reported = false;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/rollout_rows.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "state/delivery_cursor.h"
+#include "state/sample_group.h"
+
+namespace quetzalridge {
+
+enum class GroupState {
+  // Its owner runs it.
+  kRunning,
+  // Its samples are stored; it waits for a batch or is part of the open one.
+  kFinished,
+};
+
+// Row rollout/<queue>/group/<id>.
+struct GroupRow {
+  SampleGroupSpec spec;
+  GroupState state = GroupState::kRunning;
+  // Empty when nobody owns it and any instance may claim it.
+  std::string owner;
+  std::string incarnation;
+  // Grows each time the group is run again from the start.
+  int64_t attempt = 1;
+};
+
+// Keys and values of the rows of one queue.
+class RolloutRows {
+ public:
+  explicit RolloutRows(const std::string& queue) : m_prefix("rollout/" + queue + "/") {}
+
+  std::string CursorKey() const { return m_prefix + "cursor"; }
+  std::string GroupPrefix() const { return m_prefix + "group/"; }
+  std::string GroupKey(const std::string& id) const { return GroupPrefix() + id; }
+  std::string ReadyPrefix() const { return m_prefix + "ready/"; }
+  std::string ReadyKey(const std::string& id) const { return ReadyPrefix() + id; }
+  // Delivered groups, kept so that a repeated submission does not run them again.
+  std::string DonePrefix() const { return m_prefix + "done/"; }
+  std::string DoneKey(const std::string& id) const { return DonePrefix() + id; }
+  std::string ObjectName(const std::string& group, int64_t attempt, const std::string& incarnation) const {
+    return m_prefix + group + "/" + std::to_string(attempt) + "-" + incarnation;
+  }
+
+ private:
+  std::string m_prefix;
+};
+
+struct DoneRow {
+  std::string spec_digest;
+  int64_t step = 0;
+};
+
+std::string EncodeGroupRow(const GroupRow& row);
+std::string EncodeReadyRow(const FinishedGroup& group);
+std::string EncodeDoneRow(const DoneRow& row);
+// The decoders throw Error(kInternal) on malformed rows.
+GroupRow DecodeGroupRow(const std::string& value);
+FinishedGroup DecodeReadyRow(const std::string& value);
+DoneRow DecodeDoneRow(const std::string& value);
+
+// The samples of one group as comma-separated JSON objects, which are joined into the body of a batch unchanged.
+std::string EncodeSamples(const std::string& group, const std::vector<FinishedSample>& samples);
+
+}  // namespace quetzalridge
--- a/src/coordination/sample_engine.h
+++ b/src/coordination/sample_engine.h
@@ -6,13 +6,9 @@
 #include <string_view>
 #include <vector>
 
-namespace quetzalridge {
+#include "state/weight_version_run.h"
 
-// A run of consecutive tokens that one weight version produced.
-struct WeightVersionRun {
-  int64_t version = 0;
-  int64_t tokens = 0;
-};
+namespace quetzalridge {
 
 struct SampleRequest {
   std::string service;
--- /dev/null
+++ b/src/state/freshness_rule.cc
@@ -0,0 +1,30 @@
+#include "state/freshness_rule.h"
+
+namespace quetzalridge {
+
+void VersionForecast::Observe(int64_t version, TimePoint now) {
+  if (m_newest.has_value() && version <= *m_newest) {
+    return;
+  }
+  // The first version seen was published at an unknown earlier time, so the interval that follows it is not measured.
+  if (m_newest_dated) {
+    const Duration interval = Duration::Milliseconds((now - m_newest_seen).ms() / (version - *m_newest));
+    const bool first = m_interval == Duration();
+    m_interval =
+        first ? interval
+              : Duration::Milliseconds((m_interval.ms() * (kAverageDivisor - 1) + interval.ms()) / kAverageDivisor);
+  }
+  m_newest_dated = m_newest.has_value();
+  m_newest = version;
+  m_newest_seen = now;
+}
+
+int64_t VersionForecast::ExpectedAt(TimePoint time) const {
+  const int64_t newest = m_newest.value_or(0);
+  if (m_interval <= Duration() || time <= m_newest_seen) {
+    return newest;
+  }
+  return newest + (time - m_newest_seen).ms() / m_interval.ms();
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/sample_group.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "state/weight_version_run.h"
+
+namespace quetzalridge {
+
+// What a trainer submitted.
+struct SampleGroupSpec {
+  std::string id;
+  int64_t step = 0;
+  std::string prompt;
+  std::string model;
+  // Samples to start, and how many of them complete the group; the others are surplus.
+  int samples = 0;
+  int needed = 0;
+  int max_tokens = 0;
+};
+
+// Identifies the content of a submission, so that a repeated one is told from a different one with the same id.
+std::string SpecDigest(const SampleGroupSpec& spec);
+
+struct FinishedSample {
+  int index = 0;
+  std::string text;
+  WeightVersionRuns runs;
+  std::string endpoint;
+};
+
+// One execution of a member. Its text grows over several endpoints when it is interrupted and resumed.
+struct SampleCopy {
+  int member = 0;
+  std::string text;
+  WeightVersionRuns runs;
+  std::string endpoint;
+  // The endpoint that it failed on last, and those of other copies of the member.
+  std::vector<std::string> avoided_endpoints;
+  TimePoint started;
+  // Tokens that another copy produced.
+  int64_t inherited_tokens = 0;
+  bool running = false;
+};
+
+// The samples of one prompt: which of them run, are finished, are stragglers or are surplus. It decides, and the
+// caller starts and cancels.
+class SampleGroup {
+ public:
+  using CopyId = size_t;
+
+  // A member that runs longer than `straggler_factor` times the median of its group is a straggler.
+  SampleGroup(SampleGroupSpec spec, double straggler_factor);
+
+  const SampleGroupSpec& spec() const { return m_spec; }
+  const SampleCopy& copy(CopyId id) const { return m_copies.at(id); }
+  size_t copy_count() const { return m_copies.size(); }
+
+  // Members that have no result, have not failed, and that no copy is running or waiting for.
+  std::vector<int> UnstartedMembers() const;
+  CopyId AddCopy(int member, TimePoint now);
+  // Adds a copy that goes on after the text that `source` has so far, away from its endpoint.
+  CopyId AddCopyFrom(CopyId source, TimePoint now);
+
+  void OnStarted(CopyId id, const std::string& endpoint);
+  void OnToken(CopyId id, std::string_view text, int64_t version);
+  // The first copy of a member that finishes is its result.
+  void OnFinished(CopyId id, TimePoint now);
+  void OnInterrupted(CopyId id);
+  // No endpoint could take the copy; it may go back to those that it avoided.
+  void OnNotStarted(CopyId id);
+  // The member will not be run again.
+  void OnMemberFailed(CopyId id);
+  // Forgets the text of a copy, because it would be too old at hand-over.
+  void DiscardText(CopyId id);
+  // Gives up a copy; it is not run again.
+  void Abandon(CopyId id);
+
+  // Copies without use: their member has a result, or the group is complete.
+  bool IsSurplus(CopyId id) const;
+  // Running copies of members that are stragglers at `now`, one copy for each member.
+  std::vector<CopyId> Stragglers(TimePoint now) const;
+  // The median run time, once at least half of the members have finished.
+  std::optional<Duration> MedianRunTime() const;
+
+  // Complete when `needed` samples are finished, or when no further one can finish.
+  bool complete() const;
+  // The first `needed` finished samples, by index.
+  std::vector<FinishedSample> Results() const;
+  int failed_members() const;
+  // Tokens of copies that did not become a result.
+  int64_t WastedTokens() const;
+
+ private:
+  struct Member {
+    std::optional<CopyId> result;
+    // Position in the order in which members finished.
+    int finish_order = 0;
+    bool failed = false;
+    TimePoint first_started;
+    bool started = false;
+    Duration run_time;
+  };
+
+  int FinishedCount() const;
+
+  SampleGroupSpec m_spec;
+  double m_straggler_factor;
+  std::vector<Member> m_members;
+  std::vector<SampleCopy> m_copies;
+  std::vector<bool> m_abandoned;
+  int64_t m_discarded_tokens = 0;
+};
+
+}  // namespace quetzalridge
