Add the rollout interface for trainers

RolloutApi creates the queues of the configuration and follows its changes. A queue answers only to its workspace; for others it is reported like one that does not exist. A fetch asks again whether its key still works before it hands over samples, because it may wait longer than the key lives.

--- a/src/coordination/rollout_queue.h
+++ b/src/coordination/rollout_queue.h
@@ -67,6 +67,8 @@
   void ScanSoon();
   // Takes no new work and hands back the groups that still run.
   void Drain(std::function<void()> callback);
+  // Follows a change of the configuration; groups that run keep their options.
+  void SetRunOptions(const GroupRunOptions& options) { m_options.run = options; }
   // Runs after each group that became ready here.
   void SetReadyListener(std::function<void()> listener) { m_ready_listener = std::move(listener); }
 
--- a/src/coordination/sample_delivery.cc
+++ b/src/coordination/sample_delivery.cc
@@ -56,6 +56,26 @@
 
 SampleDelivery::~SampleDelivery() = default;
 
+void SampleDelivery::SetService(const std::string& service, int64_t staleness_bound) {
+  m_options.service = service;
+  m_options.staleness_bound = staleness_bound;
+  m_rule = FreshnessRule(staleness_bound);
+}
+
+void SampleDelivery::ReadStatus(std::function<void(const DeliveryStatus&)> callback) {
+  m_context.table->Read({m_rows.CursorKey()}, m_guard.Wrap([this, callback](const ReadResult& cursor_result) {
+    if (!cursor_result.ok) {
+      callback({});
+      return;
+    }
+    const std::string cursor_row = cursor_result.rows.at(0).value;
+    m_context.table->Scan(m_rows.ReadyPrefix(), "", kReadyPage,
+                          m_guard.Wrap([callback, cursor_row](const ReadResult& ready) {
+                            callback({ready.ok, DeliveryCursor::Decode(cursor_row), ready.rows.size()});
+                          }));
+  }));
+}
+
 void SampleDelivery::Confirm(int64_t batch, ConfirmCallback callback) {
   // The first of the result and the time limit is reported.
   struct Pending {
--- a/src/coordination/sample_delivery.h
+++ b/src/coordination/sample_delivery.h
@@ -55,6 +55,14 @@
   kStoreUnavailable,
 };
 
+struct DeliveryStatus {
+  // False when the store did not answer.
+  bool known = false;
+  DeliveryCursor cursor;
+  // At most 128 are counted.
+  size_t ready_groups = 0;
+};
+
 struct FetchResult {
   DeliveryOutcome outcome = DeliveryOutcome::kStoreUnavailable;
   int64_t batch = 0;
@@ -76,6 +84,9 @@
 
   void Fetch(const FetchRequest& request, FetchCallback callback);
   void Confirm(int64_t batch, ConfirmCallback callback);
+  void ReadStatus(std::function<void(const DeliveryStatus&)> callback);
+  // Follows a change of the configuration.
+  void SetService(const std::string& service, int64_t staleness_bound);
   // Lets waiting fetches look again.
   void OnGroupReady();
   // Runs when groups were returned to be generated again.
@@ -83,7 +94,6 @@
 
  private:
   struct Operation;
-  using Step = void (SampleDelivery::*)(uint64_t);
 
   void ConfirmOnce(int64_t batch, ConfirmCallback callback);
   void CommitConfirmation(const TableRow& row, DeliveryCursor cursor, ConfirmCallback callback);
--- /dev/null
+++ b/tests/daemon/rollout_api_test.cc
@@ -0,0 +1,156 @@
+#include "daemon/rollout_api.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "tests/fakes/fake_rollout_world.h"
+
+namespace quetzalridge {
+namespace {
+
+using Json = nlohmann::json;
+
+class FixedConfig : public ConfigView {
+ public:
+  FixedConfig() {
+    Apply(ConfigKind::kWorkspace, "w1", "{}");
+    Apply(ConfigKind::kWorkspace, "w2", "{}");
+    Apply(ConfigKind::kProfile, "p", R"({"staleness_bound":1})");
+    Apply(ConfigKind::kService, "s", R"({"kind":"inference","profile":"p"})");
+    Apply(ConfigKind::kQueue, "q", R"({"workspace":"w1","service":"s"})");
+  }
+  void Apply(ConfigKind kind, const std::string& name, const std::string& value) {
+    const ConfigChange change{m_document.version() + 1, kind, name, value};
+    m_document.Apply(change);
+    for (const Listener& listener : m_listeners) {
+      listener(change);
+    }
+  }
+  const ConfigDocument& document() const override { return m_document; }
+  bool MayServeKeyedRoutes(TimePoint now) const override { return true; }
+  void AddListener(Listener listener) override { m_listeners.push_back(std::move(listener)); }
+
+ private:
+  ConfigDocument m_document;
+  std::vector<Listener> m_listeners;
+};
+
+struct RecordedAnswer : HttpResponder {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+
+  void Send(int sent_status, HttpHeaders sent_headers, std::string sent_body) override {
+    REQUIRE(status == 0);
+    status = sent_status;
+    headers = std::move(sent_headers);
+    body = std::move(sent_body);
+  }
+  void Start(int, HttpHeaders) override {}
+  void Write(std::string_view) override {}
+  void End() override {}
+  void Abort() override {}
+  bool closed() const override { return false; }
+  bool started() const override { return false; }
+  size_t pending_bytes() const override { return 0; }
+  void SetCloseCallback(std::function<void()>) override {}
+};
+
+struct ApiWorld {
+  ApiWorld() : table(&fake_table, &scheduler), objects(&fake_objects, &scheduler), platform(&weights, &scheduler) {
+    roster.members = {{"a", "a-1"}};
+    RolloutContext context{&table, &objects, &platform, &engine, &roster, &scheduler, "a", "a-1"};
+    api = std::make_unique<RolloutApi>(context, &config, Duration::Milliseconds(500));
+  }
+  std::shared_ptr<RecordedAnswer> Call(const std::string& workspace, const std::string& method, const std::string& path,
+                                       const std::string& body, const std::function<bool()>& still_allowed = nullptr) {
+    auto answer = std::make_shared<RecordedAnswer>();
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    api->OnKeyedRequest({workspace, still_allowed}, request, answer);
+    scheduler.Advance(Duration::Seconds(3));
+    return answer;
+  }
+  ManualScheduler scheduler;
+  FakeTable fake_table{&scheduler, 1};
+  FakeObjects fake_objects;
+  FakeWeights weights;
+  FakeTableStore table;
+  FakeObjectStore objects;
+  FakeWeightPlatform platform;
+  FakeSampleEngine engine{&scheduler, &weights, 1};
+  FakeRoster roster;
+  FixedConfig config;
+  std::unique_ptr<RolloutApi> api;
+};
+
+constexpr const char* kGroups =
+    R"({"step":1,"groups":[{"id":"g1","prompt":"p","samples":2,"needed":2,"max_tokens":5,"model":"m"}]})";
+
+// Guards against status codes and bodies that differ from the documented interface.
+TEST_CASE("the rollout paths answer as documented") {
+  ApiWorld world;
+  const auto empty = world.Call("w1", "POST", "/v1/rollouts/q/fetch", R"({"max_samples":8,"wait_ms":100})");
+  CHECK(empty->status == 204);
+  CHECK(*FindHeader(empty->headers, "x-quetzalridge-reason") == "nothing_ready");
+  CHECK(world.Call("w1", "POST", "/v1/rollouts/q/groups", kGroups)->status == 202);
+  const auto batch = world.Call("w1", "POST", "/v1/rollouts/q/fetch", R"({"max_samples":8,"wait_ms":100})");
+  REQUIRE(batch->status == 200);
+  CHECK(Json::parse(batch->body)["samples"].size() == 2);
+  CHECK(world.Call("w1", "POST", "/v1/rollouts/q/confirm", R"({"batch":2})")->status == 404);
+  CHECK(world.Call("w1", "POST", "/v1/rollouts/q/confirm", R"({"batch":1})")->status == 200);
+  const auto status = world.Call("w1", "GET", "/v1/rollouts/q", "");
+  CHECK(status->status == 200);
+  CHECK(Json::parse(status->body)["confirmed_samples"] == 2);
+  CHECK(world.Call("w1", "GET", "/v1/rollouts/q/fetch", "")->status == 405);
+  CHECK(world.Call("w1", "POST", "/v1/rollouts/q/groups", "[]")->status == 400);
+  CHECK(world.Call("w1", "POST", "/v1/rollouts/q/other", "{}")->status == 404);
+}
+
+// Guards against access to the queue of another workspace.
+TEST_CASE("a queue answers only to its workspace") {
+  ApiWorld world;
+  const auto refused = world.Call("w2", "POST", "/v1/rollouts/q/groups", kGroups);
+  CHECK(refused->status == 404);
+  CHECK(refused->body == world.Call("w2", "GET", "/v1/rollouts/q", "")->body);
+  CHECK(world.fake_table.rows().empty());
+}
+
+// Guards against samples that are handed to a key that was withdrawn while the fetch waited.
+TEST_CASE("a fetch whose key was withdrawn while it waited hands over nothing") {
+  ApiWorld world;
+  CHECK(world.Call("w1", "POST", "/v1/rollouts/q/groups", kGroups)->status == 202);
+  const auto refused = world.Call("w1", "POST", "/v1/rollouts/q/fetch", R"({"wait_ms":100})", [] { return false; });
+  CHECK(refused->status == ErrorCodeHttpStatus(ErrorCode::kKeyWithdrawn));
+  CHECK(refused->body.find("samples\":[") == std::string::npos);
+}
+
+// Guards against a queue that keeps an old staleness bound after its profile changed.
+TEST_CASE("a changed staleness bound applies to the next hand-over") {
+  ApiWorld world;
+  world.Call("w1", "POST", "/v1/rollouts/q/groups", kGroups);
+  world.weights.version = 4;
+  world.config.Apply(ConfigKind::kProfile, "p", R"({"staleness_bound":3})");
+  const auto batch = world.Call("w1", "POST", "/v1/rollouts/q/fetch", R"({"wait_ms":100})");
+  REQUIRE(batch->status == 200);
+  CHECK(Json::parse(batch->body)["samples"][0]["weight_versions"][0]["version"] == 1);
+}
+
+// Guards against work that stays with an instance that stops.
+TEST_CASE("a drain hands back the groups that run") {
+  ApiWorld world;
+  world.engine.token_time = Duration::Seconds(100);
+  world.Call("w1", "POST", "/v1/rollouts/q/groups", kGroups);
+  bool drained = false;
+  world.api->Drain([&] { drained = true; });
+  world.scheduler.Advance(Duration::Seconds(1));
+  CHECK(drained);
+  CHECK(world.engine.live_runs() == 0);
+  CHECK(DecodeGroupRow(world.fake_table.Row("rollout/q/group/g1").value).incarnation.empty());
+  CHECK(world.Call("w1", "POST", "/v1/rollouts/q/groups", kGroups)->status == 503);
+}
+
+}  // namespace
+}  // namespace quetzalridge
