Add peer messages and the peer datagram channel

Purpose: instances pass on configuration versions, changes and digests in datagrams of at most 1,200 bytes. Counts are 16 bits and checked against a bound before allocation; cereal's own loaders allocate whatever size the input names, so they are not used for lists and strings.

A status names the last sequence heard from each member. With that, the receiver can date the content of a status by its own clock, also when the datagram waited in a buffer while either process was paused.

--- /dev/null
+++ b/src/protocol/peer_codec.cc
@@ -0,0 +1,291 @@
+#include "protocol/peer_codec.h"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <limits>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+namespace quetzalridge {
+
+namespace {
+
+using Output = cereal::PortableBinaryOutputArchive;
+using Input = cereal::PortableBinaryInputArchive;
+
+// Raised when the layout changes; datagrams of other versions are dropped.
+constexpr uint16_t kFormatVersion = 1;
+
+// Bounds of each count. A datagram that fits them all may still be too long; Encode shortens it.
+constexpr size_t kMaxName = 256;
+constexpr size_t kMaxHeard = 40;
+constexpr size_t kMaxDemand = 64;
+constexpr size_t kMaxQuarantine = 16;
+constexpr size_t kMaxChanges = 64;
+
+enum class MessageType : uint8_t {
+  kStatus = 1,
+  kChangesRequest = 2,
+  kChangesReply = 3,
+};
+
+class MalformedDatagram : public std::runtime_error {
+ public:
+  MalformedDatagram() : std::runtime_error("malformed peer datagram; it is dropped") {}
+};
+
+// cereal's own loaders allocate whatever size the input names, so counts are written and checked here.
+void Save(Output* out, const std::string& text) {
+  const auto size = static_cast<uint16_t>(std::min(text.size(), kMaxPeerDatagramBytes));
+  (*out)(size, cereal::binary_data(text.data(), size));
+}
+
+std::string LoadString(Input* in, size_t bound) {
+  uint16_t size = 0;
+  (*in)(size);
+  if (size > bound) {
+    throw MalformedDatagram();
+  }
+  std::string text(size, '\0');
+  (*in)(cereal::binary_data(text.data(), size));
+  return text;
+}
+
+bool LoadBool(Input* in) {
+  uint8_t value = 0;
+  (*in)(value);
+  if (value > 1) {
+    throw MalformedDatagram();
+  }
+  return value == 1;
+}
+
+template <typename Item, typename SaveItem>
+void SaveList(Output* out, const std::vector<Item>& items, size_t bound, SaveItem save) {
+  const auto count = static_cast<uint16_t>(std::min(items.size(), bound));
+  (*out)(count);
+  for (uint16_t i = 0; i < count; ++i) {
+    save(out, items[i]);
+  }
+}
+
+template <typename Item, typename LoadItem>
+void LoadList(Input* in, std::vector<Item>* items, size_t bound, LoadItem load) {
+  uint16_t count = 0;
+  (*in)(count);
+  if (count > bound) {
+    throw MalformedDatagram();
+  }
+  for (uint16_t i = 0; i < count; ++i) {
+    items->push_back(load(in));
+  }
+}
+
+void SaveHeard(Output* out, const PeerHeard& heard) {
+  (*out)(heard.incarnation_hash, heard.sequence);
+}
+
+PeerHeard LoadHeard(Input* in) {
+  PeerHeard heard;
+  (*in)(heard.incarnation_hash, heard.sequence);
+  return heard;
+}
+
+void SaveDemand(Output* out, const PeerDemand& demand) {
+  (*out)(demand.service_hash, demand.workspace_hash, demand.work_class, demand.running, demand.waiting);
+}
+
+PeerDemand LoadDemand(Input* in) {
+  PeerDemand demand;
+  (*in)(demand.service_hash, demand.workspace_hash, demand.work_class, demand.running, demand.waiting);
+  if (demand.work_class > 1) {
+    throw MalformedDatagram();
+  }
+  return demand;
+}
+
+void SaveFingerprint(Output* out, const FingerprintCount& count) {
+  constexpr int kMaxCount = std::numeric_limits<uint8_t>::max();
+  (*out)(count.fingerprint, static_cast<uint8_t>(std::min(std::max(count.crashes, 0), kMaxCount)));
+}
+
+FingerprintCount LoadFingerprint(Input* in) {
+  FingerprintCount count;
+  uint8_t crashes = 0;
+  (*in)(count.fingerprint, crashes);
+  count.crashes = crashes;
+  return count;
+}
+
+void SaveChange(Output* out, const ConfigChange& change) {
+  (*out)(change.version);
+  Save(out, std::string(ConfigKindName(change.kind)));
+  Save(out, change.name);
+  (*out)(static_cast<uint8_t>(change.value.has_value()));
+  Save(out, change.value.value_or(""));
+}
+
+ConfigChange LoadChange(Input* in) {
+  ConfigChange change;
+  (*in)(change.version);
+  const std::optional<ConfigKind> kind = ParseConfigKind(LoadString(in, kMaxName));
+  if (!kind.has_value() || change.version <= 0) {
+    throw MalformedDatagram();
+  }
+  change.kind = *kind;
+  change.name = LoadString(in, kMaxName);
+  const bool has_value = LoadBool(in);
+  std::string value = LoadString(in, kMaxPeerDatagramBytes);
+  if (has_value) {
+    change.value = std::move(value);
+  }
+  return change;
+}
+
+void SaveStatus(Output* out, const PeerStatus& status) {
+  Save(out, status.sender);
+  Save(out, status.incarnation);
+  (*out)(status.sequence, status.applied_version, status.newest_known, status.confirmed_version,
+         status.confirmation_age_ms);
+  (*out)(static_cast<uint8_t>(status.started), static_cast<uint8_t>(status.store_reachable),
+         static_cast<uint8_t>(status.leaving), static_cast<uint8_t>(status.wants_reply));
+  SaveList(out, status.heard, kMaxHeard, SaveHeard);
+  SaveList(out, status.digest.quarantine, kMaxQuarantine, SaveFingerprint);
+  SaveList(out, status.digest.demand, kMaxDemand, SaveDemand);
+}
+
+PeerStatus LoadStatus(Input* in) {
+  PeerStatus status;
+  status.sender = LoadString(in, kMaxName);
+  status.incarnation = LoadString(in, kMaxName);
+  (*in)(status.sequence, status.applied_version, status.newest_known, status.confirmed_version,
+        status.confirmation_age_ms);
+  status.started = LoadBool(in);
+  status.store_reachable = LoadBool(in);
+  status.leaving = LoadBool(in);
+  status.wants_reply = LoadBool(in);
+  LoadList(in, &status.heard, kMaxHeard, LoadHeard);
+  LoadList(in, &status.digest.quarantine, kMaxQuarantine, LoadFingerprint);
+  LoadList(in, &status.digest.demand, kMaxDemand, LoadDemand);
+  const bool is_valid = !status.sender.empty() && !status.incarnation.empty() && status.applied_version >= 0 &&
+                        status.newest_known >= status.applied_version && status.confirmed_version >= 0 &&
+                        status.confirmation_age_ms >= -1;
+  if (!is_valid) {
+    throw MalformedDatagram();
+  }
+  return status;
+}
+
+PeerMessage LoadMessage(Input* in, const std::string& cluster) {
+  uint16_t version = 0;
+  (*in)(version);
+  if (version != kFormatVersion || LoadString(in, kMaxName) != cluster) {
+    throw MalformedDatagram();
+  }
+  uint8_t type = 0;
+  (*in)(type);
+  PeerMessage message;
+  switch (static_cast<MessageType>(type)) {
+    case MessageType::kStatus:
+      message.status = LoadStatus(in);
+      return message;
+    case MessageType::kChangesRequest:
+      message.changes_request.emplace();
+      (*in)(message.changes_request->from_version);
+      return message;
+    case MessageType::kChangesReply:
+      message.changes_reply.emplace();
+      LoadList(in, &message.changes_reply->changes, kMaxChanges, LoadChange);
+      return message;
+  }
+  throw MalformedDatagram();
+}
+
+// Demand is repeated each second and its largest entries come first, so its tail is the first to go.
+bool Shorten(PeerMessage* message) {
+  if (message->status.has_value()) {
+    PeerStatus& status = *message->status;
+    if (!status.digest.demand.empty()) {
+      status.digest.demand.pop_back();
+    } else if (!status.digest.quarantine.empty()) {
+      status.digest.quarantine.pop_back();
+    } else if (!status.heard.empty()) {
+      status.heard.pop_back();
+    } else {
+      return false;
+    }
+    return true;
+  }
+  if (message->changes_reply.has_value() && !message->changes_reply->changes.empty()) {
+    message->changes_reply->changes.pop_back();
+    return true;
+  }
+  return false;
+}
+
+// What SaveList leaves out by its bounds is left out here, so that Shorten removes entries that count.
+void ApplyBounds(PeerMessage* message) {
+  if (message->status.has_value()) {
+    PeerStatus& status = *message->status;
+    status.heard.resize(std::min(status.heard.size(), kMaxHeard));
+    status.digest.quarantine.resize(std::min(status.digest.quarantine.size(), kMaxQuarantine));
+    status.digest.demand.resize(std::min(status.digest.demand.size(), kMaxDemand));
+  }
+  if (message->changes_reply.has_value()) {
+    std::vector<ConfigChange>& changes = message->changes_reply->changes;
+    changes.resize(std::min(changes.size(), kMaxChanges));
+  }
+}
+
+}  // namespace
+
+std::string CerealPeerCodec::EncodeUnbounded(const PeerMessage& message) const {
+  std::ostringstream stream;
+  {
+    Output out(stream);
+    out(kFormatVersion);
+    Save(&out, m_cluster);
+    if (message.status.has_value()) {
+      out(static_cast<uint8_t>(MessageType::kStatus));
+      SaveStatus(&out, *message.status);
+    } else if (message.changes_request.has_value()) {
+      out(static_cast<uint8_t>(MessageType::kChangesRequest), message.changes_request->from_version);
+    } else if (message.changes_reply.has_value()) {
+      out(static_cast<uint8_t>(MessageType::kChangesReply));
+      SaveList(&out, message.changes_reply->changes, kMaxChanges, SaveChange);
+    }
+  }
+  return stream.str();
+}
+
+std::string CerealPeerCodec::Encode(const PeerMessage& message) const {
+  std::string datagram = EncodeUnbounded(message);
+  if (datagram.size() <= kMaxPeerDatagramBytes) {
+    return datagram;
+  }
+  PeerMessage shorter = message;
+  ApplyBounds(&shorter);
+  do {
+    datagram = EncodeUnbounded(shorter);
+  } while (datagram.size() > kMaxPeerDatagramBytes && Shorten(&shorter));
+  return datagram;
+}
+
+std::optional<PeerMessage> CerealPeerCodec::Decode(std::string_view datagram) const {
+  if (datagram.empty() || datagram.size() > kMaxPeerDatagramBytes) {
+    return std::nullopt;
+  }
+  std::istringstream stream{std::string(datagram)};
+  try {
+    Input in(stream);
+    PeerMessage message = LoadMessage(&in, m_cluster);
+    const bool is_used_up = stream.peek() == std::istringstream::traits_type::eof();
+    return is_used_up ? std::optional<PeerMessage>(std::move(message)) : std::nullopt;
+  } catch (const std::exception&) {
+    // cereal throws its own exception at the end of the input.
+    return std::nullopt;
+  }
+}
+
+}  // namespace quetzalridge
