Add the weight roll-out: plan, duty and engine orders

Purpose: new weights reach the replicas of a service within the weight store's rate limit, and never all at once. The plan is pure; it starts orders in waves of 100 ms, keeps at most a quarter of the replicas in a swap, retries failed swaps with a growing delay and then sets the endpoint aside. It sets aside at most half of the replicas, because a fault of that many is in the weights or the weight store. A report that is newer than a swap takes precedence over it.

Shared files: three log events (4000 to 4002) and their rows on the catalogue page.

Ruled out: a first wave of one endpoint that all others wait for; it costs a swap time of the 19 s.

The rate is an option of the plan; the service configuration has no field for it yet.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -20,6 +20,12 @@
        "A TLS certificate and key were read and are in use for new connections."},
       {LogEvent::kTlsCertificateRejected, LogSeverity::kError, "tls_certificate_rejected",
        "A TLS certificate or key could not be read; the previous one stays in use. Replace the files."},
+      {LogEvent::kRolloutRowMalformed, LogSeverity::kError, "rollout_row_malformed",
+       "A row of a rollout queue cannot be read and is passed over. Delete the row and submit its group again."},
+      {LogEvent::kWeightRolloutStarted, LogSeverity::kInfo, "weight_rollout_started",
+       "A new weight version was published; the holder of the roll-out duty orders it."},
+      {LogEvent::kWeightSwapSetAside, LogSeverity::kWarning, "weight_swap_set_aside",
+       "Repeated weight swaps of an endpoint failed; it is out of use until a swap succeeds. Replace the endpoint."},
   };
   return kCatalogue;
 }
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -22,6 +22,9 @@
   kSettingsRejected = 1003,
   kTlsCertificateLoaded = 2000,
   kTlsCertificateRejected = 2001,
+  kRolloutRowMalformed = 4000,
+  kWeightRolloutStarted = 4001,
+  kWeightSwapSetAside = 4002,
 };
 
 struct LogEventInfo {
--- a/src/coordination/rollout_queue.cc
+++ b/src/coordination/rollout_queue.cc
@@ -371,7 +371,7 @@
   if (!claimable.empty()) {
     m_scanning = false;
     m_scan_again = false;
-    Claim(std::move(claimable));
+    Claim(claimable);
     return;
   }
   if (result.ok && result.rows.size() == kScanPage && !m_draining) {
@@ -398,7 +398,7 @@
 }
 
 // Each claim begins a new attempt, so that object names of different executions never meet.
-void RolloutQueue::Claim(std::vector<TableRow> rows) {
+void RolloutQueue::Claim(const std::vector<TableRow>& rows) {
   if (m_draining || m_samples_in_flight >= m_options.max_samples_in_flight) {
     return;
   }
--- a/src/coordination/rollout_queue.h
+++ b/src/coordination/rollout_queue.h
@@ -106,7 +106,7 @@
   void Scan(const std::string& after);
   void OnScan(const ReadResult& result);
   bool MayClaim(const GroupRow& row) const;
-  void Claim(std::vector<TableRow> rows);
+  void Claim(const std::vector<TableRow>& rows);
   void HandBack(const std::string& id);
   void CheckDrained();
 
--- a/src/coordination/sample_delivery.cc
+++ b/src/coordination/sample_delivery.cc
@@ -62,7 +62,7 @@
   m_rule = FreshnessRule(staleness_bound);
 }
 
-void SampleDelivery::ReadStatus(std::function<void(const DeliveryStatus&)> callback) {
+void SampleDelivery::ReadStatus(const std::function<void(const DeliveryStatus&)>& callback) {
   m_context.table->Read({m_rows.CursorKey()}, m_guard.Wrap([this, callback](const ReadResult& cursor_result) {
     if (!cursor_result.ok) {
       callback({});
@@ -76,14 +76,14 @@
   }));
 }
 
-void SampleDelivery::Confirm(int64_t batch, ConfirmCallback callback) {
+void SampleDelivery::Confirm(int64_t batch, const ConfirmCallback& callback) {
   // The first of the result and the time limit is reported.
   struct Pending {
     ConfirmCallback callback;
     std::unique_ptr<Timer> timer;
   };
   auto pending = std::make_shared<Pending>();
-  pending->callback = std::move(callback);
+  pending->callback = callback;
   const auto report = [pending](DeliveryOutcome outcome) {
     if (pending->callback) {
       const ConfirmCallback report_to = std::move(pending->callback);
@@ -439,6 +439,7 @@
 
 void SampleDelivery::ReturnStale(uint64_t id, const std::vector<TableRow>& ready_rows) {
   std::vector<std::string> keys;
+  keys.reserve(ready_rows.size());
   for (const TableRow& row : ready_rows) {
     keys.push_back(m_rows.GroupKey(DecodeReadyRow(row.value).id));
   }
@@ -500,7 +501,7 @@
   });
 }
 
-void SampleDelivery::Finish(uint64_t id, FetchResult result) {
+void SampleDelivery::Finish(uint64_t id, const FetchResult& result) {
   const auto it = m_operations.find(id);
   if (it == m_operations.end()) {
     return;
--- a/src/coordination/sample_delivery.h
+++ b/src/coordination/sample_delivery.h
@@ -83,8 +83,8 @@
   SampleDelivery& operator=(const SampleDelivery&) = delete;
 
   void Fetch(const FetchRequest& request, FetchCallback callback);
-  void Confirm(int64_t batch, ConfirmCallback callback);
-  void ReadStatus(std::function<void(const DeliveryStatus&)> callback);
+  void Confirm(int64_t batch, const ConfirmCallback& callback);
+  void ReadStatus(const std::function<void(const DeliveryStatus&)>& callback);
   // Follows a change of the configuration.
   void SetService(const std::string& service, int64_t staleness_bound);
   // Lets waiting fetches look again.
@@ -114,7 +114,7 @@
   void CommitAndReread(uint64_t id, TableTransaction transaction, bool regenerates);
 
   void RetryLater(uint64_t id, DeliveryOutcome reason);
-  void Finish(uint64_t id, FetchResult result);
+  void Finish(uint64_t id, const FetchResult& result);
   Operation* Find(uint64_t id);
   bool IsFresh(const FinishedGroup& group, const Operation& operation) const;
 
--- /dev/null
+++ b/src/coordination/weight_rollout.cc
@@ -0,0 +1,100 @@
+#include "coordination/weight_rollout.h"
+
+#include <algorithm>
+
+#include "base/log_event.h"
+
+namespace quetzalridge {
+
+namespace {
+
+// One read a second for each service and holder; the wait for the poll is part of the 19 s of a roll-out.
+constexpr Duration kPollInterval = Duration::Seconds(1);
+
+}  // namespace
+
+WeightRollout::WeightRollout(WeightRolloutContext context, std::string service, RolloutPlanOptions options)
+    : m_context(context), m_service(std::move(service)), m_plan(options) {}
+
+WeightRollout::~WeightRollout() = default;
+
+void WeightRollout::Start(int64_t epoch, const std::string& holder, std::function<bool()> may_act) {
+  m_epoch = epoch;
+  m_holder = holder;
+  m_may_act = std::move(may_act);
+  Poll();
+  Wave();
+}
+
+void WeightRollout::Stop() {
+  m_poll_timer.reset();
+  m_wave_timer.reset();
+  m_may_act = [] { return false; };
+}
+
+// A version that cannot be read leaves the last one in force.
+void WeightRollout::Poll() {
+  m_poll_timer = m_context.scheduler->After(kPollInterval, [this] { Poll(); });
+  m_context.platform->LatestWeightVersion(m_service, m_guard.Wrap([this](const WeightVersionResult& result) {
+    if (result.ok && result.version > m_plan.target()) {
+      Log(LogEvent::kWeightRolloutStarted, m_service + " version " + std::to_string(result.version));
+      m_plan.SetTarget(result.version);
+    }
+  }));
+}
+
+void WeightRollout::Wave() {
+  m_wave_timer = m_context.scheduler->After(RolloutPlan::kWaveInterval, [this] { Wave(); });
+  m_plan.SetEndpoints(Replicas());
+  for (const std::string& endpoint : m_plan.NextWave(m_context.scheduler->clock().Now())) {
+    Order(endpoint);
+  }
+}
+
+std::vector<EndpointState> WeightRollout::Replicas() const {
+  std::vector<EndpointState> replicas;
+  for (const EndpointState& endpoint : m_context.endpoints->endpoints()) {
+    if (endpoint.service == m_service) {
+      replicas.push_back(endpoint);
+    }
+  }
+  return replicas;
+}
+
+void WeightRollout::Order(const std::string& endpoint) {
+  const auto& endpoints = m_context.endpoints->endpoints();
+  const auto it = std::find_if(endpoints.begin(), endpoints.end(),
+                               [&](const EndpointState& state) { return state.id == endpoint; });
+  const EngineOrder order{endpoint, it->address, m_plan.target(), m_epoch, m_holder};
+  // The result of an order of an earlier term still describes what happened to the endpoint.
+  m_context.engines->LoadWeights(order, m_may_act,
+                                 m_guard.Wrap([this, endpoint, version = order.version](EngineOrderOutcome outcome) {
+                                   OnOutcome(endpoint, version, outcome);
+                                 }));
+}
+
+void WeightRollout::OnOutcome(const std::string& endpoint, int64_t version, EngineOrderOutcome outcome) {
+  const TimePoint now = m_context.scheduler->clock().Now();
+  switch (outcome) {
+    case EngineOrderOutcome::kDone:
+      m_plan.OnSwapped(endpoint, version, now);
+      if (m_plan.TakeRestored(endpoint)) {
+        m_context.endpoints->SetAside(endpoint, false);
+      }
+      return;
+    // A stale fence or version means that a newer order was seen; the next report shows its effect.
+    case EngineOrderOutcome::kStale:
+    case EngineOrderOutcome::kNotSent:
+      m_plan.OnNotSent(endpoint, now);
+      return;
+    case EngineOrderOutcome::kFailed:
+    case EngineOrderOutcome::kUnknown:
+      if (m_plan.OnFailed(endpoint, now)) {
+        Log(LogEvent::kWeightSwapSetAside, endpoint + " version " + std::to_string(version));
+        m_context.endpoints->SetAside(endpoint, true);
+      }
+      return;
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/weight_rollout.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coordination/callback_guard.h"
+#include "coordination/endpoint_view.h"
+#include "coordination/engine_control.h"
+#include "coordination/platform.h"
+#include "coordination/scheduler.h"
+#include "state/rollout_plan.h"
+
+namespace quetzalridge {
+
+struct WeightRolloutContext {
+  Platform* platform = nullptr;
+  EndpointView* endpoints = nullptr;
+  EngineControl* engines = nullptr;
+  Scheduler* scheduler = nullptr;
+};
+
+// The duty that brings the newest weights of one service to its replicas.
+class WeightRollout {
+ public:
+  WeightRollout(WeightRolloutContext context, std::string service, RolloutPlanOptions options);
+  ~WeightRollout();
+  WeightRollout(const WeightRollout&) = delete;
+  WeightRollout& operator=(const WeightRollout&) = delete;
+
+  // Begins with the epoch of the lease. `may_act` is asked before each order is written.
+  void Start(int64_t epoch, const std::string& holder, std::function<bool()> may_act);
+  void Stop();
+  bool running() const { return m_wave_timer != nullptr; }
+  const RolloutPlan& plan() const { return m_plan; }
+
+ private:
+  void Poll();
+  void Wave();
+  void Order(const std::string& endpoint);
+  void OnOutcome(const std::string& endpoint, int64_t version, EngineOrderOutcome outcome);
+  std::vector<EndpointState> Replicas() const;
+
+  WeightRolloutContext m_context;
+  std::string m_service;
+  RolloutPlan m_plan;
+  int64_t m_epoch = 0;
+  std::string m_holder;
+  std::function<bool()> m_may_act;
+  std::unique_ptr<Timer> m_poll_timer;
+  std::unique_ptr<Timer> m_wave_timer;
+  CallbackGuard m_guard;
+};
+
+}  // namespace quetzalridge
--- a/src/daemon/rollout_api.cc
+++ b/src/daemon/rollout_api.cc
@@ -211,7 +211,7 @@
 }
 
 void RolloutApi::OnKeyedRequest(const KeyedCaller& caller, const HttpRequest& request,
-                                std::shared_ptr<HttpResponder> responder) {
+                                const std::shared_ptr<HttpResponder>& responder) {
   try {
     Dispatch(caller, request, responder);
   } catch (const Error& error) {
--- a/src/daemon/rollout_api.h
+++ b/src/daemon/rollout_api.h
@@ -30,7 +30,8 @@
   // True for paths that this class answers.
   static bool Handles(const std::string& path);
   // The caller's key was checked before.
-  void OnKeyedRequest(const KeyedCaller& caller, const HttpRequest& request, std::shared_ptr<HttpResponder> responder);
+  void OnKeyedRequest(const KeyedCaller& caller, const HttpRequest& request,
+                      const std::shared_ptr<HttpResponder>& responder);
   // Takes no new groups, and hands back those that run.
   void Drain(std::function<void()> callback);
   // Groups that this instance runs, over all queues.
--- /dev/null
+++ b/src/transport/http_engine_control.cc
@@ -0,0 +1,50 @@
+#include "transport/http_engine_control.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalridge {
+
+namespace {
+
+// An engine answers when the swap is done.
+constexpr Duration kSwapTimeout = Duration::Seconds(30);
+constexpr size_t kMaxAnswerBytes = size_t{16} << 10;
+
+EngineOrderOutcome ToOutcome(const HttpResponse& response) {
+  if (response.result.outcome == CallOutcome::kNotSent) {
+    return EngineOrderOutcome::kNotSent;
+  }
+  if (response.result.outcome == CallOutcome::kNoAnswer) {
+    return EngineOrderOutcome::kUnknown;
+  }
+  switch (response.status) {
+    case 200:
+      return EngineOrderOutcome::kDone;
+    case 409:
+      return EngineOrderOutcome::kStale;
+    default:
+      return EngineOrderOutcome::kFailed;
+  }
+}
+
+}  // namespace
+
+void HttpEngineControl::LoadWeights(const EngineOrder& order, BeforeWrite before_write, Callback callback) {
+  HttpCall call;
+  call.address = order.address;
+  call.method = "POST";
+  call.target = "/orders";
+  call.headers = {{"content-type", "application/json"}};
+  call.body =
+      nlohmann::json{
+          {"order", "load_weights"}, {"version", order.version}, {"fence", order.fence}, {"holder", order.holder}}
+          .dump();
+  call.head_timeout = kSwapTimeout;
+  call.before_write = std::move(before_write);
+  m_client->Fetch(
+      std::move(call),
+      [callback = std::move(callback)](const HttpResponse& response) { callback(ToOutcome(response)); },
+      kMaxAnswerBytes);
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/state/rollout_plan_test.cc
@@ -0,0 +1,155 @@
+#include "state/rollout_plan.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "base/random.h"
+
+namespace quetzalridge {
+namespace {
+
+// Replicas that take `swap` to load weights, driven by a plan on a manual clock.
+class SimulatedService {
+ public:
+  SimulatedService(int replicas, RolloutPlanOptions options, Duration swap) : m_plan(options), m_swap(swap) {
+    for (int i = 0; i < replicas; ++i) {
+      EndpointState endpoint;
+      endpoint.id = "e" + std::to_string(i);
+      endpoint.weight_version = 1;
+      m_endpoints.push_back(endpoint);
+    }
+    m_plan.SetEndpoints(m_endpoints);
+    m_plan.SetTarget(2);
+  }
+
+  void Step() {
+    while (!m_running.empty() && m_running.front().first <= m_clock.Now()) {
+      m_plan.OnSwapped(m_running.front().second, 2, m_clock.Now());
+      m_running.pop_front();
+    }
+    for (const std::string& id : m_plan.NextWave(m_clock.Now())) {
+      m_running.emplace_back(m_clock.Now() + m_swap, id);
+      m_order_times.push_back(m_clock.Now());
+    }
+    m_max_in_flight = std::max(m_max_in_flight, m_plan.in_flight());
+    m_clock.Advance(RolloutPlan::kWaveInterval);
+  }
+  Duration Run() {
+    const TimePoint start = m_clock.Now();
+    for (int steps = 0; !m_plan.complete() && steps < 100'000; ++steps) {
+      Step();
+    }
+    REQUIRE(m_plan.complete());
+    return m_clock.Now() - start;
+  }
+  // The most orders in any second.
+  int PeakOrdersPerSecond() const {
+    size_t peak = 0;
+    size_t first = 0;
+    for (size_t i = 0; i < m_order_times.size(); ++i) {
+      while (m_order_times[i] - m_order_times[first] >= Duration::Seconds(1)) {
+        ++first;
+      }
+      peak = std::max(peak, i - first + 1);
+    }
+    return static_cast<int>(peak);
+  }
+  int max_in_flight() const { return m_max_in_flight; }
+
+ private:
+  RolloutPlan m_plan;
+  Duration m_swap;
+  ManualClock m_clock;
+  std::vector<EndpointState> m_endpoints;
+  std::deque<std::pair<TimePoint, std::string>> m_running;
+  std::vector<TimePoint> m_order_times;
+  int m_max_in_flight = 0;
+};
+
+// 1,000 replicas in 19 s, less 1 s for the version poll, 1 s for the last swap and two waves.
+constexpr double kTargetOrdersPerSecond = 64.0;
+
+// Guards against a plan that misses the 19 s of the target size, exceeds the weight store's rate limit, or takes too
+// many replicas out of service at once.
+TEST_CASE("new weights reach 10 to 1,000 replicas within 18 s and the rate limit") {
+  for (const int replicas : {10, 30, 100, 300, 1000}) {
+    RolloutPlanOptions options;
+    options.orders_per_second = kTargetOrdersPerSecond;
+    SimulatedService service(replicas, options, Duration::Seconds(1));
+    const Duration time = service.Run();
+    WARN(replicas << " replicas: " << time.ms() << " ms, at most " << service.max_in_flight() << " at once, "
+                  << service.PeakOrdersPerSecond() << " orders in a second");
+    CHECK(time <= Duration::Seconds(18));
+    CHECK(service.max_in_flight() <= std::max(1, replicas / 4));
+    CHECK(service.PeakOrdersPerSecond() <= static_cast<int>(kTargetOrdersPerSecond * 1.2) + 1);
+  }
+}
+
+EndpointState Replica(const std::string& id, int64_t version) {
+  EndpointState endpoint;
+  endpoint.id = id;
+  endpoint.weight_version = version;
+  return endpoint;
+}
+
+// Guards against endpoints that fail forever and against a bad version that takes all endpoints out of use.
+TEST_CASE("an endpoint is set aside after repeated failures, but never more than half of them") {
+  ManualClock clock;
+  RolloutPlan plan(RolloutPlanOptions{});
+  plan.SetEndpoints({Replica("a", 1), Replica("b", 1), Replica("c", 1), Replica("d", 1)});
+  plan.SetTarget(2);
+  std::map<std::string, int> tries;
+  int set_aside = 0;
+  for (int i = 0; i < 3000; ++i) {
+    for (const std::string& id : plan.NextWave(clock.Now())) {
+      ++tries[id];
+      set_aside += plan.OnFailed(id, clock.Now()) ? 1 : 0;
+    }
+    clock.Advance(RolloutPlan::kWaveInterval);
+  }
+  CHECK(set_aside == 2);
+  CHECK(tries["a"] >= 3);
+  CHECK(tries["a"] < 30);
+}
+
+// Guards against an endpoint that stays out of use after it recovered.
+TEST_CASE("an endpoint that was set aside is restored after a successful swap") {
+  ManualClock clock;
+  RolloutPlanOptions options;
+  options.max_attempts = 1;
+  RolloutPlan plan(options);
+  plan.SetEndpoints({Replica("a", 1), Replica("b", 2)});
+  plan.SetTarget(2);
+  REQUIRE(plan.NextWave(clock.Now()) == std::vector<std::string>{"a"});
+  CHECK(plan.OnFailed("a", clock.Now()));
+  clock.Advance(Duration::Seconds(2));
+  REQUIRE(plan.NextWave(clock.Now()) == std::vector<std::string>{"a"});
+  plan.OnSwapped("a", 2, clock.Now());
+  CHECK(plan.TakeRestored("a"));
+  CHECK(plan.complete());
+}
+
+// Guards against a replica that restarts with older weights after its swap and is never ordered again.
+TEST_CASE("a report that is newer than the swap takes precedence") {
+  ManualClock clock;
+  RolloutPlan plan(RolloutPlanOptions{});
+  plan.SetEndpoints({Replica("a", 1)});
+  plan.SetTarget(2);
+  REQUIRE(plan.NextWave(clock.Now()).size() == 1);
+  plan.OnSwapped("a", 2, clock.Now());
+  clock.Advance(Duration::Seconds(4));
+  EndpointState report = Replica("a", 1);
+  report.reported_at = clock.Now();
+  plan.SetEndpoints({report});
+  CHECK(plan.NextWave(clock.Now()).empty());
+  clock.Advance(Duration::Seconds(4));
+  report.reported_at = clock.Now();
+  plan.SetEndpoints({report});
+  CHECK(plan.NextWave(clock.Now()).size() == 1);
+}
+
+}  // namespace
+}  // namespace quetzalridge
