Fuzz the delivery of samples against an oracle

Purpose: several instances over one fake store and one trainer run random steps: submissions that are repeated, fetches that are abandoned or asked again, deaths and pauses of instances at any step, instances that the roster loses while they are alive, lost, late and missing transactions, outages, new versions at any time. The oracle checks that each sample is confirmed once, none is lost, none is past the bound at hand-over, a batch keeps its bytes, and the stamps are those of the tokens. Eight mechanisms are turned off one by one; the oracle finds each loss.

--- /dev/null
+++ b/tests/coordination/delivery_fuzz_test.cc
@@ -0,0 +1,158 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+#include "tests/coordination/delivery_model.h"
+
+namespace quetzalridge {
+
+void showValue(const DeliveryStep& step, std::ostream& out) {
+  out << static_cast<int>(step.action) << ":" << step.argument;
+}
+
+namespace {
+
+// RapidCheck reads its parameters once; without a seed it draws one. The environment can set others.
+const bool g_seeded = setenv("RC_PARAMS", "seed=1 max_success=300", 0) == 0;
+
+constexpr int kMaxArgument = 1200;
+
+std::string RunSteps(const DeliveryMechanisms& mechanisms, const std::vector<DeliveryStep>& steps) {
+  DeliveryModel model(mechanisms);
+  for (const DeliveryStep& step : steps) {
+    model.Run(step);
+  }
+  model.Finish();
+  return model.violation();
+}
+
+// Trainers ask and time passes more often than faults occur.
+const std::vector<DeliveryAction>& WeightedActions() {
+  static const std::vector<DeliveryAction> kActions = {DeliveryAction::kSubmit,
+                                                       DeliveryAction::kSubmit,
+                                                       DeliveryAction::kSubmitAgain,
+                                                       DeliveryAction::kAsk,
+                                                       DeliveryAction::kAsk,
+                                                       DeliveryAction::kAsk,
+                                                       DeliveryAction::kAsk,
+                                                       DeliveryAction::kAbandonAndAsk,
+                                                       DeliveryAction::kAbandonAndAsk,
+                                                       DeliveryAction::kFetchAgain,
+                                                       DeliveryAction::kFetchAgain,
+                                                       DeliveryAction::kAdvance,
+                                                       DeliveryAction::kAdvance,
+                                                       DeliveryAction::kAdvance,
+                                                       DeliveryAction::kAdvance,
+                                                       DeliveryAction::kAdvance,
+                                                       DeliveryAction::kTogglePause,
+                                                       DeliveryAction::kToggleMembership,
+                                                       DeliveryAction::kKill,
+                                                       DeliveryAction::kTogglePause,
+                                                       DeliveryAction::kToggleMembership,
+                                                       DeliveryAction::kPublish,
+                                                       DeliveryAction::kPublish,
+                                                       DeliveryAction::kPublish,
+                                                       DeliveryAction::kFetchAgain,
+                                                       DeliveryAction::kToggleVersionUnknown,
+                                                       DeliveryAction::kToggleTable,
+                                                       DeliveryAction::kToggleObjects,
+                                                       DeliveryAction::kLoseAnswers,
+                                                       DeliveryAction::kSlowObjects};
+  return kActions;
+}
+
+std::vector<DeliveryStep> SeededSteps(uint64_t seed) {
+  Random random(seed);
+  const std::vector<DeliveryAction>& actions = WeightedActions();
+  std::vector<DeliveryStep> steps(200);
+  for (DeliveryStep& step : steps) {
+    step.action = actions[random.Below(actions.size())];
+    step.argument = static_cast<int>(random.Below(kMaxArgument));
+  }
+  return steps;
+}
+
+// Guards against samples that are delivered twice, lost, too old at hand-over or wrongly stamped, under deaths of
+// instances at any step, lost answers, outages, repeated requests and new versions.
+TEST_CASE("delivery keeps its guarantees under faults") {
+  const auto step_generator =
+      rc::gen::construct<DeliveryStep>(rc::gen::elementOf(WeightedActions()), rc::gen::inRange(0, kMaxArgument));
+  CHECK(rc::check("no sequence of steps violates the oracle", [&] {
+    RC_PRE(g_seeded);
+    const auto steps = *rc::gen::scale(2.0, rc::gen::container<std::vector<DeliveryStep>>(step_generator));
+    const std::string violation = RunSteps({}, steps);
+    RC_ASSERT(violation == "");
+  }));
+}
+
+// Guards against a fault that short random sequences miss; the seeds are fixed.
+TEST_CASE("long seeded sequences keep the guarantees and reach deliveries and void batches") {
+  int batches = 0;
+  int voids = 0;
+  for (uint64_t seed = 1; seed <= 500; ++seed) {
+    DeliveryModel model({});
+    for (const DeliveryStep& step : SeededSteps(seed)) {
+      model.Run(step);
+    }
+    model.Finish();
+    INFO("seed " << seed);
+    REQUIRE(model.violation() == "");
+    batches += model.batches_used();
+    voids += model.voids();
+  }
+  WARN("500 sequences: " << batches << " batches used, " << voids << " void batches refused");
+  CHECK(batches > 300);
+  CHECK(voids > 30);
+}
+
+// The first violation over the seeds, or empty.
+std::string FindViolation(const DeliveryMechanisms& mechanisms) {
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    std::string violation = RunSteps(mechanisms, SeededSteps(seed));
+    if (!violation.empty()) {
+      return violation;
+    }
+  }
+  return "";
+}
+
+// Each case guards against an oracle that would not notice the loss of the mechanism.
+TEST_CASE("the oracle finds the violation when a mechanism is off") {
+  DeliveryMechanisms off;
+  SECTION("compare-and-set") {
+    off.table_checks = false;
+    CHECK(FindViolation(off) != "");
+  }
+  SECTION("done rows") {
+    off.done_rows = false;
+    CHECK(FindViolation(off).find("twice") != std::string::npos);
+  }
+  SECTION("reading the newest version") {
+    off.version_reads = false;
+    CHECK(FindViolation(off).find("past the bound") != std::string::npos);
+  }
+  SECTION("reading the version again before the hand-over") {
+    off.version_freshness = Duration::Seconds(3600);
+    CHECK(FindViolation(off).find("past the bound") != std::string::npos);
+  }
+  SECTION("takeover") {
+    off.takeover = false;
+    CHECK(FindViolation(off).find("used samples") != std::string::npos);
+  }
+  SECTION("stamps of the tokens") {
+    off.true_stamps = false;
+    CHECK(FindViolation(off).find("stamps") != std::string::npos);
+  }
+  SECTION("immutable objects") {
+    off.stable_objects = false;
+    CHECK(FindViolation(off).find("different bytes") != std::string::npos);
+  }
+  SECTION("use only after the confirmation") {
+    off.confirmed_use = false;
+    CHECK(FindViolation(off) != "");
+  }
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/coordination/delivery_model.h
@@ -0,0 +1,467 @@
+#pragma once
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/hash.h"
+#include "coordination/rollout_queue.h"
+#include "coordination/sample_delivery.h"
+#include "tests/fakes/fake_rollout_world.h"
+
+namespace quetzalridge {
+
+// Mechanisms of the delivery that a test can turn off, to see that the checks find what they guard against.
+struct DeliveryMechanisms {
+  // Compare-and-set of the table.
+  bool table_checks = true;
+  // Rows that remember delivered groups.
+  bool done_rows = true;
+  // The newest version is read at all, and read again when the reading is old.
+  bool version_reads = true;
+  Duration version_freshness = Duration::Milliseconds(500);
+  // Groups of instances that are gone are claimed.
+  bool takeover = true;
+  // Stamps come from the engine.
+  bool true_stamps = true;
+  // Objects never change.
+  bool stable_objects = true;
+  // The trainer uses a batch only after its confirmation was answered.
+  bool confirmed_use = true;
+};
+
+// Passes transactions on without the parts whose mechanism is off.
+class SwitchedTableStore : public TableStore {
+ public:
+  SwitchedTableStore(TableStore* store, const DeliveryMechanisms* mechanisms)
+      : m_store(store), m_mechanisms(mechanisms) {}
+  void Transact(TableTransaction transaction, TransactCallback callback) override {
+    if (!m_mechanisms->table_checks) {
+      transaction.checks.clear();
+    }
+    const auto is_done_row = [](const TableWrite& write) { return write.key.find("/done/") != std::string::npos; };
+    if (!m_mechanisms->done_rows) {
+      transaction.writes.erase(std::remove_if(transaction.writes.begin(), transaction.writes.end(), is_done_row),
+                               transaction.writes.end());
+    }
+    m_store->Transact(std::move(transaction), std::move(callback));
+  }
+  void Read(std::vector<std::string> keys, ReadCallback callback) override {
+    m_store->Read(std::move(keys), std::move(callback));
+  }
+  void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
+    m_store->Scan(std::move(prefix), std::move(after), limit, std::move(callback));
+  }
+
+ private:
+  TableStore* m_store;
+  const DeliveryMechanisms* m_mechanisms;
+};
+
+enum class DeliveryAction {
+  kSubmit,
+  kSubmitAgain,
+  kAsk,
+  kAbandonAndAsk,
+  // The trainer lost what it received and fetches without a confirmation.
+  kFetchAgain,
+  kAdvance,
+  kKill,
+  kTogglePause,
+  // The roster loses or regains an instance that is alive.
+  kToggleMembership,
+  kPublish,
+  kToggleVersionUnknown,
+  kToggleTable,
+  kToggleObjects,
+  kLoseAnswers,
+  kSlowObjects,
+  kCount,
+};
+
+struct DeliveryStep {
+  DeliveryAction action = DeliveryAction::kAdvance;
+  int argument = 0;
+};
+
+// Several instances over one store, one trainer, and the oracle that judges what the trainer receives.
+class DeliveryModel {
+ public:
+  static constexpr int64_t kBound = 2;
+  static constexpr int kInstances = 3;
+
+  explicit DeliveryModel(DeliveryMechanisms mechanisms) : m_mechanisms(mechanisms) {
+    m_weights.frozen_reads = !mechanisms.version_reads;
+    m_objects.unstable = !mechanisms.stable_objects;
+    m_history.emplace_back(m_world.Now(), m_weights.version);
+    m_table.request_timeout = Duration::Seconds(1);
+    m_table.late_chance = 0.3;
+    m_table.never_chance = 0.2;
+    for (int i = 0; i < kInstances; ++i) {
+      Boot(i);
+    }
+  }
+
+  void Run(const DeliveryStep& step) {
+    const int argument = step.argument;
+    switch (step.action) {
+      case DeliveryAction::kSubmit:
+        Submit(argument, "g" + std::to_string(m_next_group++));
+        break;
+      case DeliveryAction::kSubmitAgain:
+        if (m_next_group > 0) {
+          Submit(argument, "g" + std::to_string(argument % m_next_group));
+        }
+        break;
+      case DeliveryAction::kAsk:
+        if (!m_asking) {
+          Ask(argument);
+        }
+        break;
+      case DeliveryAction::kAbandonAndAsk:
+        ++m_ask_number;
+        Ask(argument);
+        break;
+      case DeliveryAction::kFetchAgain:
+        ++m_ask_number;
+        Fetch(argument, 0);
+        break;
+      case DeliveryAction::kAdvance:
+        m_world.Advance(Duration::Milliseconds(argument));
+        break;
+      case DeliveryAction::kKill:
+        Kill(argument % kInstances);
+        break;
+      case DeliveryAction::kTogglePause:
+        TogglePause(argument % kInstances);
+        break;
+      case DeliveryAction::kToggleMembership:
+        SetMembership(argument % kInstances, !IsMember(argument % kInstances));
+        break;
+      case DeliveryAction::kPublish:
+        m_weights.version += 1 + argument % 3;
+        m_history.emplace_back(m_world.Now(), m_weights.version);
+        break;
+      case DeliveryAction::kToggleVersionUnknown:
+        m_weights.unknown = !m_weights.unknown;
+        break;
+      case DeliveryAction::kToggleTable:
+        m_table.unavailable = !m_table.unavailable;
+        break;
+      case DeliveryAction::kToggleObjects:
+        m_objects.unavailable = !m_objects.unavailable;
+        break;
+      case DeliveryAction::kLoseAnswers:
+        m_table.lose_next_answers = 1 + argument % 3;
+        break;
+      case DeliveryAction::kSlowObjects:
+        m_objects.latency = Duration::Milliseconds(1 + argument);
+        break;
+      case DeliveryAction::kCount:
+        break;
+    }
+  }
+
+  // Ends all faults and asks until everything is delivered.
+  void Finish() {
+    for (int i = 0; i < kInstances; ++i) {
+      m_instances[i]->process.Resume();
+      SetMembership(i, true);
+    }
+    m_weights.unknown = false;
+    m_table.unavailable = false;
+    m_table.lose_next_answers = 0;
+    m_objects.unavailable = false;
+    m_objects.latency = Duration::Milliseconds(1);
+    constexpr int kMaxAsks = 60;
+    for (int i = 0; i < kMaxAsks && !AllUsed(); ++i) {
+      for (const std::string& group : std::set<std::string>(m_unanswered)) {
+        Submit(i, group);
+      }
+      ++m_ask_number;
+      Ask(i);
+      m_world.Advance(Duration::Seconds(2));
+    }
+    for (const std::string& group : m_accepted) {
+      if (m_used[group] != kNeeded) {
+        Violation("group " + group + " has " + std::to_string(m_used[group]) + " used samples");
+      }
+    }
+  }
+
+  // The first thing that went wrong, or empty.
+  const std::string& violation() const { return m_violation; }
+  int batches_used() const { return m_batches_used; }
+  int voids() const { return m_voids; }
+
+ private:
+  static constexpr int kSamples = 3;
+  static constexpr int kNeeded = 2;
+
+  struct Instance {
+    Instance(DeliveryModel* model, int index, const std::string& own_incarnation)
+        : incarnation(own_incarnation),
+          process(&model->m_world),
+          fake_table(&model->m_table, &process),
+          table(&fake_table, &model->m_mechanisms),
+          objects(&model->m_objects, &process),
+          platform(&model->m_weights, &process),
+          engine(&process, &model->m_weights, Hash64(incarnation)) {
+      engine.version_lag = index % 2;
+      engine.true_stamps = model->m_mechanisms.true_stamps;
+      engine.interrupt_chance = 0.02;
+      engine.not_started_chance = 0.05;
+      const RolloutContext context{
+          &table, &objects, &platform, &engine, &model->m_roster, &process, "i" + std::to_string(index), incarnation};
+      RolloutQueueOptions options;
+      options.queue = "q";
+      options.run.staleness_bound = kBound;
+      queue = std::make_unique<RolloutQueue>(context, options);
+      DeliveryOptions delivery_options{"q", "s", kBound, model->m_mechanisms.version_freshness};
+      delivery =
+          std::make_unique<SampleDelivery>(DeliveryContext{&table, &objects, &platform, &process}, delivery_options);
+      queue->SetReadyListener([this] { delivery->OnGroupReady(); });
+      delivery->SetRegenerateListener([this] { queue->ScanSoon(); });
+      queue->Start();
+    }
+    std::string incarnation;
+    PausableScheduler process;
+    FakeTableStore fake_table;
+    SwitchedTableStore table;
+    FakeObjectStore objects;
+    FakeWeightPlatform platform;
+    FakeSampleEngine engine;
+    std::unique_ptr<RolloutQueue> queue;
+    std::unique_ptr<SampleDelivery> delivery;
+  };
+
+  void Boot(int index) {
+    const std::string incarnation = "i" + std::to_string(index) + "-" + std::to_string(m_next_incarnation++);
+    m_instances[index] = std::make_unique<Instance>(this, index, incarnation);
+    SetMembership(index, true);
+  }
+
+  // The process dies with its transactions under way, and a new one starts in its place.
+  void Kill(int index) {
+    if (m_mechanisms.takeover) {
+      SetMembership(index, false);
+    }
+    m_instances[index].reset();
+    Boot(index);
+  }
+
+  void TogglePause(int index) {
+    PausableScheduler& process = m_instances[index]->process;
+    if (process.paused()) {
+      process.Resume();
+    } else {
+      process.Pause();
+    }
+  }
+
+  bool IsMember(int index) const {
+    const auto& members = m_roster.members;
+    return std::any_of(members.begin(), members.end(), [&](const RosterMember& member) {
+      return member.incarnation == m_instances.at(index)->incarnation;
+    });
+  }
+
+  void SetMembership(int index, bool is_member) {
+    const std::string incarnation = m_instances[index]->incarnation;
+    auto& members = m_roster.members;
+    const auto is_same = [&](const RosterMember& member) { return member.incarnation == incarnation; };
+    members.erase(std::remove_if(members.begin(), members.end(), is_same), members.end());
+    if (is_member) {
+      members.push_back({"i" + std::to_string(index), incarnation});
+    }
+  }
+
+  void Submit(int instance, const std::string& group) {
+    SampleGroupSpec spec;
+    spec.id = group;
+    spec.step = 1;
+    spec.prompt = "prompt";
+    spec.model = "model";
+    spec.samples = kSamples;
+    spec.needed = kNeeded;
+    spec.max_tokens = 5;
+    if (m_accepted.count(group) == 0) {
+      m_unanswered.insert(group);
+    }
+    m_instances[instance % kInstances]->queue->Submit({spec}, [this, group](const SubmitResult& result) {
+      if (result.accepted) {
+        m_accepted.insert(group);
+        m_unanswered.erase(group);
+      }
+    });
+  }
+
+  // A trainer that holds batches asks for the confirmation of the first until that is answered.
+  void Ask(int argument) {
+    const int64_t confirm = m_held.empty() ? 0 : m_held.front();
+    if (m_held.size() > 1 || (confirm != 0 && argument % 2 == 0)) {
+      Confirm(argument, confirm);
+    } else {
+      Fetch(argument, confirm);
+    }
+  }
+
+  void Confirm(int argument, int64_t batch) {
+    m_asking = true;
+    m_instances[argument % kInstances]->delivery->Confirm(batch,
+                                                          [this, ask = m_ask_number, batch](DeliveryOutcome outcome) {
+                                                            if (ask == m_ask_number) {
+                                                              m_asking = false;
+                                                              OnConfirmAnswer(batch, outcome);
+                                                            }
+                                                          });
+  }
+
+  void Fetch(int argument, int64_t confirm) {
+    m_asking = true;
+    const FetchRequest request{confirm, 1 + argument % 6, Duration::Milliseconds(argument)};
+    m_instances[argument % kInstances]->delivery->Fetch(request,
+                                                        [this, ask = m_ask_number, confirm](const FetchResult& result) {
+                                                          OnHandOver(result);
+                                                          if (ask == m_ask_number) {
+                                                            m_asking = false;
+                                                            OnFetchAnswer(confirm, result);
+                                                          }
+                                                        });
+  }
+
+  void OnConfirmAnswer(int64_t batch, DeliveryOutcome outcome) {
+    if (outcome == DeliveryOutcome::kOk) {
+      if (m_mechanisms.confirmed_use) {
+        Use(batch);
+      }
+      m_held.pop_front();
+    } else if (outcome == DeliveryOutcome::kBatchVoid) {
+      ++m_voids;
+      m_held.pop_front();
+    } else if (outcome == DeliveryOutcome::kNoSuchBatch) {
+      Violation("batch " + std::to_string(batch) + " was handed over and is not known");
+    }
+  }
+
+  void OnFetchAnswer(int64_t confirm, const FetchResult& result) {
+    const bool confirmed = result.outcome == DeliveryOutcome::kOk || result.outcome == DeliveryOutcome::kNothingReady ||
+                           result.outcome == DeliveryOutcome::kVersionUnknown;
+    if (confirm != 0) {
+      OnConfirmAnswer(confirm, confirmed ? DeliveryOutcome::kOk : result.outcome);
+    }
+    const bool is_new = std::find(m_held.begin(), m_held.end(), result.batch) == m_held.end();
+    if (result.outcome == DeliveryOutcome::kOk && is_new) {
+      m_held.push_back(result.batch);
+      if (!m_mechanisms.confirmed_use) {
+        Use(result.batch);
+      }
+    }
+  }
+
+  // Judges every batch that leaves an instance, also when the trainer does not wait for it any more.
+  void OnHandOver(const FetchResult& result) {
+    if (result.outcome != DeliveryOutcome::kOk) {
+      return;
+    }
+    const auto [it, inserted] = m_bodies.emplace(result.batch, result.body);
+    if (!inserted && it->second != result.body) {
+      Violation("batch " + std::to_string(result.batch) + " was handed over with different bytes");
+    }
+    const int64_t min_version = VersionAt(m_world.Now() - Duration::Milliseconds(500)) - kBound;
+    const nlohmann::json body = nlohmann::json::parse(result.body);
+    for (const nlohmann::json& sample : body["samples"]) {
+      CheckStamps(sample);
+      for (const nlohmann::json& run : sample["weight_versions"]) {
+        if (run["version"].get<int64_t>() < min_version) {
+          Violation("batch " + std::to_string(result.batch) + " has a sample past the bound");
+        }
+      }
+    }
+  }
+
+  // The engine wrote the true version of each token into its text.
+  void CheckStamps(const nlohmann::json& sample) {
+    std::istringstream text(sample["text"].get<std::string>());
+    WeightVersionRuns runs;
+    std::string token;
+    while (text >> token) {
+      AppendToken(&runs, std::stoll(token.substr(1)));
+    }
+    WeightVersionRuns stamps;
+    for (const nlohmann::json& run : sample["weight_versions"]) {
+      stamps.push_back({run["version"].get<int64_t>(), run["tokens"].get<int64_t>()});
+    }
+    if (!(runs == stamps)) {
+      Violation("the stamps of a sample are not those of its tokens");
+    }
+  }
+
+  void Use(int64_t batch) {
+    ++m_batches_used;
+    const nlohmann::json body = nlohmann::json::parse(m_bodies.at(batch));
+    for (const nlohmann::json& sample : body["samples"]) {
+      const std::string group = sample["group"];
+      const std::string key = group + "/" + std::to_string(sample["index"].get<int>());
+      if (!m_used_samples.insert(key).second) {
+        Violation("sample " + key + " was delivered twice");
+      }
+      if (++m_used[group] > kNeeded) {
+        Violation("group " + group + " was delivered more than once");
+      }
+    }
+  }
+
+  bool AllUsed() {
+    return m_unanswered.empty() && std::all_of(m_accepted.begin(), m_accepted.end(),
+                                               [this](const std::string& group) { return m_used[group] == kNeeded; });
+  }
+
+  int64_t VersionAt(TimePoint time) const {
+    int64_t version = m_history.front().second;
+    for (const auto& [published, value] : m_history) {
+      version = published <= time ? value : version;
+    }
+    return version;
+  }
+
+  void Violation(const std::string& text) {
+    if (m_violation.empty()) {
+      m_violation = text;
+    }
+  }
+
+  DeliveryMechanisms m_mechanisms;
+  ManualScheduler m_world;
+  FakeTable m_table{&m_world, 1};
+  FakeObjects m_objects;
+  FakeWeights m_weights;
+  FakeRoster m_roster;
+  std::vector<std::pair<TimePoint, int64_t>> m_history;
+  std::map<int, std::unique_ptr<Instance>> m_instances;
+  int m_next_incarnation = 0;
+  int m_next_group = 0;
+
+  // The trainer.
+  std::set<std::string> m_accepted;
+  std::set<std::string> m_unanswered;
+  // Batches that were received and not confirmed, oldest first.
+  std::deque<int64_t> m_held;
+  bool m_asking = false;
+  int64_t m_ask_number = 0;
+  std::map<int64_t, std::string> m_bodies;
+  std::map<std::string, int> m_used;
+  std::set<std::string> m_used_samples;
+  int m_batches_used = 0;
+  int m_voids = 0;
+  std::string m_violation;
+};
+
+}  // namespace quetzalridge
--- a/tests/fakes/fake_rollout_world.h
+++ b/tests/fakes/fake_rollout_world.h
@@ -45,6 +45,9 @@
   std::map<std::string, std::string> objects;
   bool unavailable = false;
   Duration latency = Duration::Milliseconds(1);
+  // Gets return other bytes each time, as if objects could be overwritten.
+  bool unstable = false;
+  int gets = 0;
 };
 
 class FakeObjectStore : public ObjectStore {
@@ -65,6 +68,10 @@
       const auto it = m_objects->objects.find(name);
       result.outcome = it != m_objects->objects.end() ? ObjectOutcome::kOk : ObjectOutcome::kNotFound;
       result.data = it != m_objects->objects.end() ? it->second : "";
+      ++m_objects->gets;
+      if (m_objects->unstable) {
+        result.data.append(static_cast<size_t>(m_objects->gets), ' ');
+      }
     }
     m_answers.Later(m_objects->latency, [result, callback] { callback(result); });
   }
@@ -84,6 +91,8 @@
 struct FakeWeights {
   int64_t version = 1;
   bool unknown = false;
+  // Reads return the first version, as if the newest one were never read.
+  bool frozen_reads = false;
   Duration latency = Duration::Milliseconds(1);
 };
 
@@ -99,7 +108,7 @@
                    std::function<void(ReportOutcome)> callback) override {}
   void LatestWeightVersion(const std::string& service,
                            std::function<void(const WeightVersionResult&)> callback) override {
-    const WeightVersionResult result{!m_weights->unknown, m_weights->version};
+    const WeightVersionResult result{!m_weights->unknown, m_weights->frozen_reads ? 1 : m_weights->version};
     m_answers.Later(m_weights->latency, [result, callback] { callback(result); });
   }
 
@@ -128,6 +137,8 @@
   int64_t version_lag = 0;
   double interrupt_chance = 0.0;
   double not_started_chance = 0.0;
+  // False stamps tokens with the version that was ordered last in place of the one that produced them.
+  bool true_stamps = true;
   // Runs whose token times are multiplied by `slow_factor`, counted down.
   int slow_starts = 0;
   int64_t slow_factor = 100;
@@ -172,7 +183,8 @@
         }
         const int64_t version = m_engine->m_weights->version - m_engine->version_lag;
         // The text repeats the version, so that a check can compare it with the stamps.
-        m_observer->OnSampleToken("v" + std::to_string(version) + " ", version);
+        m_observer->OnSampleToken("v" + std::to_string(version) + " ",
+                                  m_engine->true_stamps ? version : m_engine->m_weights->version);
         ++m_produced;
         Next();
       });
