--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -33,6 +33,9 @@
   kPermissionRegained = 3008,
   kLeaseAcquired = 6000,
   kLeaseLost = 6001,
+  kRolloutRowMalformed = 4000,
+  kWeightRolloutStarted = 4001,
+  kWeightSwapSetAside = 4002,
 };
 
 struct LogEventInfo {
