Add the process harness, the relay and the record reader of the history tests

The harness starts stand-ins and daemons as real processes, each stand-in behind a relay that can cut, silence and delay connections, and each daemon with a relay of its own to the platform.

--- a/standins/common/fault_table.cc
+++ b/standins/common/fault_table.cc
@@ -31,9 +31,9 @@
 }
 
 const std::string& FaultTable::Text(const std::string& name) const {
-  static const std::string empty;
+  static const std::string kEmpty;
   const auto it = m_texts.find(name);
-  return it == m_texts.end() ? empty : it->second;
+  return it == m_texts.end() ? kEmpty : it->second;
 }
 
 bool FaultTable::Matches(const std::string& name, const std::string& data) const {
--- a/standins/platform/platform_stand_in.cc
+++ b/standins/platform/platform_stand_in.cc
@@ -128,6 +128,9 @@
     }
     nlohmann::json answer;
     const int status = m_table.Transact(body, &answer);
+    if (status == 200) {
+      m_records.Add("commit", {{"tx", body.at("tx")}, {"writes", body.value("writes", nlohmann::json::array())}});
+    }
     return Json(status, answer);
   }
   if (!m_reads.Take(now)) {
--- /dev/null
+++ b/tests/history/process_harness.cc
@@ -0,0 +1,301 @@
+#include "tests/history/process_harness.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "tests/history/record_reader.h"
+
+namespace quetzalridge::history {
+
+namespace {
+
+constexpr Duration kLoopTurn = Duration::Milliseconds(20);
+constexpr Duration kStartLimit = Duration::Seconds(20);
+constexpr int kMaxChangeAttempts = 20;
+const std::string kListening = "listening on ";
+
+// h2o keeps state of a loop beyond its destruction; one loop serves all tests of the program.
+EventLoop* SharedLoop() {
+  static EventLoop loop;
+  return &loop;
+}
+
+std::string Loopback(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+}  // namespace
+
+int FreePort() {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  bind(fd, reinterpret_cast<sockaddr*>(&address), size);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+ProcessHarness::ProcessHarness(uint64_t seed) : m_loop(SharedLoop()), m_client(m_loop), m_random(seed) {
+  std::string pattern = (std::filesystem::temp_directory_path() / "quetzalridge-history-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("cannot make a temporary folder; set TMPDIR to a writable one");
+  }
+  m_folder = pattern;
+  std::cout << "seed " << seed << std::endl;
+}
+
+ProcessHarness::~ProcessHarness() {
+  m_daemons.clear();
+  m_stand_ins.clear();
+  // The logs of a failed run are kept on request.
+  if (std::getenv("QUETZALRIDGE_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(m_folder);
+  } else {
+    std::cout << "logs and records are in " << m_folder << std::endl;
+  }
+}
+
+StandInProcess* ProcessHarness::StartPlatform(const std::vector<std::string>& arguments) {
+  m_platform = StartStandIn("standin_platform", "platform", arguments);
+  return m_platform;
+}
+
+StandInProcess* ProcessHarness::StartEngine(const std::string& id, const std::string& zone,
+                                            const std::vector<std::string>& arguments) {
+  std::vector<std::string> all = {"--zone", zone};
+  all.insert(all.end(), arguments.begin(), arguments.end());
+  return StartStandIn("standin_engine", id, std::move(all));
+}
+
+StandInProcess* ProcessHarness::StartPlainService(const std::string& id, const std::string& zone,
+                                                  const std::vector<std::string>& arguments) {
+  std::vector<std::string> all = {"--zone", zone};
+  all.insert(all.end(), arguments.begin(), arguments.end());
+  return StartStandIn("standin_plain_service", id, std::move(all));
+}
+
+StandInProcess* ProcessHarness::StartStandIn(const std::string& program, const std::string& id,
+                                             std::vector<std::string> arguments) {
+  auto stand_in = std::make_unique<StandInProcess>();
+  stand_in->id = id;
+  stand_in->record_file = m_folder + "/" + id + ".records";
+  arguments.insert(arguments.end(), {"--id", id, "--record-file", stand_in->record_file, "--seed",
+                                     std::to_string(m_random.Next() >> 1)});
+  arguments.insert(arguments.begin(), QUETZALRIDGE_BINARY_DIR "/" + program);
+  m_stand_in_commands[id] = arguments;
+  m_stand_ins.push_back(std::move(stand_in));
+  Restart(m_stand_ins.back().get());
+  m_stand_ins.back()->relay = std::make_unique<TcpRelay>(m_stand_ins.back()->port);
+  return m_stand_ins.back().get();
+}
+
+void ProcessHarness::Restart(StandInProcess* stand_in) {
+  std::vector<std::string> command = m_stand_in_commands[stand_in->id];
+  command.insert(command.end(), {"--port", std::to_string(stand_in->port)});
+  const std::string program = command.front();
+  command.erase(command.begin());
+  const std::string log = m_folder + "/" + stand_in->id + ".log";
+  stand_in->process.reset();
+  std::filesystem::remove(log);
+  stand_in->process = std::make_unique<ChildProcess>(program, command, log);
+  WaitForPort(stand_in);
+}
+
+void ProcessHarness::WaitForPort(StandInProcess* stand_in) {
+  const bool started = WaitUntil(
+      [stand_in] {
+        const std::string log = stand_in->process->ReadLog();
+        const size_t at = log.find(kListening);
+        if (at == std::string::npos || log.find('\n', at) == std::string::npos) {
+          return stand_in->process->HasEnded();
+        }
+        stand_in->port = std::atoi(log.c_str() + at + kListening.size());
+        return true;
+      },
+      kStartLimit);
+  if (!started || stand_in->process->HasEnded()) {
+    throw std::runtime_error("the stand-in " + stand_in->id + " did not start: " + stand_in->process->ReadLog());
+  }
+}
+
+DaemonProcess* ProcessHarness::StartDaemon(const std::string& id, const std::string& zone, const std::string& timing) {
+  auto daemon = std::make_unique<DaemonProcess>();
+  daemon->id = id;
+  daemon->zone = zone;
+  daemon->platform_relay = std::make_unique<TcpRelay>(m_platform->port);
+  daemon->caller_address = Loopback(FreePort());
+  daemon->admin_address = Loopback(FreePort());
+  daemon->settings_file = m_folder + "/" + id + ".json";
+  const nlohmann::json settings = {
+      {"instance", {{"id", id}, {"zone", zone}, {"cluster", "history"}}},
+      {"listen",
+       {{"caller", daemon->caller_address}, {"admin", daemon->admin_address}, {"peer", Loopback(FreePort())}}},
+      {"platform", {{"address", daemon->platform_relay->address()}}},
+      {"timing", nlohmann::json::parse(timing)}};
+  std::ofstream(daemon->settings_file) << settings.dump(2) << "\n";
+  m_daemons.push_back(std::move(daemon));
+  Launch(m_daemons.back().get());
+  return m_daemons.back().get();
+}
+
+void ProcessHarness::Restart(DaemonProcess* daemon) {
+  daemon->process.reset();
+  Launch(daemon);
+}
+
+void ProcessHarness::Launch(DaemonProcess* daemon) {
+  ++daemon->incarnation;
+  daemon->process = std::make_unique<ChildProcess>(QUETZALRIDGE_BINARY_DIR "/quetzalridged",
+                                                   std::vector<std::string>{"--settings", daemon->settings_file},
+                                                   m_folder + "/" + daemon->id + ".log");
+}
+
+bool ProcessHarness::WaitUntil(const std::function<bool()>& condition, Duration limit) {
+  const TimePoint end = m_loop->clock().Now() + limit;
+  while (!condition()) {
+    if (m_loop->clock().Now() > end) {
+      return false;
+    }
+    m_loop->RunOnce(kLoopTurn);
+  }
+  return true;
+}
+
+void ProcessHarness::RunFor(Duration duration) {
+  WaitUntil([] { return false; }, duration);
+}
+
+HttpResponse ProcessHarness::Call(HttpCall call) {
+  auto response = std::make_shared<HttpResponse>();
+  auto done = std::make_shared<bool>(false);
+  m_client.Fetch(std::move(call), [response, done](const HttpResponse& r) {
+    *response = r;
+    *done = true;
+  });
+  WaitUntil([done] { return *done; });
+  return *response;
+}
+
+bool ProcessHarness::IsReady(const DaemonProcess& daemon) {
+  HttpCall call;
+  call.address = daemon.admin_address;
+  call.target = "/readyz";
+  call.fresh_connection = true;
+  call.head_timeout = Duration::Seconds(2);
+  return Call(call).status == 200;
+}
+
+bool ProcessHarness::WaitReady() {
+  for (const auto& daemon : m_daemons) {
+    if (daemon->process->HasEnded()) {
+      continue;
+    }
+    if (!WaitUntil([&] { return daemon->process->HasEnded() || IsReady(*daemon); }) || daemon->process->HasEnded()) {
+      std::cout << daemon->id << " is not ready:\n" << daemon->process->ReadLog() << std::endl;
+      return false;
+    }
+  }
+  return true;
+}
+
+bool ProcessHarness::WaitEnded(ChildProcess* process, Duration limit) {
+  return WaitUntil([process] { return process->HasEnded(); }, limit);
+}
+
+void ProcessHarness::SetFaults(const StandInProcess& stand_in, const std::string& json) {
+  HttpCall call;
+  call.address = stand_in.direct_address();
+  call.method = "POST";
+  call.target = "/standin/faults";
+  call.body = json;
+  if (Call(call).status != 200) {
+    throw std::runtime_error("the stand-in " + stand_in.id + " did not take the faults " + json);
+  }
+}
+
+void ProcessHarness::SetInstances(const std::string& json) {
+  HttpCall call;
+  call.address = m_platform->direct_address();
+  call.method = "POST";
+  call.target = "/standin/instances";
+  call.body = json;
+  Call(call);
+}
+
+void ProcessHarness::PublishWeights(const std::string& service, int64_t version) {
+  HttpCall call;
+  call.address = m_platform->direct_address();
+  call.method = "POST";
+  call.target = "/weights/" + service;
+  call.body = nlohmann::json{{"version", version}}.dump();
+  Call(call);
+}
+
+int64_t ProcessHarness::Change(const DaemonProcess& daemon, const std::string& kind, const std::string& name,
+                               const std::string& value_json) {
+  int64_t base = 0;
+  for (int attempt = 0; attempt < kMaxChangeAttempts; ++attempt) {
+    HttpCall call;
+    call.address = daemon.admin_address;
+    call.method = "POST";
+    call.target = "/admin/change";
+    call.body =
+        nlohmann::json{
+            {"base_version", base}, {"kind", kind}, {"name", name}, {"value", nlohmann::json::parse(value_json)}}
+            .dump();
+    const HttpResponse response = Call(call);
+    const nlohmann::json answer = nlohmann::json::parse(response.body, nullptr, false);
+    if (response.status == 200) {
+      return answer.value("version", int64_t{-1});
+    }
+    if (response.status != 409 || !answer.is_object()) {
+      std::cout << "change of " << kind << " " << name << " refused: " << response.status << " " << response.body
+                << std::endl;
+      return -1;
+    }
+    base = answer.value("version", int64_t{0});
+  }
+  return -1;
+}
+
+std::vector<DaemonProcess*> ProcessHarness::daemons() {
+  std::vector<DaemonProcess*> result;
+  for (const auto& daemon : m_daemons) {
+    result.push_back(daemon.get());
+  }
+  return result;
+}
+
+std::vector<StandInProcess*> ProcessHarness::endpoints() {
+  std::vector<StandInProcess*> result;
+  for (const auto& stand_in : m_stand_ins) {
+    if (stand_in.get() != m_platform) {
+      result.push_back(stand_in.get());
+    }
+  }
+  return result;
+}
+
+void ProcessHarness::ReadRecords(History* history) const {
+  for (const auto& stand_in : m_stand_ins) {
+    if (stand_in.get() == m_platform) {
+      ReadPlatformRecords(stand_in->record_file, history);
+    } else {
+      ReadEndpointRecords(stand_in->record_file, stand_in->id, history);
+    }
+  }
+}
+
+}  // namespace quetzalridge::history
