--- a/standins/engine/engine_stand_in.cc
+++ b/standins/engine/engine_stand_in.cc
@@ -52,7 +52,7 @@
       {"slots", "16", "requests that run at the same time"},
       {"token-ms", "5", "time of one step, which gives one token to each running request"},
       {"prefill-bytes-per-step", "4096", "bytes of the prompt that are not cached and are read in one step"},
-      {"cache-blocks", "1024", "memory of the prefix cache, in blocks of 64 bytes of the prompt"},
+      {"cache-blocks", "1024", "memory of the prefix cache, in blocks of 256 bytes of the prompt"},
       {"cache-event-lag-ms", "200", "time until a cache event is reported"},
       {"swap-ms", "200", "time of a weight swap"},
       {"load-lag-ms", "200", "interval of the samples behind GET /load"},
--- a/standins/engine/prefix_cache.cc
+++ b/standins/engine/prefix_cache.cc
@@ -14,8 +14,9 @@
 
 size_t PrefixCache::Use(const std::string& prompt, TimePoint now) {
   size_t cached = 0;
+  uint64_t hash = 0;
   for (size_t end = kBlockBytes; end <= prompt.size(); end += kBlockBytes) {
-    const uint64_t hash = Hash64(std::string_view(prompt).substr(0, end));
+    hash = Hash64(std::string_view(prompt).substr(end - kBlockBytes, kBlockBytes), hash);
     const auto it = m_blocks.find(hash);
     if (it != m_blocks.end()) {
       cached = cached + kBlockBytes == end ? end : cached;
--- a/standins/engine/prefix_cache.h
+++ b/standins/engine/prefix_cache.h
@@ -12,11 +12,12 @@
 
 namespace quetzalridge {
 
-// A cache of prompt prefixes in limited memory, least recently used first out. A prefix is named by Hash64 of the first
-// n * kBlockBytes bytes of the prompt. Its events become visible late, and some are missing.
+// A cache of prompt prefixes in limited memory, least recently used first out. The name of a prefix is the Hash64
+// of its last block, with the name of the prefix before it as the seed. Its events become visible late, and some are
+// missing.
 class PrefixCache {
  public:
-  static constexpr size_t kBlockBytes = 64;
+  static constexpr size_t kBlockBytes = 256;
 
   PrefixCache(size_t max_blocks, Duration event_lag, FaultTable* faults)
       : m_max_blocks(max_blocks), m_event_lag(event_lag), m_faults(faults) {}
