--- a/tests/history/process_harness.cc
+++ b/tests/history/process_harness.cc
@@ -68,30 +68,27 @@
 }
 
 StandInProcess* ProcessHarness::StartPlatform(const std::vector<std::string>& arguments) {
-  m_platform = StartStandIn("standin_platform", "platform", arguments);
+  m_platform = StartStandIn("standin_platform", "platform", "", arguments);
   return m_platform;
 }
 
 StandInProcess* ProcessHarness::StartEngine(const std::string& id, const std::string& zone,
                                             const std::vector<std::string>& arguments) {
-  std::vector<std::string> all = {"--zone", zone};
-  all.insert(all.end(), arguments.begin(), arguments.end());
-  return StartStandIn("standin_engine", id, std::move(all));
+  return StartStandIn("standin_engine", id, zone, arguments);
 }
 
 StandInProcess* ProcessHarness::StartPlainService(const std::string& id, const std::string& zone,
                                                   const std::vector<std::string>& arguments) {
-  std::vector<std::string> all = {"--zone", zone};
-  all.insert(all.end(), arguments.begin(), arguments.end());
-  return StartStandIn("standin_plain_service", id, std::move(all));
+  return StartStandIn("standin_plain_service", id, zone, arguments);
 }
 
-StandInProcess* ProcessHarness::StartStandIn(const std::string& program, const std::string& id,
+StandInProcess* ProcessHarness::StartStandIn(const std::string& program, const std::string& id, const std::string& zone,
                                              std::vector<std::string> arguments) {
   auto stand_in = std::make_unique<StandInProcess>();
   stand_in->id = id;
+  stand_in->zone = zone;
   stand_in->record_file = m_folder + "/" + id + ".records";
-  arguments.insert(arguments.end(), {"--id", id, "--record-file", stand_in->record_file, "--seed",
+  arguments.insert(arguments.end(), {"--id", id, "--zone", zone, "--record-file", stand_in->record_file, "--seed",
                                      std::to_string(m_random.Next() >> 1)});
   arguments.insert(arguments.begin(), QUETZALRIDGE_BINARY_DIR "/" + program);
   m_stand_in_commands[id] = arguments;
--- a/tests/history/process_harness.h
+++ b/tests/history/process_harness.h
@@ -19,6 +19,7 @@
 // A stand-in with a relay in front of it; callers use the relay's address.
 struct StandInProcess {
   std::string id;
+  std::string zone;
   std::string record_file;
   std::unique_ptr<ChildProcess> process;
   int port = 0;
@@ -89,7 +90,8 @@
   void ReadRecords(History* history) const;
 
  private:
-  StandInProcess* StartStandIn(const std::string& program, const std::string& id, std::vector<std::string> arguments);
+  StandInProcess* StartStandIn(const std::string& program, const std::string& id, const std::string& zone,
+                               std::vector<std::string> arguments);
   void WaitForPort(StandInProcess* stand_in);
   void Launch(DaemonProcess* daemon);
 
--- a/tools/load/latency_summary.cc
+++ b/tools/load/latency_summary.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace quetzalridge {
 
@@ -11,9 +12,9 @@
     return 0.0;
   }
   std::vector<int64_t> sorted = m_values;
-  const auto rank = static_cast<size_t>(fraction * static_cast<double>(sorted.size() - 1) + 0.5);
-  std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(rank), sorted.end());
-  return static_cast<double>(sorted[rank]) / kMicrosecondsPerMs;
+  const int64_t rank = std::lround(fraction * static_cast<double>(sorted.size() - 1));
+  std::nth_element(sorted.begin(), sorted.begin() + rank, sorted.end());
+  return static_cast<double>(sorted[static_cast<size_t>(rank)]) / kMicrosecondsPerMs;
 }
 
 int64_t NowMicroseconds() {
