--- a/tests/coordination/delivery_model.h
+++ b/tests/coordination/delivery_model.h
@@ -235,7 +235,7 @@
     PausableScheduler process;
     FakeTableStore fake_table;
     SwitchedTableStore table;
-    FakeObjectStore objects;
+    FakeSharedObjectStore objects;
     FakeWeightPlatform platform;
     FakeSampleEngine engine;
     std::unique_ptr<RolloutQueue> queue;
--- a/tests/coordination/rollout_path_test.cc
+++ b/tests/coordination/rollout_path_test.cc
@@ -42,7 +42,7 @@
     queue->Start();
   }
   FakeTableStore table;
-  FakeObjectStore objects;
+  FakeSharedObjectStore objects;
   FakeWeightPlatform platform;
   FakeSampleEngine engine;
   std::unique_ptr<RolloutQueue> queue;
--- a/tests/daemon/rollout_api_test.cc
+++ b/tests/daemon/rollout_api_test.cc
@@ -78,7 +78,7 @@
   FakeObjects fake_objects;
   FakeWeights weights;
   FakeTableStore table;
-  FakeObjectStore objects;
+  FakeSharedObjectStore objects;
   FakeWeightPlatform platform;
   FakeSampleEngine engine{&scheduler, &weights, 1};
   FakeRoster roster;
--- a/tests/fakes/fake_rollout_world.h
+++ b/tests/fakes/fake_rollout_world.h
@@ -50,9 +50,9 @@
   int gets = 0;
 };
 
-class FakeObjectStore : public ObjectStore {
+class FakeSharedObjectStore : public ObjectStore {
  public:
-  FakeObjectStore(FakeObjects* objects, Scheduler* scheduler) : m_objects(objects), m_answers(scheduler) {}
+  FakeSharedObjectStore(FakeObjects* objects, Scheduler* scheduler) : m_objects(objects), m_answers(scheduler) {}
 
   void Put(std::string name, std::string data, Callback callback) override {
     ObjectResult result;
