--- a/tests/coordination/delivery_fuzz_test.cc
+++ b/tests/coordination/delivery_fuzz_test.cc
@@ -86,6 +86,23 @@
   }));
 }
 
+// Guards against a version that is published in the same millisecond as the read and is handed over exactly 500 ms
+// later. Found with RC_PARAMS="max_success=6000 max_size=250 seed=77".
+TEST_CASE("a reading that is exactly 500 ms old is not used") {
+  const std::vector<DeliveryStep> steps = {{DeliveryAction::kAsk, 767},
+                                           {DeliveryAction::kSlowObjects, 496},
+                                           {DeliveryAction::kToggleTable, 0},
+                                           {DeliveryAction::kToggleVersionUnknown, 0},
+                                           {DeliveryAction::kToggleTable, 0},
+                                           {DeliveryAction::kSubmit, 272},
+                                           {DeliveryAction::kToggleVersionUnknown, 0},
+                                           {DeliveryAction::kAdvance, 606},
+                                           {DeliveryAction::kFetchAgain, 0},
+                                           {DeliveryAction::kPublish, 335},
+                                           {DeliveryAction::kAdvance, 3}};
+  CHECK(RunSteps({}, steps) == "");
+}
+
 // Guards against a fault that short random sequences miss; the seeds are fixed.
 TEST_CASE("long seeded sequences keep the guarantees and reach deliveries and void batches") {
   int batches = 0;
