--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -36,14 +36,14 @@
       {LogEvent::kPermissionLapsed, LogSeverity::kWarning, "permission_lapsed",
        "Keyed routes are refused, since the configuration is not confirmed as current."},
       {LogEvent::kPermissionRegained, LogSeverity::kInfo, "permission_regained", "Keyed routes are served again."},
-      {LogEvent::kLeaseAcquired, LogSeverity::kInfo, "lease_acquired", "This instance holds the lease of a duty."},
-      {LogEvent::kLeaseLost, LogSeverity::kInfo, "lease_lost", "This instance no longer holds the lease of a duty."},
       {LogEvent::kRolloutRowMalformed, LogSeverity::kError, "rollout_row_malformed",
        "A row of a rollout queue cannot be read and is passed over. Delete the row and submit its group again."},
       {LogEvent::kWeightRolloutStarted, LogSeverity::kInfo, "weight_rollout_started",
        "A new weight version was published; the holder of the roll-out duty orders it."},
       {LogEvent::kWeightSwapSetAside, LogSeverity::kWarning, "weight_swap_set_aside",
        "Repeated weight swaps of an endpoint failed; it is out of use until a swap succeeds. Replace the endpoint."},
+      {LogEvent::kLeaseAcquired, LogSeverity::kInfo, "lease_acquired", "This instance holds the lease of a duty."},
+      {LogEvent::kLeaseLost, LogSeverity::kInfo, "lease_lost", "This instance no longer holds the lease of a duty."},
   };
   return kCatalogue;
 }
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -31,11 +31,11 @@
   kStoreUnreachable = 3006,
   kPermissionLapsed = 3007,
   kPermissionRegained = 3008,
-  kLeaseAcquired = 6000,
-  kLeaseLost = 6001,
   kRolloutRowMalformed = 4000,
   kWeightRolloutStarted = 4001,
   kWeightSwapSetAside = 4002,
+  kLeaseAcquired = 6000,
+  kLeaseLost = 6001,
 };
 
 struct LogEventInfo {
