Add the roster, peer statuses and the serving permission without the store

Purpose: instances keep serving keyed routes through an outage of the store, and an operator's change is in force as soon as every member has applied it.

The content of a status is dated by the send time of the newest own datagram that its sender had received. This replaces the age plus an allowance of 100 ms for the transfer: a datagram may wait in a buffer for as long as either process is paused, and would then renew the permission with old knowledge.

A silent instance is marked in its row and removed only when the platform no longer lists it. Removal after 30 s of silence was ruled out: an instance that is cut off from the store and from the remover may serve because all instances that it hears are cut off too, and a change accepted meanwhile would not reach it.

The object store fake is renamed: another fake has the same name, and the two definitions in one test program made tests of rollouts hang.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -38,6 +38,12 @@
       {LogEvent::kPermissionRegained, LogSeverity::kInfo, "permission_regained", "Keyed routes are served again."},
       {LogEvent::kLeaseAcquired, LogSeverity::kInfo, "lease_acquired", "This instance holds the lease of a duty."},
       {LogEvent::kLeaseLost, LogSeverity::kInfo, "lease_lost", "This instance no longer holds the lease of a duty."},
+      {LogEvent::kInstanceSuperseded, LogSeverity::kError, "instance_superseded",
+       "Another process uses the same instance id; stop one of them."},
+      {LogEvent::kInstanceSilent, LogSeverity::kWarning, "instance_silent",
+       "An instance neither renewed its roster row nor was heard for 30 s."},
+      {LogEvent::kInstanceRemoved, LogSeverity::kInfo, "instance_removed",
+       "The roster row of an instance that is gone was removed."},
   };
   return kCatalogue;
 }
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -33,6 +33,9 @@
   kPermissionRegained = 3008,
   kLeaseAcquired = 6000,
   kLeaseLost = 6001,
+  kInstanceSuperseded = 3009,
+  kInstanceSilent = 3010,
+  kInstanceRemoved = 3011,
 };
 
 struct LogEventInfo {
--- a/src/coordination/config_log.cc
+++ b/src/coordination/config_log.cc
@@ -28,6 +28,7 @@
 
 // Polls overlap when the store is slow: a poll that hangs on a silent connection must not delay the next one.
 void ConfigLog::Poll() {
+  ReviewPermission();
   m_poll_timer = m_scheduler->After(m_options.poll, [this] { Poll(); });
   const uint64_t poll = ++m_next_poll;
   m_reader.Refresh([this, poll](const ConfigReader::Result& result) { OnPolled(poll, result); });
@@ -59,6 +60,16 @@
   return m_peers != nullptr && !m_store_reachable && m_peers->AllReportStoreUnreachable(now, m_options.permission);
 }
 
+void ConfigLog::ReviewPermission() {
+  const bool may_serve = MayServeKeyedRoutes(m_scheduler->clock().Now());
+  if (may_serve == m_permission_logged) {
+    return;
+  }
+  m_permission_logged = may_serve;
+  Log(may_serve ? LogEvent::kPermissionRegained : LogEvent::kPermissionLapsed,
+      "at version " + std::to_string(m_replica.version()));
+}
+
 void ConfigLog::Propose(ConfigProposal proposal, ConfigProposer::Callback callback) {
   m_proposer.Propose(std::move(proposal), std::move(callback));
 }
--- a/src/coordination/config_log.h
+++ b/src/coordination/config_log.h
@@ -45,6 +45,8 @@
   std::optional<HeadConfirmation> confirmation() const { return m_replica.confirmation(); }
   // The last poll that ended was answered.
   bool store_reachable() const { return m_store_reachable; }
+  // What this instance tells its peers: false only when no change that it may still report as accepted is on its way.
+  bool ReportsStoreReachable() const { return m_store_reachable || m_proposer.HasUnanswered(); }
 
   void Propose(ConfigProposal proposal, ConfigProposer::Callback callback);
 
@@ -59,6 +61,7 @@
  private:
   void Poll();
   void OnPolled(uint64_t poll, const ConfigReader::Result& result);
+  void ReviewPermission();
   void WriteSnapshot(int64_t version);
 
   ObjectStore* m_objects;
@@ -70,6 +73,7 @@
   const ConfigPeers* m_peers = nullptr;
   bool m_started = false;
   bool m_store_reachable = false;
+  bool m_permission_logged = false;
   uint64_t m_next_poll = 0;
   // The newest poll that ended; polls overlap, and an older failure must not hide a newer success.
   uint64_t m_last_ended_poll = 0;
--- a/src/coordination/config_proposer.cc
+++ b/src/coordination/config_proposer.cc
@@ -39,6 +39,7 @@
   auto pending = std::make_shared<Pending>();
   pending->proposal = std::move(proposal);
   pending->callback = std::move(callback);
+  ++m_unanswered;
   Begin(pending);
 }
 
@@ -160,6 +161,7 @@
     return;
   }
   pending->answered = true;
+  --m_unanswered;
   m_waiting.erase(std::remove(m_waiting.begin(), m_waiting.end(), pending), m_waiting.end());
   ProposalResult result;
   result.outcome = outcome;
--- a/src/coordination/config_proposer.h
+++ b/src/coordination/config_proposer.h
@@ -64,6 +64,8 @@
   // Runs after this instance added a change to the log.
   void SetAcceptedCallback(std::function<void(int64_t version)> callback) { m_accepted = std::move(callback); }
   void Propose(ConfigProposal proposal, Callback callback);
+  // A proposal is under way whose operator may still be told that it is in force.
+  bool HasUnanswered() const { return m_unanswered > 0; }
   // To be called when a peer reports a new applied version.
   void OnPeerProgress();
 
@@ -86,6 +88,7 @@
   const ConfigPeers* m_peers = nullptr;
   std::function<void(int64_t)> m_accepted;
   std::vector<std::shared_ptr<Pending>> m_waiting;
+  int m_unanswered = 0;
   uint64_t m_next_transaction = 0;
 };
 
--- /dev/null
+++ b/src/coordination/membership.cc
@@ -0,0 +1,290 @@
+#include "coordination/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalridge {
+
+namespace {
+
+// Peers whose agreement on the head lets a restarted instance serve without having read the store.
+constexpr int kAgreeingPeers = 2;
+// Below the interval between statuses, so that a lost datagram costs less than the permission.
+constexpr Duration kReplyInterval = Duration::Milliseconds(200);
+constexpr Duration kChangesInterval = Duration::Milliseconds(100);
+// Bounds the bookkeeping of replies; addresses are few unless datagrams are forged.
+constexpr size_t kMaxReplyEntries = 2048;
+
+// True when the address may get another datagram now, which is then noted.
+bool TakeTurn(std::map<std::string, TimePoint>* last, const std::string& address, TimePoint now, Duration interval) {
+  if (last->size() > kMaxReplyEntries) {
+    last->clear();
+  }
+  const auto [it, inserted] = last->emplace(address, now);
+  if (!inserted && now - it->second < interval) {
+    return false;
+  }
+  it->second = now;
+  return true;
+}
+
+}  // namespace
+
+Membership::Membership(Scheduler* scheduler, PeerChannel* channel, const PeerCodec* codec, Roster* roster,
+                       ConfigLog* config, MembershipOptions options)
+    : m_scheduler(scheduler),
+      m_channel(channel),
+      m_codec(codec),
+      m_roster(roster),
+      m_config(config),
+      m_options(std::move(options)),
+      m_peers(m_options.incarnation),
+      m_random(m_options.seed) {
+  m_channel->SetReceiver([this](const std::string& from, std::string_view datagram) { OnDatagram(from, datagram); });
+  m_roster->SetHeardAt([this](const std::string& incarnation) { return m_peers.HeardAt(incarnation); });
+  m_roster->SetChangedCallback([this] { OnRosterRead(); });
+  m_config->SetPeers(this);
+}
+
+void Membership::Start() {
+  Tick();
+}
+
+void Membership::Tick() {
+  m_timer = m_scheduler->After(m_options.interval, [this] { Tick(); });
+  const bool wants_reply = NeedsFreshKnowledge();
+  for (const std::string& address : NextTargets()) {
+    SendStatus(address, wants_reply);
+  }
+  m_config->OnPeerProgress();
+}
+
+// The own confirmation is older than a healthy poll leaves it.
+bool Membership::NeedsFreshKnowledge() const {
+  const std::optional<HeadConfirmation> confirmation = m_config->confirmation();
+  const TimePoint now = m_scheduler->clock().Now();
+  return !m_config->started() || !confirmation.has_value() || (now - confirmation->at) * 2 > m_options.permission;
+}
+
+// Goes through the members in random order, a bounded number in each interval.
+std::vector<std::string> Membership::NextTargets() {
+  const std::vector<Member> members = Members();
+  const size_t count = std::min(members.size(), static_cast<size_t>(m_options.fan_out));
+  std::vector<std::string> targets;
+  while (targets.size() < count) {
+    if (m_round.empty()) {
+      StartRound(members);
+    }
+    const std::string address = std::move(m_round.back());
+    m_round.pop_back();
+    if (std::find(targets.begin(), targets.end(), address) == targets.end()) {
+      targets.push_back(address);
+    } else if (m_round.empty()) {
+      break;
+    }
+  }
+  return targets;
+}
+
+void Membership::StartRound(const std::vector<Member>& members) {
+  for (const Member& member : members) {
+    m_round.push_back(member.address);
+  }
+  for (size_t n = m_round.size(); n > 1; --n) {
+    std::swap(m_round[n - 1], m_round[m_random.Below(n)]);
+  }
+}
+
+// A process that was heard and is in no roster row counts as well: it may have joined after the roster was read. Its
+// predecessor with the same instance id no longer counts.
+std::vector<Membership::Member> Membership::Members() const {
+  std::map<std::string, Member> by_instance;
+  for (const auto& [instance, entry] : m_roster->others()) {
+    by_instance[instance] = {instance, entry.record.incarnation, entry.record.peer_address, m_roster->IsGone(entry)};
+  }
+  for (const auto& [incarnation, peer] : m_peers.peers()) {
+    Member& member = by_instance[peer.status.sender];
+    const PeerState* listed = m_peers.Find(member.incarnation);
+    const bool is_newer = listed == nullptr || listed->received_at < peer.received_at;
+    if (member.incarnation.empty() || (member.incarnation != incarnation && is_newer)) {
+      member = {peer.status.sender, incarnation, peer.address, false};
+    }
+  }
+  std::vector<Member> members;
+  for (const auto& entry : by_instance) {
+    members.push_back(entry.second);
+  }
+  return members;
+}
+
+// Processes that are neither in the roster nor heard any more are forgotten, once the roster was read without them.
+void Membership::OnRosterRead() {
+  const TimePoint now = m_scheduler->clock().Now();
+  std::set<std::string> rostered;
+  for (const auto& [instance, entry] : m_roster->others()) {
+    rostered.insert(entry.record.incarnation);
+  }
+  std::vector<std::string> forgotten;
+  for (const auto& [incarnation, peer] : m_peers.peers()) {
+    const bool is_silent = now - peer.received_at > m_options.permission * 2;
+    if (rostered.count(incarnation) == 0 && is_silent) {
+      forgotten.push_back(incarnation);
+    }
+  }
+  for (const std::string& incarnation : forgotten) {
+    m_peers.Forget(incarnation);
+  }
+  m_config->OnPeerProgress();
+}
+
+PeerStatus Membership::MakeStatus(bool wants_reply) {
+  const TimePoint now = m_scheduler->clock().Now();
+  PeerStatus status;
+  status.sender = m_options.instance;
+  status.incarnation = m_options.incarnation;
+  status.sequence = m_peers.NextSequence(now);
+  status.applied_version = m_config->document().version();
+  status.newest_known = m_config->newest_known();
+  const std::optional<HeadConfirmation> confirmation = m_config->confirmation();
+  if (confirmation.has_value()) {
+    status.confirmed_version = confirmation->version;
+    status.confirmation_age_ms = (now - confirmation->at).ms();
+  }
+  status.started = m_config->started();
+  status.store_reachable = m_config->ReportsStoreReachable();
+  status.leaving = m_leaving;
+  status.wants_reply = wants_reply;
+  status.heard = m_peers.Heard();
+  if (m_digest_source) {
+    status.digest = m_digest_source();
+  }
+  return status;
+}
+
+void Membership::SendStatus(const std::string& to, bool wants_reply) {
+  PeerMessage message;
+  message.status = MakeStatus(wants_reply);
+  Send(to, message);
+}
+
+void Membership::Send(const std::string& to, const PeerMessage& message) {
+  m_channel->Send(to, m_codec->Encode(message));
+}
+
+void Membership::OnDatagram(const std::string& from, std::string_view datagram) {
+  const std::optional<PeerMessage> message = m_codec->Decode(datagram);
+  if (!message.has_value()) {
+    ++m_malformed;
+    return;
+  }
+  if (message->status.has_value()) {
+    OnStatus(from, *message->status);
+  } else if (message->changes_request.has_value()) {
+    OnChangesRequest(from, *message->changes_request);
+  } else if (message->changes_reply.has_value()) {
+    m_config->OnPeerChanges(message->changes_reply->changes);
+    CheckAgreement();
+  }
+}
+
+void Membership::OnStatus(const std::string& from, const PeerStatus& status) {
+  const TimePoint now = m_scheduler->clock().Now();
+  if (status.incarnation == m_options.incarnation || !m_peers.Update(status, from, now)) {
+    return;
+  }
+  const PeerState& peer = *m_peers.Find(status.incarnation);
+  if (peer.made_after.has_value() && status.confirmation_age_ms >= 0) {
+    const Duration age = Duration::Milliseconds(status.confirmation_age_ms);
+    m_config->OnPeerConfirmation({status.confirmed_version, *peer.made_after - age});
+  }
+  if (status.applied_version > m_config->document().version() && now - m_changes_asked_at >= kChangesInterval) {
+    m_changes_asked_at = now;
+    PeerMessage request;
+    request.changes_request = ChangesRequest{m_config->document().version()};
+    Send(from, request);
+  }
+  if (status.wants_reply && TakeTurn(&m_replied_at, from, now, kReplyInterval)) {
+    SendStatus(from, false);
+  }
+  if (m_digest_receiver) {
+    m_digest_receiver(status.incarnation, status.digest);
+  }
+  CheckAgreement();
+  m_config->OnPeerProgress();
+}
+
+// Changes that are no longer kept are read from the store by the peer itself.
+void Membership::OnChangesRequest(const std::string& from, const ChangesRequest& request) {
+  PeerMessage reply;
+  reply.changes_reply = ChangesReply{m_config->ChangesSince(request.from_version)};
+  if (reply.changes_reply->changes.empty() ||
+      !TakeTurn(&m_changes_sent_at, from, m_scheduler->clock().Now(), kChangesInterval)) {
+    return;
+  }
+  Send(from, reply);
+}
+
+void Membership::CheckAgreement() {
+  if (m_config->started()) {
+    return;
+  }
+  const TimePoint now = m_scheduler->clock().Now();
+  const int64_t version = m_config->document().version();
+  std::set<std::string> agreeing;
+  for (const auto& [incarnation, peer] : m_peers.peers()) {
+    const PeerStatus& status = peer.status;
+    const bool is_fresh = peer.made_after.has_value() && now - *peer.made_after <= m_options.permission;
+    if (is_fresh && status.started && status.applied_version == version && status.newest_known == version) {
+      agreeing.insert(status.sender);
+    }
+  }
+  if (static_cast<int>(agreeing.size()) >= kAgreeingPeers) {
+    m_config->OnPeersAgree();
+  }
+}
+
+std::optional<std::string> Membership::AcceptObstacle() const {
+  if (!m_roster->joined()) {
+    return "this instance is not in the roster yet; send the change again in a few seconds";
+  }
+  for (const Member& member : Members()) {
+    const PeerState* peer = m_peers.Find(member.incarnation);
+    if (!member.gone && (peer == nullptr || !peer->made_after.has_value())) {
+      return "instance " + member.instance +
+             " has not exchanged messages with this one; send the change to another instance, or again when it is "
+             "reachable or gone";
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<TableCheck> Membership::OwnRowCheck() const {
+  return m_roster->OwnRowCheck();
+}
+
+bool Membership::AllApplied(int64_t version) const {
+  for (const Member& member : Members()) {
+    const PeerState* peer = m_peers.Find(member.incarnation);
+    if (!member.gone && (peer == nullptr || peer->status.applied_version < version)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// A peer that knows a newer version may have accepted it before it lost the store.
+bool Membership::AllReportStoreUnreachable(TimePoint now, Duration validity) const {
+  if (!m_roster->joined()) {
+    return false;
+  }
+  for (const Member& member : Members()) {
+    const PeerState* peer = m_peers.Find(member.incarnation);
+    const bool is_fresh = peer != nullptr && peer->made_after.has_value() && now - *peer->made_after <= validity;
+    if (!is_fresh || peer->status.store_reachable || peer->status.newest_known > m_config->document().version()) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/peer_table.cc
@@ -0,0 +1,83 @@
+#include "coordination/peer_table.h"
+
+#include <algorithm>
+
+namespace quetzalridge {
+
+namespace {
+
+// More than an instance sends within the validity of a confirmation.
+constexpr size_t kKeptSends = 512;
+constexpr size_t kMaxHeard = 40;
+// Bounds the memory when many processes come and go while the roster cannot be read.
+constexpr size_t kMaxPeers = 1024;
+
+}  // namespace
+
+PeerTable::PeerTable(const std::string& own_incarnation) : m_own_hash(PeerNameHash(own_incarnation)) {}
+
+uint32_t PeerTable::NextSequence(TimePoint now) {
+  m_sent.push_back({++m_sequence, now});
+  if (m_sent.size() > kKeptSends) {
+    m_sent.pop_front();
+  }
+  return m_sequence;
+}
+
+std::optional<TimePoint> PeerTable::SentAt(uint32_t sequence) const {
+  if (m_sent.empty() || sequence < m_sent.front().sequence || sequence > m_sent.back().sequence) {
+    return std::nullopt;
+  }
+  return m_sent[sequence - m_sent.front().sequence].at;
+}
+
+bool PeerTable::Update(const PeerStatus& status, const std::string& from, TimePoint now) {
+  const auto known = m_peers.find(status.incarnation);
+  if (known == m_peers.end() && m_peers.size() >= kMaxPeers) {
+    return false;
+  }
+  if (known != m_peers.end() && status.sequence <= known->second.status.sequence) {
+    return false;
+  }
+  PeerState& peer = m_peers[status.incarnation];
+  peer.status = status;
+  peer.address = from;
+  peer.received_at = now;
+  for (const PeerHeard& heard : status.heard) {
+    if (heard.incarnation_hash == m_own_hash) {
+      const std::optional<TimePoint> made_after = SentAt(heard.sequence);
+      if (made_after.has_value()) {
+        peer.made_after = made_after;
+      }
+    }
+  }
+  return true;
+}
+
+const PeerState* PeerTable::Find(const std::string& incarnation) const {
+  const auto it = m_peers.find(incarnation);
+  return it == m_peers.end() ? nullptr : &it->second;
+}
+
+std::optional<TimePoint> PeerTable::HeardAt(const std::string& incarnation) const {
+  const PeerState* peer = Find(incarnation);
+  return peer == nullptr ? std::nullopt : std::optional<TimePoint>(peer->received_at);
+}
+
+std::vector<PeerHeard> PeerTable::Heard() const {
+  std::vector<const PeerState*> newest_first;
+  newest_first.reserve(m_peers.size());
+  for (const auto& entry : m_peers) {
+    newest_first.push_back(&entry.second);
+  }
+  std::sort(newest_first.begin(), newest_first.end(),
+            [](const PeerState* a, const PeerState* b) { return a->received_at > b->received_at; });
+  std::vector<PeerHeard> heard;
+  for (size_t i = 0; i < std::min(newest_first.size(), kMaxHeard); ++i) {
+    const PeerStatus& status = newest_first[i]->status;
+    heard.push_back({PeerNameHash(status.incarnation), status.sequence});
+  }
+  return heard;
+}
+
+}  // namespace quetzalridge
--- a/tests/coordination/config_log_test.cc
+++ b/tests/coordination/config_log_test.cc
@@ -3,14 +3,14 @@
 #include <catch2/catch.hpp>
 
 #include "coordination/config_record.h"
-#include "tests/fakes/fake_object_store.h"
 #include "tests/fakes/fake_table_store.h"
+#include "tests/fakes/in_memory_object_store.h"
 
 namespace quetzalridge {
 namespace {
 
 struct Instance {
-  Instance(ManualScheduler* world, FakeTable* table, FakeObjectStore* objects, const std::string& name)
+  Instance(ManualScheduler* world, FakeTable* table, InMemoryObjectStore* objects, const std::string& name)
       : process(world), store(table, &process), log(&store, objects, &process, Options(name)) {
     log.Start();
   }
@@ -31,7 +31,7 @@
 struct Fixture {
   ManualScheduler world;
   FakeTable table{&world, 1};
-  FakeObjectStore objects{&world};
+  InMemoryObjectStore objects{&world};
 
   ProposalResult Propose(Instance* instance, ConfigProposal proposal, Duration wait = Duration::Seconds(60)) {
     ProposalResult result;
--- /dev/null
+++ b/tests/coordination/coordination_instance.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "coordination/config_log.h"
+#include "coordination/membership.h"
+#include "coordination/roster.h"
+#include "protocol/peer_codec.h"
+#include "tests/fakes/fake_peer_network.h"
+#include "tests/fakes/fake_table_store.h"
+#include "tests/fakes/in_memory_object_store.h"
+
+namespace quetzalridge {
+
+// What all simulated instances share.
+struct CoordinationWorld {
+  explicit CoordinationWorld(uint64_t seed) : table(&scheduler, seed), objects(&scheduler), network(&scheduler, seed) {}
+
+  ManualScheduler scheduler;
+  FakeTable table;
+  InMemoryObjectStore objects;
+  FakePeerNetwork network;
+  CerealPeerCodec codec{"test"};
+};
+
+// Replaces parts of what the membership tells the configuration log, to switch mechanisms off.
+class AdjustedPeers : public ConfigPeers {
+ public:
+  explicit AdjustedPeers(const ConfigPeers* peers) : m_peers(peers) {}
+
+  bool checks_exchange = true;
+  bool checks_own_row = true;
+  bool checks_peers_store = true;
+
+  std::optional<std::string> AcceptObstacle() const override {
+    return checks_exchange ? m_peers->AcceptObstacle() : std::nullopt;
+  }
+  std::optional<TableCheck> OwnRowCheck() const override {
+    return checks_own_row ? m_peers->OwnRowCheck() : std::nullopt;
+  }
+  bool AllApplied(int64_t version) const override { return m_peers->AllApplied(version); }
+  bool AllReportStoreUnreachable(TimePoint now, Duration validity) const override {
+    return !checks_peers_store || m_peers->AllReportStoreUnreachable(now, validity);
+  }
+
+ private:
+  const ConfigPeers* m_peers;
+};
+
+// One simulated process with configuration, roster and membership.
+struct CoordinationInstance {
+  CoordinationInstance(CoordinationWorld* world, const std::string& id, const std::string& incarnation,
+                       ConfigLogOptions config_options = {})
+      : process(&world->scheduler),
+        store(&world->table, &process),
+        channel(&world->network, &process, AddressOf(id)),
+        config(&store, &world->objects, &process, WithIncarnation(std::move(config_options), incarnation)),
+        roster(&store, &process, RosterOptionsOf(id, incarnation)),
+        membership(&process, &channel, &world->codec, &roster, &config, MembershipOptionsOf(id, incarnation)),
+        adjusted_peers(&membership) {
+    config.SetPeers(&adjusted_peers);
+    config.Start();
+    roster.Start();
+    membership.Start();
+  }
+
+  static std::string AddressOf(const std::string& id) { return "address-" + id; }
+  static ConfigLogOptions WithIncarnation(ConfigLogOptions options, const std::string& incarnation) {
+    options.incarnation = incarnation;
+    return options;
+  }
+  static RosterOptions RosterOptionsOf(const std::string& id, const std::string& incarnation) {
+    RosterOptions options;
+    options.instance = id;
+    options.incarnation = incarnation;
+    options.zone = "zone";
+    options.peer_address = AddressOf(id);
+    return options;
+  }
+  static MembershipOptions MembershipOptionsOf(const std::string& id, const std::string& incarnation) {
+    MembershipOptions options;
+    options.instance = id;
+    options.incarnation = incarnation;
+    return options;
+  }
+
+  bool MayServe() const { return config.MayServeKeyedRoutes(process.clock().Now()); }
+  int64_t version() const { return config.document().version(); }
+
+  PausableScheduler process;
+  FakeTableStore store;
+  FakePeerChannel channel;
+  ConfigLog config;
+  Roster roster;
+  Membership membership;
+  AdjustedPeers adjusted_peers;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/coordination/membership_test.cc
@@ -0,0 +1,185 @@
+#include "coordination/membership.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+#include "tests/coordination/coordination_instance.h"
+
+namespace quetzalridge {
+namespace {
+
+struct Fixture {
+  CoordinationWorld world{1};
+  std::vector<std::unique_ptr<CoordinationInstance>> instances;
+
+  void Start(int count) {
+    for (int i = 0; i < count; ++i) {
+      const std::string id = "i" + std::to_string(instances.size());
+      instances.push_back(std::make_unique<CoordinationInstance>(&world, id, id + "-first"));
+    }
+    Advance(Duration::Seconds(10));
+  }
+  void Advance(Duration duration) { world.scheduler.Advance(duration); }
+  ProposalResult Propose(int index, const std::string& name, Duration wait) {
+    auto result = std::make_shared<ProposalResult>();
+    const ConfigProposal proposal{instances[index]->version(), ConfigKind::kWorkspace, name, "{}"};
+    instances[index]->config.Propose(proposal, [result](const ProposalResult& r) { *result = r; });
+    Advance(wait);
+    return *result;
+  }
+  void SetListed(const std::vector<std::string>& ids) {
+    InstanceListResult list;
+    list.ok = true;
+    for (const std::string& id : ids) {
+      list.instances.push_back({id, PlatformRole::kEntry});
+    }
+    for (const std::unique_ptr<CoordinationInstance>& instance : instances) {
+      instance->roster.OnInstanceList(list);
+    }
+  }
+};
+
+// Guards against operators that wait for the full time although every instance has the change.
+TEST_CASE("a change is in force as soon as every member has applied it") {
+  Fixture f;
+  f.Start(3);
+  CHECK(f.Propose(0, "w", Duration::Milliseconds(2200)).outcome == ProposalOutcome::kInForce);
+}
+
+// Guards against an outage of the store that stops interactive service.
+TEST_CASE("instances serve on while the store is unreachable to all of them") {
+  Fixture f;
+  f.Start(4);
+  f.world.table.unavailable = true;
+  for (int i = 0; i < 300; ++i) {
+    f.Advance(Duration::Milliseconds(1000));
+    // Between the last confirmation and the first agreement that the store is down there may be a gap.
+    if (i > 5) {
+      for (const std::unique_ptr<CoordinationInstance>& instance : f.instances) {
+        REQUIRE(instance->MayServe());
+      }
+    }
+  }
+}
+
+// Guards against refusals on an instance that alone cannot reach the store, and against lost changes there.
+TEST_CASE("an instance without the store is confirmed through its peers and gets changes from them") {
+  Fixture f;
+  f.Start(3);
+  f.instances[2]->store.partitioned = true;
+  int refused = 0;
+  for (int i = 0; i < 100; ++i) {
+    f.Advance(Duration::Milliseconds(500));
+    refused += f.instances[2]->MayServe() ? 0 : 1;
+  }
+  CHECK(refused == 0);
+  CHECK(f.Propose(0, "w", Duration::Seconds(3)).outcome == ProposalOutcome::kInForce);
+  CHECK(f.instances[2]->version() == 1);
+}
+
+// Guards against service with withdrawn keys where neither the store nor the peers can be asked.
+TEST_CASE("an instance that is cut off from the store and its peers stops serving") {
+  Fixture f;
+  f.Start(3);
+  f.instances[2]->store.partitioned = true;
+  f.world.network.Cut("address-i2", "address-i0");
+  f.world.network.Cut("address-i2", "address-i1");
+  f.Advance(Duration::Milliseconds(3100));
+  CHECK_FALSE(f.instances[2]->MayServe());
+  CHECK(f.instances[0]->MayServe());
+}
+
+// Guards against confirmations that are dated by their receipt: datagrams that waited in the buffers of a paused
+// process say nothing about the present.
+TEST_CASE("statuses that waited during a pause do not renew the permission") {
+  Fixture f;
+  f.Start(3);
+  f.instances[2]->process.Pause();
+  f.Advance(Duration::Seconds(20));
+  for (const auto& other : {"address-i0", "address-i1"}) {
+    f.world.network.Cut("address-i2", other);
+  }
+  f.instances[2]->store.partitioned = true;
+  f.instances[2]->process.Resume();
+  CHECK_FALSE(f.instances[2]->MayServe());
+}
+
+// Guards against a change that an instance accepts while another one may serve without knowing of it.
+TEST_CASE("a change is refused while a member has not exchanged messages, unless the platform says it is gone") {
+  Fixture f;
+  f.Start(2);
+  f.SetListed({"i0", "i1"});
+  f.world.network.Cut("address-i2", "address-i0");
+  f.world.network.Cut("address-i2", "address-i1");
+  f.Start(1);
+  CHECK(f.Propose(0, "w", Duration::Seconds(10)).outcome == ProposalOutcome::kNotAccepted);
+  f.SetListed({"i0", "i1", "i2"});
+  CHECK(f.Propose(0, "w", Duration::Seconds(10)).outcome == ProposalOutcome::kNotAccepted);
+  f.instances.pop_back();
+  f.SetListed({"i0", "i1"});
+  CHECK(f.Propose(0, "w", Duration::Seconds(10)).outcome == ProposalOutcome::kInForce);
+}
+
+// Guards against rows of dead instances that stay, and against removal of an instance that only lost its peers.
+TEST_CASE("a silent instance is marked, removed when the platform does not list it, and comes back when it resumes") {
+  Fixture f;
+  f.Start(3);
+  f.SetListed({"i0", "i1", "i2"});
+  f.instances[2]->process.Pause();
+  f.Advance(Duration::Seconds(45));
+  CHECK(f.instances[0]->roster.live_count() == 2);
+  CHECK(f.world.table.Row("instance/i2").version > 0);
+  SECTION("gone") {
+    f.SetListed({"i0", "i1"});
+    f.Advance(Duration::Seconds(10));
+    CHECK(f.world.table.Row("instance/i2").version == 0);
+  }
+  SECTION("resumed") {
+    f.instances[2]->process.Resume();
+    f.Advance(Duration::Seconds(20));
+    CHECK(f.instances[0]->roster.live_count() == 3);
+  }
+}
+
+// Guards against a restarted instance that serves an old configuration, and against one that never serves while the
+// store is down although its peers agree.
+TEST_CASE("a restarted instance without the store serves after two peers agree") {
+  Fixture f;
+  f.Start(3);
+  f.Propose(0, "w", Duration::Seconds(10));
+  f.world.table.unavailable = true;
+  f.Advance(Duration::Seconds(10));
+  f.instances[2] = nullptr;
+  f.Advance(Duration::Seconds(2));
+  f.instances[2] = std::make_unique<CoordinationInstance>(&f.world, "i2", "i2-second");
+  CHECK_FALSE(f.instances[2]->MayServe());
+  f.Advance(Duration::Seconds(5));
+  CHECK(f.instances[2]->config.started());
+  CHECK(f.instances[2]->version() == 1);
+}
+
+// Guards against a planned stop that leaves the others waiting for a process that has ended.
+TEST_CASE("an instance that leaves removes its row") {
+  Fixture f;
+  f.Start(2);
+  bool left = false;
+  f.instances[1]->roster.Leave([&] { left = true; });
+  f.Advance(Duration::Seconds(1));
+  CHECK(left);
+  CHECK(f.world.table.Row("instance/i1").version == 0);
+}
+
+// Guards against two processes with one id, which would each take the other's row.
+TEST_CASE("a second process with the same instance id takes over, and the first one stops") {
+  Fixture f;
+  f.Start(1);
+  CoordinationInstance second(&f.world, "i0", "i0-second");
+  f.Advance(Duration::Seconds(12));
+  CHECK(f.instances[0]->roster.superseded());
+  CHECK_FALSE(second.roster.superseded());
+  CHECK(second.roster.joined());
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- a/tests/fakes/fake_object_store.h
+++ b/tests/fakes/in_memory_object_store.h
@@ -10,9 +10,9 @@
 namespace quetzalridge {
 
 // The platform's object store in memory; answers after `latency`.
-class FakeObjectStore : public ObjectStore {
+class InMemoryObjectStore : public ObjectStore {
  public:
-  explicit FakeObjectStore(ManualScheduler* world) : m_world(world) {}
+  explicit InMemoryObjectStore(ManualScheduler* world) : m_world(world) {}
 
   bool unavailable = false;
   // Puts take effect, and their answers say unavailable.
