--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -36,6 +36,12 @@
   kWeightSwapSetAside = 4002,
   kLeaseAcquired = 6000,
   kLeaseLost = 6001,
+  kInstanceSuperseded = 3009,
+  kInstanceSilent = 3010,
+  kInstanceRemoved = 3011,
+  kUsageLate = 6002,
+  kUsageDiffers = 6003,
+  kUsageDamaged = 6004,
 };
 
 struct LogEventInfo {
