Blame only a suspect that ran alone for its second crash

Cause: the first draft added crashes up across expired entries, let two instances keep an entry alive for ever by sending it to each other, let a peer's old count undo a clearing, and quarantined a frequent request when several endpoints that ran nothing else ended at once.

The dispatcher now says which lost request ran alone as a suspect. Digests carry own counts only, without a change of the peer message. Ruled out: counting requests that several crashes have in common, which stops a frequent request when an availability zone ends.

With the rule switched off in either direction, the oracle finds violations.

--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -88,13 +88,13 @@
     return;
   }
   ++m_crashes[endpoint_id];
-  std::vector<uint64_t> fingerprints;
+  std::vector<CrashedRequest> requests;
   for (const auto& [id, in_flight] : m_in_flight) {
     if (in_flight.endpoint_id == endpoint_id) {
-      fingerprints.push_back(in_flight.fingerprint);
+      requests.push_back(in_flight.request);
     }
   }
-  m_collaborators.quarantine->OnCrash(fingerprints, m_collaborators.scheduler->clock().Now());
+  m_collaborators.quarantine->OnCrash(requests, m_collaborators.scheduler->clock().Now());
 }
 
 }  // namespace quetzalridge
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -61,7 +61,7 @@
   // One attempt in flight, for the blame after a crash.
   struct InFlight {
     std::string endpoint_id;
-    uint64_t fingerprint = 0;
+    CrashedRequest request;
     // Crashes of the endpoint seen before the attempt started.
     int64_t crashes_before = 0;
   };
--- a/src/daemon/dispatcher_run.cc
+++ b/src/daemon/dispatcher_run.cc
@@ -140,7 +140,7 @@
       // Held until the end of the run, so that nothing joins the suspect.
       m_owner->m_collaborators.endpoints->Reserve(endpoints[index].id, m_id);
     }
-    StartAttempt(endpoints[index], route.prefix_hashes);
+    StartAttempt(endpoints[index], route);
     return;
   }
   const bool worth_waiting =
@@ -217,7 +217,7 @@
   return call;
 }
 
-void Dispatcher::Run::StartAttempt(const EndpointState& endpoint, const std::vector<uint64_t>& prefix_hashes) {
+void Dispatcher::Run::StartAttempt(const EndpointState& endpoint, const RouteRequest& route) {
   const std::shared_ptr<Run> self = shared_from_this();
   m_timer.reset();
   ++m_attempts;
@@ -228,9 +228,9 @@
   m_attempt_written = false;
   m_collected.clear();
   m_in_flight = true;
-  m_owner->m_in_flight[m_id] = {endpoint.id, m_request.fingerprint, m_owner->m_crashes[endpoint.id]};
+  m_owner->m_in_flight[m_id] = {endpoint.id, {m_request.fingerprint, route.alone}, m_owner->m_crashes[endpoint.id]};
   m_owner->m_collaborators.endpoints->OnCallStarted(endpoint.id);
-  m_owner->m_collaborators.router->OnDispatched(endpoint.id, prefix_hashes);
+  m_owner->m_collaborators.router->OnDispatched(endpoint.id, route.prefix_hashes);
   m_observer->OnAttempt(endpoint.id);
   if (m_ended) {
     return;
--- a/src/daemon/dispatcher_run.h
+++ b/src/daemon/dispatcher_run.h
@@ -47,7 +47,7 @@
   // Index into `endpoints` or -1; reserves an endpoint for a suspect when none is idle.
   int ChooseForSuspect(const RouteRequest& route, const std::vector<EndpointState>& endpoints);
   RouteRequest MakeRouteRequest(FingerprintVerdict verdict) const;
-  void StartAttempt(const EndpointState& endpoint, const std::vector<uint64_t>& prefix_hashes);
+  void StartAttempt(const EndpointState& endpoint, const RouteRequest& route);
   HttpCall MakeCall(const EndpointState& endpoint);
   void PassHead();
   void ArmGapTimer();
--- a/src/state/quarantine.cc
+++ b/src/state/quarantine.cc
@@ -8,44 +8,93 @@
 
 constexpr int kCrashesToQuarantine = 2;
 constexpr Duration kEntryLifetime = Duration::Seconds(3600);
+// A request that was dispatched just before its count expired ends within this time.
+constexpr Duration kLongestRun = Duration::Seconds(600);
+// Bounds the memory after many crashes with many requests in flight; about 1 MB.
+constexpr size_t kMaxEntries = 16'384;
+
+bool IsExpired(TimePoint last_change, TimePoint now) {
+  return now - last_change > kEntryLifetime;
+}
 
 }  // namespace
 
 FingerprintVerdict Quarantine::Check(uint64_t fingerprint, TimePoint now) const {
   const auto it = m_entries.find(fingerprint);
-  if (it == m_entries.end() || now - it->second.last_change > kEntryLifetime || it->second.crashes == 0) {
+  if (it == m_entries.end() || it->second.crashes == 0 || IsExpired(it->second.last_change, now)) {
     return FingerprintVerdict::kClear;
   }
   return it->second.crashes >= kCrashesToQuarantine ? FingerprintVerdict::kQuarantined : FingerprintVerdict::kSuspect;
 }
 
-// Requests that were in flight together share the blame of a first crash; since suspects run alone, a second crash
-// blames the one that caused it.
-void Quarantine::OnCrash(const std::vector<uint64_t>& in_flight, TimePoint now) {
-  for (uint64_t fingerprint : in_flight) {
-    Entry& entry = m_entries[fingerprint];
-    if (in_flight.size() > 1 && entry.crashes >= 1) {
-      entry.last_change = now;
+Quarantine::Entry* Quarantine::Find(uint64_t fingerprint, TimePoint now) {
+  const auto it = m_entries.find(fingerprint);
+  if (it == m_entries.end()) {
+    return nullptr;
+  }
+  // What is older than the lifetime must not add up with a new crash.
+  if (IsExpired(it->second.last_change, now)) {
+    it->second = Entry{0, false, now};
+  }
+  return &it->second;
+}
+
+Quarantine::Entry* Quarantine::FindOrAdd(uint64_t fingerprint, TimePoint now) {
+  Entry* present = Find(fingerprint, now);
+  if (present != nullptr) {
+    return present;
+  }
+  if (m_entries.size() >= kMaxEntries) {
+    Expire(now);
+  }
+  return m_entries.size() < kMaxEntries ? &m_entries[fingerprint] : nullptr;
+}
+
+// A crash makes each request that was in flight a suspect. Only a suspect that ran alone is blamed for a second crash:
+// requests that share several crashes, such as a frequent request when a whole availability zone ends, stay suspects.
+void Quarantine::OnCrash(const std::vector<CrashedRequest>& in_flight, TimePoint now) {
+  for (const CrashedRequest& request : in_flight) {
+    const auto known = m_entries.find(request.fingerprint);
+    if (request.ran_alone && known != m_entries.end()) {
+      // Its count may have expired since it was dispatched as a suspect; it adds up nevertheless.
+      known->second = Entry{known->second.crashes + 1, true, now};
       continue;
     }
-    ++entry.crashes;
-    entry.last_change = now;
+    Entry* entry = FindOrAdd(request.fingerprint, now);
+    if (entry != nullptr) {
+      *entry = Entry{std::max(entry->crashes, 1), true, now};
+    }
   }
 }
 
+// The entry stays, since peers send their count of 1 until it expires there.
 void Quarantine::OnFinished(uint64_t fingerprint, TimePoint now) {
-  const auto it = m_entries.find(fingerprint);
-  if (it != m_entries.end() && it->second.crashes < kCrashesToQuarantine) {
-    m_entries.erase(it);
+  Entry* entry = Find(fingerprint, now);
+  if (entry != nullptr && entry->crashes < kCrashesToQuarantine) {
+    *entry = Entry{0, false, now};
   }
 }
 
-std::vector<FingerprintCount> Quarantine::Digest(size_t max_entries) const {
+void Quarantine::Clear(uint64_t fingerprint, TimePoint now) {
+  Entry* entry = Find(fingerprint, now);
+  if (entry != nullptr) {
+    *entry = Entry{0, false, now};
+  }
+}
+
+// Counts that came from peers are not passed on. Two instances would otherwise keep an entry alive for ever by sending
+// it to each other.
+std::vector<FingerprintCount> Quarantine::Digest(size_t max_entries, TimePoint now) const {
   std::vector<std::pair<TimePoint, FingerprintCount>> ordered;
   for (const auto& [fingerprint, entry] : m_entries) {
-    ordered.push_back({entry.last_change, FingerprintCount{fingerprint, entry.crashes}});
+    if (entry.own && entry.crashes > 0 && !IsExpired(entry.last_change, now)) {
+      ordered.push_back({entry.last_change, FingerprintCount{fingerprint, entry.crashes}});
+    }
   }
-  std::sort(ordered.begin(), ordered.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+  // Of equally recent entries, the quarantined ones matter more to peers.
+  std::sort(ordered.begin(), ordered.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second.crashes > b.second.crashes;
+  });
   std::vector<FingerprintCount> digest;
   for (size_t i = 0; i < ordered.size() && i < max_entries; ++i) {
     digest.push_back(ordered[i].second);
@@ -55,17 +104,20 @@
 
 void Quarantine::Merge(const std::vector<FingerprintCount>& counts, TimePoint now) {
   for (const FingerprintCount& count : counts) {
-    Entry& entry = m_entries[count.fingerprint];
-    if (count.crashes > entry.crashes) {
-      entry.crashes = count.crashes;
-      entry.last_change = now;
+    const bool cleared_here = m_entries.count(count.fingerprint) > 0 && Find(count.fingerprint, now)->crashes == 0;
+    if (count.crashes <= 0 || (cleared_here && count.crashes < kCrashesToQuarantine)) {
+      continue;
+    }
+    Entry* entry = FindOrAdd(count.fingerprint, now);
+    if (entry != nullptr && count.crashes > entry->crashes) {
+      *entry = Entry{std::min(count.crashes, kCrashesToQuarantine), false, now};
     }
   }
 }
 
 void Quarantine::Expire(TimePoint now) {
   for (auto it = m_entries.begin(); it != m_entries.end();) {
-    it = now - it->second.last_change > kEntryLifetime ? m_entries.erase(it) : std::next(it);
+    it = IsExpired(it->second.last_change + kLongestRun, now) ? m_entries.erase(it) : std::next(it);
   }
 }
 
--- a/src/state/quarantine.h
+++ b/src/state/quarantine.h
@@ -21,25 +21,43 @@
   int crashes = 0;
 };
 
+// A request that was in flight on an endpoint when it crashed.
+struct CrashedRequest {
+  uint64_t fingerprint = 0;
+  // It was dispatched as a suspect, with nothing else on the endpoint.
+  bool ran_alone = false;
+};
+
 // Counts endpoint crashes per request fingerprint and stops a request after two of them.
 class Quarantine {
  public:
   FingerprintVerdict Check(uint64_t fingerprint, TimePoint now) const;
   // An endpoint crashed with these requests in flight.
-  void OnCrash(const std::vector<uint64_t>& in_flight, TimePoint now);
+  void OnCrash(const std::vector<CrashedRequest>& in_flight, TimePoint now);
   // The request ended without a crash, which clears a suspect.
   void OnFinished(uint64_t fingerprint, TimePoint now);
+  // An operator's decision; clears a quarantined fingerprint on this instance.
+  void Clear(uint64_t fingerprint, TimePoint now);
 
-  // Counts to send to peers, newest first, and counts received from them.
-  std::vector<FingerprintCount> Digest(size_t max_entries) const;
+  // Counts of this instance's own crashes to send to peers, newest first, and counts received from them.
+  std::vector<FingerprintCount> Digest(size_t max_entries, TimePoint now) const;
   void Merge(const std::vector<FingerprintCount>& counts, TimePoint now);
   void Expire(TimePoint now);
+  size_t size() const { return m_entries.size(); }
 
  private:
   struct Entry {
+    // 0 after a suspect was cleared: peers may still send the count that was cleared.
     int crashes = 0;
+    // False for counts that came from peers, which their own instance sends.
+    bool own = false;
     TimePoint last_change;
   };
+
+  Entry* Find(uint64_t fingerprint, TimePoint now);
+  // Null when the table is full.
+  Entry* FindOrAdd(uint64_t fingerprint, TimePoint now);
+
   std::map<uint64_t, Entry> m_entries;
 };
 
--- /dev/null
+++ b/tests/state/circuit_breaker_test.cc
@@ -0,0 +1,76 @@
+#include "state/circuit_breaker.h"
+
+#include <catch2/catch.hpp>
+
+#include "state/retry_budget.h"
+
+namespace quetzalridge {
+namespace {
+
+// Guards against a breaker that opens early, floods an endpoint after its open time, or never closes.
+TEST_CASE("five failures open a breaker, one trial call decides after the open time") {
+  CircuitBreaker breaker;
+  ManualClock clock;
+  for (int i = 0; i < 4; ++i) {
+    breaker.OnFailure(clock.Now());
+  }
+  CHECK(breaker.Allows(clock.Now()));
+  breaker.OnFailure(clock.Now());
+  CHECK_FALSE(breaker.Allows(clock.Now()));
+  // Calls that were in flight when it opened fail late and do not lengthen the open time.
+  clock.Advance(Duration::Milliseconds(900));
+  breaker.OnFailure(clock.Now());
+  clock.Advance(Duration::Milliseconds(100));
+  REQUIRE(breaker.Allows(clock.Now()));
+  breaker.OnStart(clock.Now());
+  CHECK_FALSE(breaker.Allows(clock.Now()));
+  breaker.OnFailure(clock.Now());
+  clock.Advance(Duration::Milliseconds(1999));
+  CHECK_FALSE(breaker.Allows(clock.Now()));
+  clock.Advance(Duration::Milliseconds(1));
+  breaker.OnStart(clock.Now());
+  breaker.OnSuccess();
+  CHECK(breaker.Allows(clock.Now()));
+}
+
+// Guards against an open time that grows without bound, and against a trial that a leaving caller blocks for ever.
+TEST_CASE("the open time is at most 30 s and an abandoned trial frees its place") {
+  CircuitBreaker breaker;
+  ManualClock clock;
+  for (int i = 0; i < 5; ++i) {
+    breaker.OnFailure(clock.Now());
+  }
+  for (int i = 0; i < 10; ++i) {
+    clock.Advance(Duration::Seconds(30));
+    REQUIRE(breaker.Allows(clock.Now()));
+    breaker.OnStart(clock.Now());
+    breaker.OnFailure(clock.Now());
+  }
+  clock.Advance(Duration::Seconds(30));
+  breaker.OnStart(clock.Now());
+  breaker.OnNeutral();
+  CHECK(breaker.Allows(clock.Now()));
+}
+
+// Guards against retries that multiply an overload, and against a budget of zero with little traffic.
+TEST_CASE("retries are a tenth of the recent requests and at least three") {
+  RetryBudget budget;
+  ManualClock clock;
+  int taken = 0;
+  for (int i = 0; i < 10; ++i) {
+    taken += budget.TakeRetry(clock.Now()) ? 1 : 0;
+  }
+  CHECK(taken == 3);
+  clock.Advance(Duration::Seconds(11));
+  for (int i = 0; i < 200; ++i) {
+    budget.OnRequest(clock.Now());
+  }
+  taken = 0;
+  for (int i = 0; i < 100; ++i) {
+    taken += budget.TakeRetry(clock.Now()) ? 1 : 0;
+  }
+  CHECK(taken == 20);
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/state/quarantine_test.cc
@@ -0,0 +1,251 @@
+#include "state/quarantine.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/fakes/property.h"
+
+namespace quetzalridge {
+namespace {
+
+constexpr uint64_t kCulprit = 0;
+constexpr uint64_t kFingerprints = 45;
+constexpr int kEndpoints = 6;
+constexpr int kInstances = 2;
+constexpr Duration kLifetime = Duration::Seconds(3600);
+constexpr Duration kTotalDeadline = Duration::Seconds(600);
+
+std::vector<CrashedRequest> InCompany(uint64_t count) {
+  std::vector<CrashedRequest> requests;
+  for (uint64_t i = 0; i < count; ++i) {
+    requests.push_back({i, false});
+  }
+  return requests;
+}
+
+// What the mechanism is told of the way a lost request ran; the two wrong ways switch it off.
+enum class Blame {
+  kByTheRules,
+  kEveryoneIsAlone,
+  kNobodyIsAlone,
+};
+
+// Endpoints that crash when they run the culprit, and instances that dispatch by the rules: a suspect runs alone, a
+// quarantined request does not run. The oracle knows which request crashes endpoints; the mechanism does not.
+class World {
+ public:
+  explicit World(Blame blame) : m_blame(blame) {}
+
+  std::optional<std::string> Step(uint32_t command) {
+    const int instance = static_cast<int>(command / 8 % kInstances);
+    const int endpoint = static_cast<int>(command / 16 % kEndpoints);
+    const uint64_t fingerprint = command / 96 % 3 == 0 ? kCulprit : command / 288 % kFingerprints;
+    switch (command % 8) {
+      case 5:
+      case 6:
+        Finish(endpoint, instance);
+        break;
+      case 7:
+        Other(command / 8);
+        break;
+      default:
+        Dispatch(instance, endpoint, fingerprint);
+    }
+    return Check();
+  }
+
+ private:
+  struct Running {
+    int instance = 0;
+    CrashedRequest request;
+    TimePoint since;
+  };
+
+  // The total deadline ends a request without a crash or an answer, long before its count expires.
+  void EndOverdue() {
+    for (std::vector<Running>& running : m_running) {
+      running.erase(std::remove_if(running.begin(), running.end(),
+                                   [&](const Running& request) { return m_now - request.since > kTotalDeadline; }),
+                    running.end());
+    }
+  }
+
+  void Dispatch(int instance, int endpoint, uint64_t fingerprint) {
+    const FingerprintVerdict verdict = m_quarantine[instance].Check(fingerprint, m_now);
+    std::vector<Running>& running = m_running[endpoint];
+    const bool held = running.size() == 1 && running[0].request.ran_alone;
+    const bool alone = verdict == FingerprintVerdict::kSuspect;
+    if (verdict == FingerprintVerdict::kQuarantined || held || (alone && !running.empty())) {
+      return;
+    }
+    running.push_back({instance, {fingerprint, alone}, m_now});
+  }
+
+  void Finish(int endpoint, int which) {
+    std::vector<Running>& running = m_running[endpoint];
+    if (running.empty()) {
+      return;
+    }
+    const auto ended = running.begin() + which % static_cast<int>(running.size());
+    if (ended->request.fingerprint == kCulprit) {
+      Crash(endpoint);
+      return;
+    }
+    m_quarantine[ended->instance].OnFinished(ended->request.fingerprint, m_now);
+    running.erase(ended);
+  }
+
+  void Crash(int endpoint) {
+    std::vector<Running> lost;
+    lost.swap(m_running[endpoint]);
+    for (int instance = 0; instance < kInstances; ++instance) {
+      std::vector<CrashedRequest> requests;
+      for (const Running& running : lost) {
+        if (running.instance != instance) {
+          continue;
+        }
+        requests.push_back({running.request.fingerprint, ToldAlone(running.request.ran_alone)});
+        if (running.request.fingerprint == kCulprit && running.request.ran_alone) {
+          m_stopped_at[instance] = m_now;
+        }
+      }
+      m_quarantine[instance].OnCrash(requests, m_now);
+    }
+  }
+
+  bool ToldAlone(bool alone) const {
+    return m_blame == Blame::kByTheRules ? alone : m_blame == Blame::kEveryoneIsAlone;
+  }
+
+  void Other(uint32_t command) {
+    if (command % 2 == 0) {
+      m_quarantine[0].Merge(m_quarantine[1].Digest(16, m_now), m_now);
+      m_quarantine[1].Merge(m_quarantine[0].Digest(16, m_now), m_now);
+    } else {
+      m_now = m_now + Duration::Seconds(command / 2 % 900);
+      EndOverdue();
+    }
+  }
+
+  std::optional<std::string> Check() const {
+    for (int instance = 0; instance < kInstances; ++instance) {
+      for (uint64_t fingerprint = 1; fingerprint < kFingerprints; ++fingerprint) {
+        if (m_quarantine[instance].Check(fingerprint, m_now) == FingerprintVerdict::kQuarantined) {
+          return "request " + std::to_string(fingerprint) + " is quarantined without a fault of its own";
+        }
+      }
+      const auto stopped = m_stopped_at.find(instance);
+      if (stopped != m_stopped_at.end() && m_now - stopped->second <= kLifetime &&
+          m_quarantine[instance].Check(kCulprit, m_now) != FingerprintVerdict::kQuarantined) {
+        return std::string("the culprit crashed an endpoint as a known suspect and may run again");
+      }
+    }
+    return std::nullopt;
+  }
+
+  Blame m_blame;
+  TimePoint m_now = TimePoint::FromMilliseconds(1'000'000);
+  Quarantine m_quarantine[kInstances];
+  std::vector<Running> m_running[kEndpoints];
+  std::map<int, TimePoint> m_stopped_at;
+};
+
+PropertyOutcome CheckWorld(Blame blame, Shrinking shrinking) {
+  return CheckSequences(11, 300, 300, shrinking, [blame](const CommandSequence& commands) {
+    World world(blame);
+    for (uint32_t command : commands) {
+      const std::optional<std::string> violation = world.Step(command);
+      if (violation.has_value()) {
+        return violation;
+      }
+    }
+    return std::optional<std::string>();
+  });
+}
+
+// Guards against quarantine of requests that only shared an endpoint with the culprit, and against a culprit that runs
+// on, under any order of dispatches, ends, crashes, peer messages and time.
+TEST_CASE("the quarantine agrees with an oracle that knows the culprit") {
+  const PropertyOutcome outcome = CheckWorld(Blame::kByTheRules, Shrinking::kOn);
+  INFO(outcome.message);
+  CHECK(outcome.holds);
+}
+
+// Guards against a check that cannot fail: both ways to switch the rule off must be found.
+TEST_CASE("the oracle finds a quarantine that blames everyone or nobody") {
+  CHECK_FALSE(CheckWorld(Blame::kEveryoneIsAlone, Shrinking::kOff).holds);
+  CHECK_FALSE(CheckWorld(Blame::kNobodyIsAlone, Shrinking::kOff).holds);
+}
+
+// Guards against one crash with many requests in flight that stops them all, also when a whole zone crashes at once.
+TEST_CASE("crashes in company make suspects and never quarantine") {
+  Quarantine quarantine;
+  ManualClock clock;
+  for (int crash = 0; crash < 4; ++crash) {
+    quarantine.OnCrash(InCompany(40), clock.Now());
+  }
+  for (uint64_t i = 0; i < 40; ++i) {
+    CHECK(quarantine.Check(i, clock.Now()) == FingerprintVerdict::kSuspect);
+  }
+}
+
+// Guards against a culprit that goes on after two crashes.
+TEST_CASE("a suspect that crashes an endpoint alone is quarantined for an hour") {
+  Quarantine quarantine;
+  ManualClock clock;
+  quarantine.OnCrash(InCompany(40), clock.Now());
+  quarantine.OnCrash({{3, true}}, clock.Now());
+  CHECK(quarantine.Check(3, clock.Now()) == FingerprintVerdict::kQuarantined);
+  quarantine.OnFinished(3, clock.Now());
+  CHECK(quarantine.Check(3, clock.Now()) == FingerprintVerdict::kQuarantined);
+  clock.Advance(kLifetime + Duration::Milliseconds(1));
+  CHECK(quarantine.Check(3, clock.Now()) == FingerprintVerdict::kClear);
+}
+
+// Guards against counts older than an hour that add up with a new crash.
+TEST_CASE("an expired count does not add up with a new crash") {
+  Quarantine quarantine;
+  ManualClock clock;
+  quarantine.OnCrash({{1, false}}, clock.Now());
+  clock.Advance(kLifetime + Duration::Milliseconds(1));
+  CHECK(quarantine.Check(1, clock.Now()) == FingerprintVerdict::kClear);
+  quarantine.OnCrash({{1, false}}, clock.Now());
+  CHECK(quarantine.Check(1, clock.Now()) == FingerprintVerdict::kSuspect);
+}
+
+// Guards against a culprit that is forgotten because its count expired during its second run.
+TEST_CASE("a count that expires during the run of a suspect adds up") {
+  Quarantine quarantine;
+  ManualClock clock;
+  quarantine.OnCrash({{1, false}}, clock.Now());
+  clock.Advance(kLifetime + Duration::Milliseconds(1));
+  quarantine.Expire(clock.Now());
+  quarantine.OnCrash({{1, true}}, clock.Now());
+  CHECK(quarantine.Check(1, clock.Now()) == FingerprintVerdict::kQuarantined);
+}
+
+// Guards against a cleared suspect that a peer's old count makes a suspect again, and against entries that two
+// instances keep alive by sending them to each other.
+TEST_CASE("a cleared suspect stays clear and merged counts are not passed on") {
+  Quarantine first;
+  Quarantine second;
+  ManualClock clock;
+  first.OnCrash({{1, false}}, clock.Now());
+  second.Merge(first.Digest(16, clock.Now()), clock.Now());
+  CHECK(second.Check(1, clock.Now()) == FingerprintVerdict::kSuspect);
+  CHECK(second.Digest(16, clock.Now()).empty());
+  second.OnFinished(1, clock.Now());
+  second.Merge(first.Digest(16, clock.Now()), clock.Now());
+  CHECK(second.Check(1, clock.Now()) == FingerprintVerdict::kClear);
+  first.OnCrash({{1, true}}, clock.Now());
+  second.Merge(first.Digest(16, clock.Now()), clock.Now());
+  CHECK(second.Check(1, clock.Now()) == FingerprintVerdict::kQuarantined);
+}
+
+}  // namespace
+}  // namespace quetzalridge
