--- /dev/null
+++ b/tests/daemon/dispatcher_test.cc
@@ -0,0 +1,268 @@
+#include "daemon/dispatcher.h"
+
+#include <catch2/catch.hpp>
+
+#include "base/random.h"
+#include "daemon/dispatched_sample_engine.h"
+#include "protocol/sse_writer.h"
+#include "tests/daemon/caller_fixture.h"
+
+namespace quetzalridge {
+namespace {
+
+using Responder = std::shared_ptr<HttpResponder>;
+
+void AbortAtOnce(const HttpRequest&, const Responder& responder) {
+  responder->Abort();
+}
+
+size_t Requests(const CallerFixture& f, const std::string& prefix) {
+  size_t count = 0;
+  for (const auto& [id, endpoint] : f.endpoints) {
+    count += id.compare(0, prefix.size(), prefix) == 0 ? endpoint->requests.size() : 0;
+  }
+  return count;
+}
+
+// Guards against an idempotent request that fails with one endpoint although another could run it.
+TEST_CASE("an idempotent request moves to another endpoint before its first byte") {
+  CallerFixture f(2);
+  f.endpoints["e0"]->on_request = AbortAtOnce;
+  for (const bool stream : {false, true}) {
+    const CallerAnswer answer = f.Run(f.Completion(stream ? "s" : "w", stream));
+    CHECK(answer.status() == 200);
+    CHECK(answer.body().find("echo") != std::string::npos);
+  }
+  CHECK(f.endpoints["e0"]->requests.size() >= 1);
+}
+
+// Guards against a retry after a byte of the answer was passed on, and against a cut stream that passes for whole.
+TEST_CASE("a stream that is cut ends with an error event") {
+  CallerFixture f(2);
+  for (const char* id : {"e0", "e1"}) {
+    f.endpoints[id]->on_request = [](const HttpRequest& request, const Responder& responder) {
+      responder->Start(200, FakeEndpoint::EchoHeaders(request, "text/event-stream"));
+      responder->Write(FakeEndpoint::TokenEvent("first", 0) + "data: {\"half");
+    };
+  }
+  const auto cut = f.Send(f.Completion("x", true));
+  REQUIRE(f.Until([&] { return Requests(f, "e") == 1; }));
+  f.Turn(5);
+  f.endpoints["e0"]->Crash();
+  REQUIRE(f.Until([&] { return cut->done; }));
+  CHECK(cut->body().find("first") != std::string::npos);
+  CHECK(cut->body().find("half") == std::string::npos);
+  CHECK(cut->body().find("event: error") != std::string::npos);
+  CHECK(cut->body().find("[DONE]") == std::string::npos);
+  CHECK(Requests(f, "e") == 1);
+
+  for (const char* id : {"e0", "e1"}) {
+    f.endpoints[id]->on_request = [](const HttpRequest& request, const Responder& responder) {
+      responder->Start(200, FakeEndpoint::EchoHeaders(request, "text/event-stream"));
+      responder->Write(FakeEndpoint::TokenEvent("first", 0));
+      responder->End();
+    };
+  }
+  const CallerAnswer no_mark = f.Run(f.Completion("y", true));
+  CHECK(no_mark.body().find("event: error") != std::string::npos);
+  CHECK(no_mark.body().find("[DONE]") == std::string::npos);
+}
+
+// Guards against an answer that belongs to another request, such as a late one on a reused connection.
+TEST_CASE("an answer with another request's id is not passed on") {
+  CallerFixture f;
+  f.endpoints["e0"]->on_request = [](const HttpRequest&, const Responder& responder) {
+    responder->Send(200, {{"content-type", "application/json"}, {"x-request-id", "other"}}, "{\"secret\":1}");
+  };
+  for (const bool stream : {false, true}) {
+    const CallerAnswer answer = f.Run(f.Completion("x", stream));
+    CHECK(answer.status() >= 500);
+    CHECK(answer.body().find("secret") == std::string::npos);
+    CHECK(answer.body().find("\"ran\":\"unknown\"") != std::string::npos);
+  }
+}
+
+// Guards against answers that reach another caller when endpoints answer late and in any order.
+TEST_CASE("late answers in another order reach their own callers whole") {
+  CallerFixture f(2);
+  Random random(5);
+  std::vector<std::pair<HttpRequest, Responder>> waiting;
+  for (const char* id : {"e0", "e1"}) {
+    f.endpoints[id]->on_request = [&](const HttpRequest& request, const Responder& responder) {
+      waiting.push_back({request, responder});
+    };
+  }
+  std::vector<std::shared_ptr<CallerAnswer>> answers;
+  for (int i = 0; i < 60; ++i) {
+    answers.push_back(f.Send(f.Completion("p" + std::to_string(i) + ".", false)));
+  }
+  REQUIRE(f.Until([&] { return waiting.size() == 60; }));
+  while (!waiting.empty()) {
+    const size_t next = random.Below(waiting.size());
+    const auto [request, responder] = waiting[next];
+    waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(next));
+    responder->Send(200, FakeEndpoint::EchoHeaders(request, "application/json"),
+                    request.body + std::string(20'000, 'x'));
+    f.Turn(1);
+  }
+  for (size_t i = 0; i < answers.size(); ++i) {
+    REQUIRE(f.Until([&] { return answers[i]->done; }));
+    CHECK(answers[i]->body().find("\"p" + std::to_string(i) + ".\"") != std::string::npos);
+    CHECK(answers[i]->body().size() > 20'000);
+  }
+}
+
+// Guards against a false "not run": it is said when no byte was written, and only then.
+TEST_CASE("not run is said exactly when no endpoint got a byte") {
+  CallerFixture f;
+  f.endpoints["d0"]->on_request = AbortAtOnce;
+  const CallerAnswer unknown = f.Run(f.Plain("/s/orders/1", "POST"));
+  CHECK(unknown.status() == 502);
+  CHECK(unknown.body().find("\"ran\":\"unknown\"") != std::string::npos);
+  CHECK(f.endpoints["d0"]->requests.size() == 1);
+  f.config.Change(ConfigKind::kEndpoint, "d0", R"({"service":"desk","address":"127.0.0.1:1","zone":"z1"})");
+  const CallerAnswer refused = f.Run(f.Plain("/s/orders/2", "POST"));
+  CHECK(refused.body().find("\"ran\":\"no\"") != std::string::npos);
+  f.admission.shed = true;
+  const CallerAnswer shed = f.Run(f.Plain("/s/orders/3", "POST"));
+  CHECK(shed.status() == 429);
+  CHECK(shed.body().find("\"ran\":\"no\"") != std::string::npos);
+  CHECK(shed.body().find("retry_after_ms") != std::string::npos);
+  CHECK(f.endpoints["d0"]->requests.size() == 1);
+}
+
+// Guards against calls that hang: on an endpoint that never answers, and on one that stops in the middle.
+TEST_CASE("each stage has a deadline") {
+  DispatcherOptions options;
+  options.first_token_timeout = Duration::Milliseconds(40);
+  options.token_gap_timeout = Duration::Milliseconds(30);
+  CallerFixture f(1, options);
+  f.endpoints["e0"]->on_request = [](const HttpRequest&, const Responder&) {};
+  const CallerAnswer silent = f.Run(f.Completion("x", true));
+  CHECK(silent.body().find("\"ran\":\"unknown\"") != std::string::npos);
+  f.endpoints["e0"]->on_request = [](const HttpRequest& request, const Responder& responder) {
+    responder->Start(200, FakeEndpoint::EchoHeaders(request, "text/event-stream"));
+    responder->Write(FakeEndpoint::TokenEvent("first", 0));
+  };
+  const CallerAnswer stopped = f.Run(f.Completion("y", true));
+  CHECK(stopped.body().find("first") != std::string::npos);
+  CHECK(stopped.body().find("event: error") != std::string::npos);
+  CHECK(f.quarantine.size() == 0);
+}
+
+// Guards against work that goes on at the endpoint after its caller has gone, and against a slot that stays taken.
+TEST_CASE("a caller that leaves closes the connection to the endpoint") {
+  CallerFixture f;
+  bool closed = false;
+  f.endpoints["e0"]->on_request = [&](const HttpRequest& request, const Responder& responder) {
+    responder->SetCloseCallback([&] { closed = true; });
+    responder->Start(200, FakeEndpoint::EchoHeaders(request, "text/event-stream"));
+    responder->Write(FakeEndpoint::TokenEvent("first", 0));
+  };
+  // A caller that has gone is noticed when tokens are sent to it.
+  int token = 0;
+  const auto write_token = [&] { f.endpoints["e0"]->open[0]->Write(FakeEndpoint::TokenEvent("more", ++token)); };
+  HttpCall call = f.Completion("x", true);
+  call.idle_timeout = Duration::Milliseconds(30);
+  f.Run(call);
+  REQUIRE(f.Until([&] {
+    write_token();
+    return closed && f.api->active() == 0;
+  }));
+  CHECK(f.admission.running == 0);
+  CHECK(f.registry->Find("e0")->own_in_flight == 0);
+}
+
+// Guards against one crash that stops the requests which only shared the endpoint, and against a culprit that goes on.
+TEST_CASE("a request that crashes endpoints is stopped after two crashes and its company is not") {
+  CallerFixture f(4);
+  const std::string culprit = "culprit";
+  int crashes = 0;
+  std::vector<std::pair<HttpRequest, Responder>> held;
+  for (auto& [id, endpoint] : f.endpoints) {
+    FakeEndpoint* self = endpoint.get();
+    endpoint->on_request = [&, self](const HttpRequest& request, const Responder& responder) {
+      if (request.body.find(culprit) != std::string::npos) {
+        ++crashes;
+        self->Crash();
+      } else if (crashes > 0) {
+        responder->Send(200, FakeEndpoint::EchoHeaders(request, "application/json"), "{}");
+      } else {
+        held.push_back({request, responder});
+      }
+    };
+  }
+  std::vector<std::shared_ptr<CallerAnswer>> company;
+  for (int i = 0; i < 40; ++i) {
+    company.push_back(f.Send(f.Completion("innocent " + std::to_string(i), false)));
+  }
+  REQUIRE(f.Until([&] { return Requests(f, "e") == 40; }));
+  const auto first = f.Send(f.Completion(culprit, false));
+  REQUIRE(f.Until([&] { return crashes == 1; }));
+  f.Turn(3);
+  for (const auto& [request, responder] : held) {
+    responder->Send(200, FakeEndpoint::EchoHeaders(request, "application/json"), "{}");
+  }
+  REQUIRE(f.Until([&] { return first->done; }));
+  CHECK(first->body().find("\"ran\":\"unknown\"") != std::string::npos);
+  // The retry budget may have gone to its company; its caller sends it again.
+  f.Run(f.Completion(culprit, false));
+  CHECK(crashes == 2);
+  for (int i = 0; i < 3; ++i) {
+    const CallerAnswer again = f.Run(f.Completion(culprit, false));
+    CHECK(again.status() == 422);
+    CHECK(again.body().find("\"ran\":\"no\"") != std::string::npos);
+  }
+  CHECK(crashes == 2);
+  for (int i = 0; i < 40; ++i) {
+    CHECK(f.Run(f.Completion("innocent " + std::to_string(i), false)).status() != 422);
+  }
+}
+
+class RecordingSample : public SampleObserver {
+ public:
+  void OnSampleStarted(const std::string& endpoint_id) override { endpoint = endpoint_id; }
+  void OnSampleToken(std::string_view token, int64_t version) override {
+    text += token;
+    versions.push_back(version);
+  }
+  void OnSampleEnd(SampleEnd sample_end) override { end = sample_end; }
+
+  std::string endpoint;
+  std::string text;
+  std::vector<int64_t> versions;
+  std::optional<SampleEnd> end;
+};
+
+// Guards against samples with tokens lost or without the version that produced them.
+TEST_CASE("a sample reports each token with its version, and a cut one is interrupted") {
+  CallerFixture f;
+  DispatchedSampleEngine engine(f.dispatcher.get(), &f.usage);
+  SampleRequest request;
+  request.service = "sort";
+  request.workspace = "a";
+  request.model = "m";
+  request.prompt = "hides";
+  RecordingSample whole;
+  const std::unique_ptr<SampleRun> first = engine.Start(request, &whole);
+  REQUIRE(f.Until([&] { return whole.end.has_value(); }));
+  CHECK(*whole.end == SampleEnd::kFinished);
+  CHECK(whole.text == "echo hides");
+  CHECK(whole.versions == std::vector<int64_t>{7, 7});
+  CHECK(f.usage.by_workspace["a"].samples == 1);
+  CHECK(f.endpoints["e0"]->requests[0].body.find("\"priority\":10") != std::string::npos);
+
+  f.endpoints["e0"]->on_request = [](const HttpRequest& request, const Responder& responder) {
+    responder->Start(200, FakeEndpoint::EchoHeaders(request, "text/event-stream"));
+    responder->Write(FakeEndpoint::TokenEvent("a", 0) + FakeEndpoint::TokenEvent("c", 2) + EncodeSseEvent(kSseDone));
+    responder->End();
+  };
+  RecordingSample gap;
+  const std::unique_ptr<SampleRun> second = engine.Start(request, &gap);
+  REQUIRE(f.Until([&] { return gap.end.has_value(); }));
+  CHECK(*gap.end == SampleEnd::kInterrupted);
+  CHECK(gap.text == "a");
+}
+
+}  // namespace
+}  // namespace quetzalridge
