Add metrics, the burn counts, and tests of at-most-once calls, leaving endpoints and planned stops

Purpose: Metrics keeps request counts by outcome and latency histograms for each service and workspace (Boost.Histogram, logarithmic axis, Prometheus text), and the good and bad counts of 5 min and 1 h for the burn report. A streamed answer is judged by its first piece, a whole one by its end. Faults of callers count neither way.

--- a/src/daemon/caller_request.cc
+++ b/src/daemon/caller_request.cc
@@ -304,6 +304,7 @@
   record.service = m_service;
   record.workspace = m_workspace;
   record.outcome = outcome;
+  record.streamed = m_streaming;
   record.latency = Now() - m_started_at;
   if (m_first_byte_at.has_value()) {
     record.first_byte = *m_first_byte_at - m_started_at;
--- /dev/null
+++ b/src/daemon/metrics.cc
@@ -0,0 +1,225 @@
+#include "daemon/metrics.h"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <cstdio>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string_view>
+
+namespace quetzalridge {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+// Five bins for each factor of ten.
+constexpr int kBins = 30;
+constexpr double kLowestSeconds = 0.0001;
+constexpr double kHighestSeconds = 100.0;
+constexpr Duration kShortWindow = Duration::Seconds(300);
+constexpr Duration kLongWindow = Duration::Seconds(3600);
+
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using LatencyHistogram = decltype(bh::make_histogram(LogAxis(kBins, kLowestSeconds, kHighestSeconds)));
+
+constexpr std::pair<RequestOutcome, std::string_view> kOutcomeNames[] = {
+    {RequestOutcome::kSucceeded, "succeeded"},
+    {RequestOutcome::kRefused, "refused"},
+    {RequestOutcome::kFailed, "failed"},
+    {RequestOutcome::kCallerError, "caller_error"},
+};
+
+std::string_view OutcomeName(RequestOutcome outcome) {
+  for (const auto& [value, name] : kOutcomeNames) {
+    if (value == outcome) {
+      return name;
+    }
+  }
+  throw std::logic_error("unknown value of RequestOutcome; add it to kOutcomeNames");
+}
+
+double Seconds(Duration duration) {
+  return static_cast<double>(duration.ms()) / 1000.0;
+}
+
+std::string Number(double value) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.6g", value);
+  return text;
+}
+
+std::string EscapeLabel(const std::string& value) {
+  std::string escaped;
+  for (char c : value) {
+    if (c == '\\' || c == '"') {
+      escaped.push_back('\\');
+    }
+    escaped += c == '\n' ? std::string("\\n") : std::string(1, c);
+  }
+  return escaped;
+}
+
+// A histogram in the format's shape: cumulative buckets, sum, count.
+struct Latencies {
+  LatencyHistogram histogram = bh::make_histogram(LogAxis(kBins, kLowestSeconds, kHighestSeconds));
+  double sum_seconds = 0.0;
+  int64_t count = 0;
+
+  void Add(Duration latency) {
+    // The logarithmic axis has no place for zero; the clock's resolution makes it possible.
+    const double seconds = std::max(Seconds(latency), kLowestSeconds / 2);
+    histogram(seconds);
+    sum_seconds += seconds;
+    ++count;
+  }
+
+  void Write(const std::string& name, const std::string& labels, std::string* text) const {
+    const LogAxis& axis = histogram.axis();
+    double cumulative = static_cast<double>(histogram.at(-1));
+    for (int bin = 0; bin < axis.size(); ++bin) {
+      cumulative += static_cast<double>(histogram.at(bin));
+      *text += name + "_bucket{" + labels + ",le=\"" + Number(axis.bin(bin).upper()) + "\"} " +
+               std::to_string(static_cast<int64_t>(cumulative)) + "\n";
+    }
+    *text += name + "_bucket{" + labels + ",le=\"+Inf\"} " + std::to_string(count) + "\n";
+    *text += name + "_sum{" + labels + "} " + Number(sum_seconds) + "\n";
+    *text += name + "_count{" + labels + "} " + std::to_string(count) + "\n";
+  }
+};
+
+struct Series {
+  std::map<RequestOutcome, int64_t> outcomes;
+  Latencies latency;
+  Latencies first_byte;
+};
+
+void WriteHeader(const std::string& name, const char* type, const char* help, std::string* text) {
+  *text += "# HELP " + name + " " + help + "\n# TYPE " + name + " " + type + "\n";
+}
+
+nlohmann::json ToJson(const GoodBadCount& count, double burn) {
+  return {{"good", count.good}, {"bad", count.bad}, {"burn_rate", burn}};
+}
+
+}  // namespace
+
+class Metrics::Impl {
+ public:
+  Impl(const Clock* clock, const ConfigView* config) : m_clock(clock), m_config(config) {}
+
+  void Add(const RequestRecord& record) {
+    Series& series = m_series[{record.service, record.workspace}];
+    ++series.outcomes[record.outcome];
+    series.latency.Add(record.latency);
+    if (record.first_byte.has_value()) {
+      series.first_byte.Add(*record.first_byte);
+    }
+    // What the caller did wrong says nothing about the service.
+    if (record.outcome != RequestOutcome::kCallerError) {
+      m_burn[record.service].Add(IsGood(record), m_clock->Now());
+    }
+  }
+
+  std::string Text() const {
+    std::string text;
+    WriteHeader("quetzalridge_requests_total", "counter", "Requests by outcome.", &text);
+    for (const auto& [key, series] : m_series) {
+      for (const auto& [outcome, count] : series.outcomes) {
+        text += "quetzalridge_requests_total{" + Labels(key) + ",outcome=\"" + std::string(OutcomeName(outcome)) +
+                "\"} " + std::to_string(count) + "\n";
+      }
+    }
+    WriteHistograms("quetzalridge_request_seconds", "Time from the request to the end of its answer.", &Series::latency,
+                    &text);
+    WriteHistograms("quetzalridge_first_token_seconds", "Time from the request to the first piece of its answer.",
+                    &Series::first_byte, &text);
+    return text;
+  }
+
+  std::vector<BurnLine> BurnReport() const {
+    std::vector<BurnLine> lines;
+    for (const auto& [name, service] : m_config->document().services()) {
+      const ProfileConfig profile = ProfileOf(name);
+      BurnLine line;
+      line.service = name;
+      line.objective_target = profile.objective_target;
+      line.objective_latency_ms = profile.objective_latency_ms;
+      const auto burn = m_burn.find(name);
+      if (burn != m_burn.end()) {
+        line.last_5_minutes = burn->second.Count(kShortWindow, m_clock->Now());
+        line.last_hour = burn->second.Count(kLongWindow, m_clock->Now());
+      }
+      line.burn_5_minutes = BurnRate::Rate(line.last_5_minutes, profile.objective_target);
+      line.burn_hour = BurnRate::Rate(line.last_hour, profile.objective_target);
+      lines.push_back(line);
+    }
+    return lines;
+  }
+
+ private:
+  using SeriesKey = std::pair<std::string, std::string>;
+
+  static std::string Labels(const SeriesKey& key) {
+    return "service=\"" + EscapeLabel(key.first) + "\",workspace=\"" + EscapeLabel(key.second) + "\"";
+  }
+
+  void WriteHistograms(const std::string& name, const char* help, Latencies Series::*member, std::string* text) const {
+    WriteHeader(name, "histogram", help, text);
+    for (const auto& [key, series] : m_series) {
+      (series.*member).Write(name, Labels(key), text);
+    }
+  }
+
+  ProfileConfig ProfileOf(const std::string& service_name) const {
+    const ConfigDocument& document = m_config->document();
+    const auto service = document.services().find(service_name);
+    if (service == document.services().end()) {
+      return {};
+    }
+    const auto profile = document.profiles().find(service->second.profile);
+    return profile == document.profiles().end() ? ProfileConfig() : profile->second;
+  }
+
+  // A streamed answer is as fast as its first piece; its length is the caller's choice.
+  bool IsGood(const RequestRecord& record) const {
+    const Duration felt = record.streamed ? record.first_byte.value_or(record.latency) : record.latency;
+    return record.outcome == RequestOutcome::kSucceeded && felt.ms() <= ProfileOf(record.service).objective_latency_ms;
+  }
+
+  const Clock* m_clock;
+  const ConfigView* m_config;
+  std::map<SeriesKey, Series> m_series;
+  std::map<std::string, BurnRate> m_burn;
+};
+
+Metrics::Metrics(const Clock* clock, const ConfigView* config) : m_impl(std::make_unique<Impl>(clock, config)) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::OnRequestEnd(const RequestRecord& record) {
+  m_impl->Add(record);
+}
+
+std::string Metrics::Text() const {
+  return m_impl->Text();
+}
+
+std::vector<BurnLine> Metrics::BurnReport() const {
+  return m_impl->BurnReport();
+}
+
+std::string Metrics::BurnReportJson() const {
+  nlohmann::json services = nlohmann::json::array();
+  for (const BurnLine& line : m_impl->BurnReport()) {
+    services.push_back({{"service", line.service},
+                        {"objective_target", line.objective_target},
+                        {"objective_latency_ms", line.objective_latency_ms},
+                        {"last_5_minutes", ToJson(line.last_5_minutes, line.burn_5_minutes)},
+                        {"last_hour", ToJson(line.last_hour, line.burn_hour)}});
+  }
+  return nlohmann::json{{"services", services}}.dump() + "\n";
+}
+
+}  // namespace quetzalridge
--- a/src/daemon/request_metrics.h
+++ b/src/daemon/request_metrics.h
@@ -22,6 +22,7 @@
   std::string workspace;
   RequestOutcome outcome = RequestOutcome::kSucceeded;
   Duration latency;
+  bool streamed = false;
   // Absent when nothing was passed on.
   std::optional<Duration> first_byte;
 };
--- /dev/null
+++ b/tests/daemon/endpoint_registry_test.cc
@@ -0,0 +1,93 @@
+#include "daemon/endpoint_registry.h"
+
+#include <catch2/catch.hpp>
+
+#include "tests/daemon/caller_fixture.h"
+
+namespace quetzalridge {
+namespace {
+
+PlatformInstance Instance(const std::string& id, const std::string& address, LifecycleState state) {
+  PlatformInstance instance;
+  instance.id = id;
+  instance.service = "sort";
+  instance.zone = "z2";
+  instance.address = address;
+  instance.kind = EndpointKind::kCheap;
+  instance.state = state;
+  return instance;
+}
+
+// Guards against new work on an endpoint that is leaving, also after an older list says that it is live, and against a
+// request in progress that is cut off because its endpoint is leaving.
+TEST_CASE("a leaving endpoint gets nothing new and finishes what it has") {
+  CallerFixture f;
+  f.platform.list = {true, 5, {Instance("p1", f.endpoints["e0"]->address(), LifecycleState::kLive)}};
+  f.registry->Start();
+  f.Turn(5);
+  std::vector<std::pair<HttpRequest, std::shared_ptr<HttpResponder>>> held;
+  f.endpoints["e0"]->on_request = [&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+    held.push_back({request, responder});
+  };
+  const auto running = f.Send(f.Completion("x", false));
+  REQUIRE(f.Until([&] { return held.size() == 1; }));
+  f.platform.list = {true, 6, {Instance("p1", f.endpoints["e0"]->address(), LifecycleState::kLeaving)}};
+  REQUIRE(f.Until([&] { return f.registry->Find("e0")->leaving; }));
+  f.platform.list = {true, 5, {Instance("p1", f.endpoints["e0"]->address(), LifecycleState::kLive)}};
+  f.Turn(20);
+  CHECK(f.registry->Find("e0")->leaving);
+  const CallerAnswer refused = f.Run(f.Completion("y", false));
+  CHECK(refused.status() == 503);
+  CHECK(refused.body().find("\"ran\":\"no\"") != std::string::npos);
+  CHECK(held.size() == 1);
+  held[0].second->Send(200, FakeEndpoint::EchoHeaders(held[0].first, "application/json"), "{\"whole\":1}");
+  REQUIRE(f.Until([&] { return running->done; }));
+  CHECK(running->body() == "{\"whole\":1}");
+  CHECK(f.quarantine.size() == 0);
+}
+
+// Guards against endpoints of the list that are missed, listed twice, or kept after they are gone.
+TEST_CASE("endpoints come from the configuration and the platform's list") {
+  CallerFixture f;
+  f.platform.list = {true,
+                     1,
+                     {Instance("p1", f.endpoints["e0"]->address(), LifecycleState::kLive),
+                      Instance("p2", "127.0.0.1:9", LifecycleState::kLive)}};
+  f.registry->Start();
+  REQUIRE(f.Until([&] { return f.registry->Find("p2") != nullptr; }));
+  CHECK(f.registry->Find("p1") == nullptr);
+  CHECK(f.registry->Find("p2")->cheap);
+  CHECK(f.registry->Find("p2")->zone == "z2");
+  REQUIRE(f.Until([&] { return f.registry->Find("e0")->weight_version == 7; }));
+  f.platform.list = {true, 2, {}};
+  REQUIRE(f.Until([&] { return f.registry->Find("p2") == nullptr; }));
+  f.config.Change(ConfigKind::kEndpoint, "e0", std::nullopt);
+  CHECK(f.registry->Find("e0") == nullptr);
+}
+
+// Guards against a planned stop that cuts off a request, and against requests that are taken on while stopping.
+TEST_CASE("a planned stop finishes streams and refuses new requests as not run") {
+  CallerFixture f;
+  f.endpoints["e0"]->on_request = [](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+    responder->Start(200, FakeEndpoint::EchoHeaders(request, "text/event-stream"));
+    responder->Write(FakeEndpoint::TokenEvent("first", 0));
+  };
+  const auto stream = f.Send(f.Completion("x", true));
+  REQUIRE(f.Until([&] { return f.endpoints["e0"]->open.size() == 1; }));
+  f.api->BeginDrain();
+  const CallerAnswer refused = f.Run(f.Completion("y", false));
+  CHECK(refused.status() == 503);
+  CHECK(refused.body().find("draining") != std::string::npos);
+  CHECK(refused.body().find("\"ran\":\"no\"") != std::string::npos);
+  f.server->BeginShutdown();
+  f.Turn(5);
+  CHECK(f.api->active() == 1);
+  f.endpoints["e0"]->open[0]->Write(FakeEndpoint::TokenEvent("last", 1) + "data: [DONE]\n\n");
+  f.endpoints["e0"]->open[0]->End();
+  REQUIRE(f.Until([&] { return stream->done && f.api->active() == 0; }));
+  CHECK(stream->body().find("last") != std::string::npos);
+  CHECK(stream->body().find("[DONE]") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/daemon/once_test.cc
@@ -0,0 +1,102 @@
+#include <catch2/catch.hpp>
+
+#include "coordination/once_record.h"
+#include "tests/daemon/caller_fixture.h"
+
+namespace quetzalridge {
+namespace {
+
+HttpCall Order(CallerFixture* f, const std::string& id, const std::string& body = "hides",
+               const std::string& key = "key-a") {
+  HttpCall call = f->Plain("/s/orders/new", "POST", key);
+  call.body = body;
+  call.headers.push_back({"idempotency-key", id});
+  return call;
+}
+
+void Accept(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+  responder->Send(201, FakeEndpoint::EchoHeaders(request, "text/plain"), "order of " + request.body);
+}
+
+// Guards against a second run of a call that is sent again, here or on another instance.
+TEST_CASE("a repeated non-idempotent call runs once and gets the stored answer") {
+  CallerFixture f(2);
+  f.endpoints["d0"]->on_request = Accept;
+  f.endpoints["d1"]->on_request = Accept;
+  CHECK(f.Run(Order(&f, "id-1")).status() == 201);
+  REQUIRE(f.Until([&] { return f.once.pending() == 0; }));
+  const CallerAnswer again = f.Run(Order(&f, "id-1"));
+  CHECK(again.status() == 201);
+  CHECK(again.body() == "order of hides");
+  const CallerAnswer other = f.Run(Order(&f, "id-1", "other body"));
+  CHECK(other.status() == 409);
+  CHECK(other.body().find("\"ran\":\"no\"") != std::string::npos);
+  CHECK(f.endpoints["d0"]->requests.size() + f.endpoints["d1"]->requests.size() == 1);
+  CHECK(f.Run(Order(&f, "id-1", "hides", "key-b")).status() == 201);
+  CHECK(f.endpoints["d0"]->requests.size() + f.endpoints["d1"]->requests.size() == 2);
+}
+
+// Guards against a retry of a call whose outcome is unknown, by this service or by its caller.
+TEST_CASE("a call that was cut off is not run again") {
+  CallerFixture f(2);
+  for (const char* id : {"d0", "d1"}) {
+    f.endpoints[id]->on_request = [](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) {
+      responder->Abort();
+    };
+  }
+  const CallerAnswer first = f.Run(Order(&f, "id-1"));
+  CHECK(first.body().find("\"ran\":\"unknown\"") != std::string::npos);
+  const CallerAnswer again = f.Run(Order(&f, "id-1"));
+  CHECK(again.status() == 409);
+  CHECK(again.body().find("\"ran\":\"unknown\"") != std::string::npos);
+  CHECK(f.endpoints["d0"]->requests.size() + f.endpoints["d1"]->requests.size() == 1);
+}
+
+// Guards against a run without a row, and against an identity that stays used by a call that was not run.
+TEST_CASE("a call that was refused as not run can be sent again") {
+  CallerFixture f;
+  f.endpoints["d0"]->on_request = Accept;
+  f.table.unavailable = true;
+  const CallerAnswer without_store = f.Run(Order(&f, "id-1"));
+  CHECK(without_store.status() == 503);
+  CHECK(without_store.body().find("\"ran\":\"no\"") != std::string::npos);
+  CHECK(f.endpoints["d0"]->requests.empty());
+  // Idempotent routes need no row.
+  CHECK(f.Run(f.Plain("/s/desk/list")).status() == 201);
+  CHECK(f.endpoints["d0"]->requests.size() == 1);
+  f.table.unavailable = false;
+  f.admission.shed = true;
+  CHECK(f.Run(Order(&f, "id-1")).status() == 429);
+  f.admission.shed = false;
+  CHECK(f.Run(Order(&f, "id-1")).status() == 201);
+  CHECK(f.endpoints["d0"]->requests.size() == 2);
+}
+
+// Guards against a lost answer of the table that lets a call run without its row, or not at all.
+TEST_CASE("an answer of the table that was lost after the effect does not stop the call") {
+  CallerFixture f;
+  f.endpoints["d0"]->on_request = Accept;
+  f.table.lose_answers = 1;
+  CHECK(f.Run(Order(&f, "id-1")).status() == 201);
+  CHECK(f.endpoints["d0"]->requests.size() == 1);
+}
+
+// Guards against malformed identities in row keys, and against rows of an unknown shape that let a call run.
+TEST_CASE("identities and rows that cannot be read are refused") {
+  CallerFixture f;
+  f.endpoints["d0"]->on_request = Accept;
+  CHECK(f.Run(Order(&f, "a/b")).status() == 400);
+  CHECK(f.Run(Order(&f, std::string(200, 'x'))).status() == 400);
+  f.table.rows["once/a/id-1"] = {"once/a/id-1", 99, "not a record", "t"};
+  CHECK(f.Run(Order(&f, "id-1")).status() == 409);
+  CHECK(f.endpoints["d0"]->requests.empty());
+  OnceRecord record;
+  record.state = OnceState::kFinished;
+  record.answer = OnceAnswer{200, "text/plain", std::string(49 << 10, 'x')};
+  const std::optional<OnceRecord> large = ParseOnceRecord(EncodeOnceRecord(record));
+  REQUIRE(large.has_value());
+  CHECK_FALSE(large->answer.has_value());
+}
+
+}  // namespace
+}  // namespace quetzalridge
