--- a/src/coordination/once_ledger.cc
+++ b/src/coordination/once_ledger.cc
@@ -112,11 +112,9 @@
   const bool free = row != result.rows.end() && (row->version == 0 || (record && record->state == OnceState::kNotRun));
   if (free && ++call->conflicts <= kMaxConflicts) {
     WriteStarted(call, row->version);
-  } else if (!record.has_value()) {
-    Answer(call, {OnceVerdict::kUnknown, "", std::nullopt});
-  } else if (record->fingerprint != call->fingerprint) {
+  } else if (record.has_value() && record->fingerprint != call->fingerprint) {
     Answer(call, {OnceVerdict::kOtherRequest, "", std::nullopt});
-  } else if (record->state == OnceState::kFinished) {
+  } else if (record.has_value() && record->state == OnceState::kFinished) {
     Answer(call, {OnceVerdict::kFinished, "", record->answer});
   } else {
     Answer(call, {OnceVerdict::kUnknown, "", std::nullopt});
