Answer h2o's refusals with the typed error and notice callers that have gone

Cause: h2o answered a body over the limit with plain text, and it reads nothing while a response is due, so a caller that closed its connection was noticed only when data was sent to it; a whole answer was worked out for nobody.

A filter on h2o's fallback path replaces the text of its refusals. Every 250 ms the server peeks at the connections of requests that wait. h2o writes the refusal of a malformed head to the socket itself and closes the connection of a slow sender without an answer; neither passes a filter, so both stay as they are. A half-closed connection counts as gone.

Adds tests of the certificate reload and of mutated requests.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -9,11 +9,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstring>
 #include <new>
 #include <stdexcept>
+#include <vector>
 
 #include "base/error.h"
+#include "protocol/error_body.h"
 #include "transport/detail_h2o.h"
 
 namespace quetzalridge {
@@ -21,6 +24,9 @@
 namespace {
 
 constexpr int kListenBacklog = 512;
+constexpr int kStatusPayloadTooLarge = 413;
+// Callers that have gone are noticed within this time.
+constexpr Duration kCallerCheck = Duration::Milliseconds(250);
 
 std::string ToString(const h2o_iovec_t& iovec) {
   return std::string(iovec.base, iovec.len);
@@ -88,6 +94,15 @@
     Flush();
   }
 
+  // h2o reads nothing while a response is due, so it does not see that the caller closes the connection.
+  void CheckCaller() {
+    if (m_request == nullptr || m_final_sent || !IsCallerGone()) {
+      return;
+    }
+    RunCloseCallback();
+    Abort();
+  }
+
   bool closed() const override { return m_request == nullptr; }
   bool started() const override { return m_started; }
   size_t pending_bytes() const override { return m_pending.size() + m_in_flight.size(); }
@@ -121,6 +136,13 @@
     owner->RunCloseCallback();
   }
 
+  bool IsCallerGone() const {
+    h2o_socket_t* socket = m_request->conn->callbacks->get_socket(m_request->conn);
+    char byte = 0;
+    const ssize_t received = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  }
+
   void RunCloseCallback() {
     if (!m_close_callback) {
       return;
@@ -187,6 +209,31 @@
   responder->OnDisposed();
 }
 
+// Replaces the text of h2o's own refusals, such as that of a body over the limit, by the typed error body.
+struct RefusalStream {
+  h2o_ostream_t base;
+  h2o_iovec_t body;
+};
+
+void SendRefusal(h2o_ostream_t* self, h2o_req_t* request, h2o_iovec_t*, size_t, h2o_send_state_t state) {
+  auto* stream = reinterpret_cast<RefusalStream*>(self);
+  h2o_ostream_send_next(&stream->base, request, &stream->body, 1, state);
+}
+
+void SetUpRefusal(h2o_filter_t*, h2o_req_t* request, h2o_ostream_t** slot) {
+  const bool too_large = request->res.status == kStatusPayloadTooLarge;
+  const std::string body = EncodeErrorBody(too_large ? ErrorCode::kPayloadTooLarge : ErrorCode::kInvalidRequest,
+                                           too_large ? "the body is larger than this server accepts; send a smaller one"
+                                                     : "the request is not valid HTTP/1.1; check its framing headers",
+                                           Ran::kNo);
+  auto* stream = reinterpret_cast<RefusalStream*>(h2o_add_ostream(request, sizeof(RefusalStream), slot));
+  stream->base.do_send = &SendRefusal;
+  stream->body = h2o_strdup(&request->pool, body.data(), body.size());
+  request->res.content_length = stream->body.len;
+  h2o_set_header(&request->pool, &request->res.headers, H2O_TOKEN_CONTENT_TYPE, H2O_STRLIT("application/json"), 1);
+  h2o_setup_next_ostream(request, &stream->base.next);
+}
+
 HttpRequest ReadRequest(h2o_req_t* request) {
   HttpRequest result;
   result.method = ToString(request->method);
@@ -233,6 +280,8 @@
     m_config.server_name = h2o_iovec_init(H2O_STRLIT("quetzalridge"));
     h2o_hostconf_t* host = h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+    // Refusals that h2o sends on its own belong to no path.
+    h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))->on_setup_ostream = &SetUpRefusal;
     auto* request_handler = reinterpret_cast<RequestHandler*>(h2o_create_handler(path, sizeof(RequestHandler)));
     request_handler->base.on_req = &OnRequest;
     request_handler->owner = this;
@@ -282,6 +331,7 @@
     auto responder = std::make_shared<H2oResponder>(request);
     void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ResponderHolder), &DisposeHolder);
     new (memory) ResponderHolder{responder};
+    owner->Watch(responder);
     try {
       owner->m_handler->OnRequest(ReadRequest(request), responder);
     } catch (const std::exception& error) {
@@ -291,6 +341,29 @@
     return 0;
   }
 
+  void Watch(const std::shared_ptr<H2oResponder>& responder) {
+    m_watched.push_back(responder);
+    if (m_watch_timer == nullptr) {
+      m_watch_timer = m_loop->After(kCallerCheck, [this] { CheckCallers(); });
+    }
+  }
+
+  void CheckCallers() {
+    std::vector<std::weak_ptr<H2oResponder>> watched;
+    watched.swap(m_watched);
+    m_watch_timer.reset();
+    for (const std::weak_ptr<H2oResponder>& candidate : watched) {
+      const std::shared_ptr<H2oResponder> responder = candidate.lock();
+      if (responder == nullptr || responder->closed()) {
+        continue;
+      }
+      responder->CheckCaller();
+      if (!responder->closed()) {
+        Watch(responder);
+      }
+    }
+  }
+
   static void OnAccept(h2o_socket_t* listener, const char* error) {
     auto* owner = static_cast<Impl*>(listener->data);
     if (error != nullptr) {
@@ -351,6 +424,8 @@
   h2o_socket_t* m_listener = nullptr;
   int m_port = 0;
   int m_open_connections = 0;
+  std::vector<std::weak_ptr<H2oResponder>> m_watched;
+  std::unique_ptr<Timer> m_watch_timer;
 };
 
 HttpServer::HttpServer(EventLoop* loop, HttpServerOptions options, HttpHandler* handler)
--- /dev/null
+++ b/tests/transport/http_server_test.cc
@@ -0,0 +1,223 @@
+#include "transport/http_server.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <openssl/pem.h>
+#include <openssl/ssl.h>
+#include <openssl/x509.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <functional>
+
+#include "base/random.h"
+#include "transport/http_client.h"
+
+namespace quetzalridge {
+namespace {
+
+class EchoHandler : public HttpHandler {
+ public:
+  void OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) override {
+    ++requests;
+    if (request.path == "/hold") {
+      held = responder;
+      responder->SetCloseCallback([this] { ++gone; });
+      return;
+    }
+    responder->Send(200, {}, request.body);
+  }
+
+  int requests = 0;
+  int gone = 0;
+  std::shared_ptr<HttpResponder> held;
+};
+
+// A plain connection that can send anything.
+class RawConnection {
+ public:
+  explicit RawConnection(int port) : m_fd(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    fcntl(m_fd, F_SETFL, O_NONBLOCK);
+  }
+  ~RawConnection() { close(m_fd); }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+
+  void Send(const std::string& data) { send(m_fd, data.data(), data.size(), MSG_NOSIGNAL); }
+  std::string Receive() {
+    char buffer[65536];
+    const ssize_t size = recv(m_fd, buffer, sizeof(buffer), 0);
+    return size > 0 ? std::string(buffer, static_cast<size_t>(size)) : "";
+  }
+  int fd() const { return m_fd; }
+
+ private:
+  int m_fd;
+};
+
+struct Fixture {
+  explicit Fixture(const HttpServerOptions& options = {}) : server(&loop, options, &handler) {}
+
+  bool Until(const std::function<bool()>& condition) {
+    for (int turn = 0; turn < 2000 && !condition(); ++turn) {
+      loop.RunOnce(Duration::Milliseconds(10));
+    }
+    return condition();
+  }
+  std::string Exchange(const std::string& data) {
+    RawConnection connection(server.port());
+    connection.Send(data);
+    std::string answer;
+    Until([&] {
+      answer += connection.Receive();
+      return answer.find("\r\n\r\n") != std::string::npos;
+    });
+    for (int turn = 0; turn < 3; ++turn) {
+      loop.RunOnce(Duration::Milliseconds(5));
+      answer += connection.Receive();
+    }
+    return answer;
+  }
+
+  EventLoop loop;
+  EchoHandler handler;
+  HttpServer server;
+};
+
+// Guards against refusals of the HTTP library that callers cannot read as typed errors.
+TEST_CASE("a body over the limit is refused with the typed error") {
+  HttpServerOptions options;
+  options.max_body_bytes = 100;
+  Fixture f(options);
+  for (const char* framing : {"content-length: 200\r\n\r\n", "transfer-encoding: chunked\r\n\r\nff\r\n"}) {
+    const std::string answer =
+        f.Exchange("POST / HTTP/1.1\r\nhost: x\r\n" + std::string(framing) + std::string(200, 'x'));
+    INFO(answer);
+    CHECK(answer.find("413") != std::string::npos);
+    CHECK(answer.find("application/json") != std::string::npos);
+    CHECK(answer.find("\"code\":\"payload_too_large\"") != std::string::npos);
+    CHECK(answer.find("\"ran\":\"no\"") != std::string::npos);
+  }
+  CHECK(f.handler.requests == 0);
+}
+
+// Guards against work that goes on for a caller that has closed its connection while it waited.
+TEST_CASE("a caller that closes while it waits is noticed") {
+  Fixture f;
+  {
+    RawConnection connection(f.server.port());
+    connection.Send("GET /hold HTTP/1.1\r\nhost: x\r\n\r\n");
+    REQUIRE(f.Until([&] { return f.handler.requests == 1; }));
+    for (int turn = 0; turn < 40; ++turn) {
+      f.loop.RunOnce(Duration::Milliseconds(10));
+    }
+    CHECK(f.handler.gone == 0);
+  }
+  REQUIRE(f.Until([&] { return f.handler.gone == 1 && f.server.open_connections() == 0; }));
+  CHECK(f.handler.held->closed());
+}
+
+// Guards against a server that crashes, hangs or mixes up requests after malformed bytes.
+TEST_CASE("mutated requests leave the server in order") {
+  Fixture f;
+  const std::string inputs[] = {
+      "POST /a?b HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\nx-api-key: k\r\n\r\nhello",
+      "POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+      "GET /a HTTP/1.1\r\nhost: x\r\n\r\nGET /b HTTP/1.1\r\nhost: x\r\n\r\n"};
+  Random random(23);
+  for (int round = 0; round < 400; ++round) {
+    std::string text = inputs[random.Below(3)];
+    for (uint64_t change = 1 + random.Below(4); change > 0; --change) {
+      const size_t at = random.Below(text.size());
+      if (random.Chance(0.5)) {
+        text[at] = static_cast<char>(random.Below(256));
+      } else {
+        text.insert(at, 1, "\r\n :0fF\0x"[random.Below(8)]);
+      }
+    }
+    RawConnection connection(f.server.port());
+    const size_t cut = random.Below(text.size());
+    connection.Send(text.substr(0, cut));
+    f.loop.RunOnce(Duration());
+    connection.Send(text.substr(cut));
+    f.loop.RunOnce(Duration());
+  }
+  const std::string answer =
+      f.Exchange("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\nconnection: close\r\n\r\nwhole");
+  CHECK(answer.find("200") != std::string::npos);
+  CHECK(answer.find("whole") != std::string::npos);
+}
+
+// Writes a key and a certificate that it signs itself.
+void WriteCertificate(const std::string& name, const std::string& certificate_file, const std::string& key_file) {
+  EVP_PKEY* key = EVP_EC_gen("P-256");
+  X509* certificate = X509_new();
+  ASN1_INTEGER_set(X509_get_serialNumber(certificate), 1);
+  X509_gmtime_adj(X509_getm_notBefore(certificate), 0);
+  X509_gmtime_adj(X509_getm_notAfter(certificate), 3600);
+  X509_set_pubkey(certificate, key);
+  X509_NAME_add_entry_by_txt(X509_get_subject_name(certificate), "CN", MBSTRING_ASC,
+                             reinterpret_cast<const unsigned char*>(name.c_str()), -1, -1, 0);
+  X509_set_issuer_name(certificate, X509_get_subject_name(certificate));
+  X509_sign(certificate, key, EVP_sha256());
+  FILE* file = std::fopen(certificate_file.c_str(), "w");
+  PEM_write_X509(file, certificate);
+  std::fclose(file);
+  file = std::fopen(key_file.c_str(), "w");
+  PEM_write_PrivateKey(file, key, nullptr, nullptr, 0, nullptr, nullptr);
+  std::fclose(file);
+  X509_free(certificate);
+  EVP_PKEY_free(key);
+}
+
+// The name in the certificate that a new connection gets.
+std::string ServedName(Fixture* f) {
+  RawConnection connection(f->server.port());
+  SSL_CTX* context = SSL_CTX_new(TLS_client_method());
+  SSL* ssl = SSL_new(context);
+  SSL_set_fd(ssl, connection.fd());
+  const bool connected = f->Until([&] { return SSL_connect(ssl) == 1; });
+  std::string name;
+  X509* certificate = connected ? SSL_get1_peer_certificate(ssl) : nullptr;
+  if (certificate != nullptr) {
+    char text[64] = {};
+    X509_NAME_get_text_by_NID(X509_get_subject_name(certificate), NID_commonName, text, sizeof(text));
+    name = text;
+    X509_free(certificate);
+  }
+  SSL_free(ssl);
+  SSL_CTX_free(context);
+  return name;
+}
+
+// Guards against a reload that needs a restart, or that leaves the server without a usable certificate.
+TEST_CASE("a certificate is reloaded, and a broken one leaves the old one in use") {
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() / ("quetzalridge_tls_" + std::to_string(getpid()));
+  std::filesystem::create_directories(folder);
+  HttpServerOptions options;
+  options.tls_certificate_file = folder / "certificate.pem";
+  options.tls_key_file = folder / "key.pem";
+  WriteCertificate("first", options.tls_certificate_file, options.tls_key_file);
+  Fixture f(options);
+  CHECK(ServedName(&f) == "first");
+  WriteCertificate("second", options.tls_certificate_file, options.tls_key_file);
+  CHECK(f.server.ReloadTls());
+  CHECK(ServedName(&f) == "second");
+  WriteCertificate("third", options.tls_certificate_file, folder / "other_key.pem");
+  CHECK_FALSE(f.server.ReloadTls());
+  CHECK(ServedName(&f) == "second");
+  std::filesystem::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace quetzalridge
