Add the order duty and its targets

Purpose: endpoint orders of one availability zone come from one process at a time. An intent row with the sequence is written before the orders; each order is checked against the lease as the last step before the write.

Intents that were read are now replaced by new ones before anything is ordered. An order whose answer was given up is waited for until the request timeout, so the next one cannot overtake it.

300 sequences with pauses, crashes, lost answers and drains pass; without the lease check before the write a violation is found.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -49,6 +49,10 @@
       {LogEvent::kUsageDiffers, LogSeverity::kError, "usage_differs",
        "The platform holds other figures for a reported window; compare usage-frozen with the platform."},
       {LogEvent::kUsageDamaged, LogSeverity::kError, "usage_damaged", "A usage row is malformed; restore it."},
+      {LogEvent::kOrderStale, LogSeverity::kWarning, "order_stale",
+       "The platform refused an order as stale; a newer holder or sequence was seen. The intents are read again."},
+      {LogEvent::kNoEndpointsToOrder, LogSeverity::kWarning, "no_endpoints_to_order",
+       "The platform has no endpoints of an ordered kind in the availability zone."},
   };
   return kCatalogue;
 }
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -39,6 +39,8 @@
   kUsageLate = 6002,
   kUsageDiffers = 6003,
   kUsageDamaged = 6004,
+  kOrderStale = 6005,
+  kNoEndpointsToOrder = 6006,
 };
 
 struct LogEventInfo {
--- /dev/null
+++ b/src/coordination/order_duty.cc
@@ -0,0 +1,226 @@
+#include "coordination/order_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log_event.h"
+
+namespace quetzalridge {
+
+namespace {
+
+constexpr int kRowsPerScan = 128;
+constexpr int kTransactionIdBytes = 8;
+// Orders of one intent: one for each kind.
+constexpr int64_t kOrdersPerIntent = 2;
+
+}  // namespace
+
+OrderDuty::OrderDuty(TableStore* store, Scheduler* scheduler, Platform* platform, OrderTargets* targets,
+                     std::string zone, OrderDutyOptions options)
+    : m_store(store),
+      m_scheduler(scheduler),
+      m_platform(platform),
+      m_targets(targets),
+      m_zone(std::move(zone)),
+      m_options(options),
+      m_resolving_store(store, scheduler),
+      m_gate(std::make_shared<RequestGate>(&scheduler->clock(), options.request_timeout)) {}
+
+void OrderDuty::OnAcquired(const Lease* lease) {
+  m_lease = lease;
+  m_stopped = false;
+  m_intents_known = false;
+  m_gate->Open(lease);
+  Tick();
+}
+
+void OrderDuty::OnLost() {
+  m_lease = nullptr;
+  m_gate->Close();
+  m_timer.reset();
+}
+
+void OrderDuty::Stop() {
+  m_stopped = true;
+  m_gate->Close();
+  m_timer.reset();
+}
+
+bool OrderDuty::IsIdle() const {
+  return m_gate->IsIdle();
+}
+
+void OrderDuty::Tick() {
+  if (!IsActive()) {
+    return;
+  }
+  m_timer = m_scheduler->After(m_options.poll, [this] { Tick(); });
+  // An order that may still arrive must not be overtaken by the next one.
+  if (m_busy || !m_gate->IsIdle()) {
+    return;
+  }
+  m_busy = true;
+  if (m_intents_known) {
+    ReadInstances();
+    return;
+  }
+  m_services.clear();
+  m_sequence = 0;
+  ReadIntents("");
+}
+
+void OrderDuty::ReadIntents(const std::string& after) {
+  m_store->Scan(OrderPrefix(m_zone), after, kRowsPerScan,
+                m_guard.Wrap([this](const ReadResult& read) { OnIntents(read); }));
+}
+
+// Sequences go on after those of earlier holders. What they ordered last is ordered again or corrected, since nothing
+// tells whether their last orders arrived.
+void OrderDuty::OnIntents(const ReadResult& read) {
+  if (!read.ok || !IsActive()) {
+    EndStep();
+    return;
+  }
+  for (const TableRow& row : read.rows) {
+    Service service;
+    service.intent = DecodeOrderIntent(row.value).value_or(OrderIntent{});
+    service.row_version = row.version;
+    m_sequence = std::max(m_sequence, service.intent.sequence + kOrdersPerIntent - 1);
+    m_services[row.key.substr(OrderPrefix(m_zone).size())] = service;
+  }
+  if (static_cast<int>(read.rows.size()) == kRowsPerScan) {
+    ReadIntents(read.rows.back().key);
+    return;
+  }
+  m_intents_known = true;
+  ReadInstances();
+}
+
+void OrderDuty::ReadInstances() {
+  m_platform->ListInstances(m_guard.Wrap([this](const InstanceListResult& list) {
+    if (!list.ok || !IsActive()) {
+      EndStep();
+      return;
+    }
+    Review(list.instances);
+  }));
+}
+
+void OrderDuty::Review(const std::vector<PlatformInstance>& instances) {
+  m_pending.clear();
+  for (const ServiceTarget& target : m_targets->Targets(m_zone, instances, m_scheduler->clock().Now())) {
+    m_pending.push_back(target);
+  }
+  // A service that was removed from the configuration needs no endpoints.
+  for (const auto& [name, service] : m_services) {
+    const bool is_planned = std::any_of(m_pending.begin(), m_pending.end(),
+                                        [&, &service_name = name](const auto& t) { return t.service == service_name; });
+    if (!is_planned) {
+      m_pending.push_back({name, 0, 0});
+    }
+  }
+  Next();
+}
+
+void OrderDuty::Next() {
+  if (!IsActive()) {
+    EndStep();
+    return;
+  }
+  while (!m_pending.empty()) {
+    const ServiceTarget target = m_pending.front();
+    const Service& service = m_services[target.service];
+    const bool is_written =
+        service.written && service.intent.steady == target.steady && service.intent.cheap == target.cheap;
+    if (!is_written) {
+      WriteIntent(target);
+      return;
+    }
+    if (!service.steady_accepted || !service.cheap_accepted) {
+      SendOrder(target.service, service.steady_accepted ? EndpointKind::kCheap : EndpointKind::kSteady);
+      return;
+    }
+    m_pending.pop_front();
+  }
+  EndStep();
+}
+
+void OrderDuty::WriteIntent(const ServiceTarget& target) {
+  OrderIntent intent;
+  intent.steady = target.steady;
+  intent.cheap = target.cheap;
+  intent.sequence = m_sequence + 1;
+  intent.fence = m_lease->epoch();
+  intent.holder = m_lease->holder();
+  m_sequence += kOrdersPerIntent;
+  const std::string key = OrderPrefix(m_zone) + target.service;
+  TableTransaction transaction;
+  transaction.id = RandomHex(kTransactionIdBytes);
+  transaction.checks = {{key, m_services[target.service].row_version}};
+  transaction.writes = {{key, EncodeOrderIntent(intent)}};
+  m_resolving_store.Transact(std::move(transaction), key,
+                             [this, service = target.service, intent](const TransactResult& result) {
+                               OnIntentWritten(service, intent, result);
+                             });
+}
+
+void OrderDuty::OnIntentWritten(const std::string& service, const OrderIntent& intent, const TransactResult& result) {
+  if (result.outcome != TransactOutcome::kCommitted) {
+    // Another process wrote the row, so this one may no longer hold the lease; everything is read again.
+    m_intents_known = m_intents_known && result.outcome != TransactOutcome::kConflict;
+    EndStep();
+    return;
+  }
+  m_services[service] = {intent, result.revision, true, false, false};
+  Next();
+}
+
+void OrderDuty::SendOrder(const std::string& service, EndpointKind kind) {
+  const bool is_cheap = kind == EndpointKind::kCheap;
+  const OrderIntent& intent = m_services[service].intent;
+  EndpointOrder order;
+  order.zone = m_zone;
+  order.service = service;
+  order.kind = kind;
+  order.target = is_cheap ? intent.cheap : intent.steady;
+  order.sequence = intent.sequence + (is_cheap ? 1 : 0);
+  order.fence = intent.fence;
+  order.holder = intent.holder;
+  m_platform->OrderEndpoints(
+      order, [gate = m_gate, epoch = order.fence] { return gate->MayWrite(epoch); },
+      m_guard.Wrap([this, service, kind](const OrderResult& result) { OnOrdered(service, kind, result); }));
+}
+
+// Where the order was not accepted, the next review sends it again or replaces it. An order is written only once the
+// answer to the previous one is known or given up, so orders arrive in sequence.
+void OrderDuty::OnOrdered(const std::string& service, EndpointKind kind, const OrderResult& result) {
+  if (result.outcome != OrderOutcome::kUnknown) {
+    m_gate->OnAnswered();
+  }
+  switch (result.outcome) {
+    case OrderOutcome::kAccepted:
+      (kind == EndpointKind::kCheap ? m_services[service].cheap_accepted : m_services[service].steady_accepted) = true;
+      Next();
+      return;
+    case OrderOutcome::kStale:
+      Log(LogEvent::kOrderStale, m_zone + "/" + service);
+      m_intents_known = false;
+      EndStep();
+      return;
+    case OrderOutcome::kNoneAvailable:
+      Log(LogEvent::kNoEndpointsToOrder, m_zone + "/" + service);
+      m_targets->OnNoneAvailable(m_zone, service, kind, m_scheduler->clock().Now());
+      // The other services of the zone need not wait for this one.
+      m_pending.pop_front();
+      Next();
+      return;
+    case OrderOutcome::kNotSent:
+    case OrderOutcome::kUnknown:
+      EndStep();
+      return;
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/order_duty.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/callback_guard.h"
+#include "coordination/duty.h"
+#include "coordination/order_record.h"
+#include "coordination/order_targets.h"
+#include "coordination/platform.h"
+#include "coordination/request_gate.h"
+#include "coordination/resolving_store.h"
+#include "coordination/scheduler.h"
+#include "coordination/table_store.h"
+
+namespace quetzalridge {
+
+struct OrderDutyOptions {
+  Duration poll = Duration::Seconds(2);
+  Duration request_timeout = Duration::Seconds(5);
+};
+
+// Orders the endpoints of one availability zone: writes down each intent, then sends absolute targets, one order at a
+// time.
+class OrderDuty : public Duty {
+ public:
+  OrderDuty(TableStore* store, Scheduler* scheduler, Platform* platform, OrderTargets* targets, std::string zone,
+            OrderDutyOptions options);
+
+  void OnAcquired(const Lease* lease) override;
+  void OnLost() override;
+  void Stop() override;
+  bool IsIdle() const override;
+
+ private:
+  struct Service {
+    OrderIntent intent;
+    int64_t row_version = 0;
+    // The intent was written since the lease was acquired. Orders of an intent that was read are not sent: its second
+    // order may have arrived, and the first would then be out of sequence.
+    bool written = false;
+    // Kinds whose order of this intent was accepted by the platform.
+    bool steady_accepted = false;
+    bool cheap_accepted = false;
+  };
+
+  bool IsActive() const { return m_lease != nullptr && !m_stopped; }
+  void Tick();
+  void ReadIntents(const std::string& after);
+  void OnIntents(const ReadResult& read);
+  void ReadInstances();
+  void Review(const std::vector<PlatformInstance>& instances);
+  void Next();
+  void WriteIntent(const ServiceTarget& target);
+  void OnIntentWritten(const std::string& service, const OrderIntent& intent, const TransactResult& result);
+  void SendOrder(const std::string& service, EndpointKind kind);
+  void OnOrdered(const std::string& service, EndpointKind kind, const OrderResult& result);
+  void EndStep() { m_busy = false; }
+
+  TableStore* m_store;
+  Scheduler* m_scheduler;
+  Platform* m_platform;
+  OrderTargets* m_targets;
+  std::string m_zone;
+  OrderDutyOptions m_options;
+  ResolvingStore m_resolving_store;
+  std::shared_ptr<RequestGate> m_gate;
+  const Lease* m_lease = nullptr;
+  bool m_stopped = false;
+  bool m_busy = false;
+  // The intents of earlier holders were read under the present lease.
+  bool m_intents_known = false;
+  int64_t m_sequence = 0;
+  std::map<std::string, Service> m_services;
+  // Targets of the present review that are still to be looked at.
+  std::deque<ServiceTarget> m_pending;
+  std::unique_ptr<Timer> m_timer;
+  CallbackGuard m_guard;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/order_record.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace quetzalridge {
+
+// The contents of the row `order/<zone>/<service>`: what the holder of the order duty is about to order.
+struct OrderIntent {
+  int steady = 0;
+  int cheap = 0;
+  // Sequence of the order for steady endpoints; the one for cheap endpoints has the next number.
+  int64_t sequence = 0;
+  int64_t fence = 0;
+  std::string holder;
+};
+
+std::string OrderPrefix(const std::string& zone);
+std::string EncodeOrderIntent(const OrderIntent& intent);
+std::optional<OrderIntent> DecodeOrderIntent(const std::string& value);
+
+}  // namespace quetzalridge
--- a/src/coordination/usage_duty.cc
+++ b/src/coordination/usage_duty.cc
@@ -56,7 +56,7 @@
     return;
   }
   m_timer = m_scheduler->After(m_options.poll, [this] { Tick(); });
-  if (m_busy) {
+  if (m_busy || !m_gate->IsIdle()) {
     return;
   }
   m_busy = true;
--- /dev/null
+++ b/tests/coordination/order_duty_test.cc
@@ -0,0 +1,237 @@
+#include "coordination/order_duty.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "coordination/duty_manager.h"
+#include "tests/fakes/fake_table_store.h"
+#include "tests/fakes/property.h"
+
+namespace quetzalridge {
+namespace {
+
+constexpr int kInstances = 3;
+constexpr Duration kRequestTimeout = Duration::Seconds(5);
+
+struct FixedTargets : OrderTargets {
+  int steady = 2;
+  std::vector<ServiceTarget> Targets(const std::string&, const std::vector<PlatformInstance>&, TimePoint) override {
+    return {{"sorting", steady, 1}};
+  }
+};
+
+// The platform's order interface without a fencing check. The oracle: fence and sequence never go back, each order
+// has a recorded intent, and the sender holds the lease when the order arrives.
+struct OrderIntake {
+  explicit OrderIntake(ManualScheduler* scheduler, const FakeTable* fake_table) : world(scheduler), table(fake_table) {}
+
+  ManualScheduler* world;
+  const FakeTable* table;
+  Random random{3};
+  double lost_answer_chance = 0;
+  bool none_available = false;
+  int64_t newest_fence = 0;
+  int64_t newest_sequence = 0;
+  int accepted = 0;
+  std::optional<std::string> violation;
+
+  void Take(const EndpointOrder& order) {
+    if (order.fence < newest_fence || order.sequence < newest_sequence) {
+      violation = "order " + std::to_string(order.fence) + "/" + std::to_string(order.sequence) + " after " +
+                  std::to_string(newest_fence) + "/" + std::to_string(newest_sequence);
+    }
+    newest_fence = std::max(newest_fence, order.fence);
+    newest_sequence = std::max(newest_sequence, order.sequence);
+    const std::optional<LeaseRecord> lease = DecodeLeaseRecord(table->Row("lease/order/z").value);
+    if (!lease.has_value() || lease->epoch > order.fence) {
+      violation = "order of epoch " + std::to_string(order.fence) + " arrived under a newer lease";
+    }
+    const std::optional<OrderIntent> intent = DecodeOrderIntent(table->Row("order/z/" + order.service).value);
+    if (!intent.has_value() || intent->sequence < order.sequence - 1) {
+      violation = "order without an intent";
+    }
+    ++accepted;
+  }
+};
+
+// One process's connection: connect, check, write; the order may then take up to the request timeout to arrive.
+class FakeOrderPlatform : public Platform {
+ public:
+  FakeOrderPlatform(OrderIntake* intake, PausableScheduler* process, bool checks_before_write)
+      : m_intake(intake), m_process(process), m_checks_before_write(checks_before_write) {}
+
+  void ListInstances(std::function<void(const InstanceListResult&)> callback) override {
+    Answer(Duration::Milliseconds(1), [callback] {
+      InstanceListResult list;
+      list.ok = true;
+      callback(list);
+    });
+  }
+
+  // The connect takes a second, so that a pause can come between it and the write.
+  void OrderEndpoints(const EndpointOrder& order, BeforeWrite before_write,
+                      std::function<void(const OrderResult&)> callback) override {
+    Answer(Duration::Seconds(1), [this, order, before_write, callback] {
+      const bool may_write = before_write();
+      if (m_checks_before_write && !may_write) {
+        callback({OrderOutcome::kNotSent, 0});
+        return;
+      }
+      Write(order, callback);
+    });
+  }
+  void ReportUsage(const UsageReport&, BeforeWrite, std::function<void(ReportOutcome)>) override {}
+  void LatestWeightVersion(const std::string&, std::function<void(const WeightVersionResult&)>) override {}
+
+ private:
+  void Write(const EndpointOrder& order, const std::function<void(const OrderResult&)>& callback) {
+    const bool is_lost = m_intake->random.Chance(m_intake->lost_answer_chance);
+    const Duration delay = Duration::Milliseconds(static_cast<int64_t>(m_intake->random.Below(is_lost ? 4900 : 100)));
+    m_intake->world->Post(delay, [intake = m_intake, order] { intake->Take(order); });
+    OrderResult result{OrderOutcome::kAccepted, order.target};
+    if (is_lost) {
+      result.outcome = OrderOutcome::kUnknown;
+    } else if (m_intake->none_available) {
+      result.outcome = OrderOutcome::kNoneAvailable;
+    }
+    Answer(is_lost ? kRequestTimeout : Duration::Milliseconds(100), [callback, result] { callback(result); });
+  }
+
+  void Answer(Duration delay, std::function<void()> function) {
+    m_process->Post(delay, [alive = std::weak_ptr<bool>(m_alive), function = std::move(function)] {
+      if (!alive.expired()) {
+        function();
+      }
+    });
+  }
+
+  OrderIntake* m_intake;
+  PausableScheduler* m_process;
+  bool m_checks_before_write;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+struct OrderInstance {
+  OrderInstance(ManualScheduler* world, FakeTable* table, OrderIntake* intake, FixedTargets* targets,
+                const std::string& name, bool checks_before_write)
+      : process(world),
+        store(table, &process),
+        platform(intake, &process, checks_before_write),
+        duty(&store, &process, &platform, targets, "z", {}),
+        manager(&store, &process, OptionsOf(name)) {
+    manager.SetInstanceCount([] { return kInstances; });
+    manager.AddDuty("order/z", &duty);
+    manager.Start();
+  }
+  static DutyManagerOptions OptionsOf(const std::string& name) {
+    DutyManagerOptions options;
+    options.lease.holder = name;
+    return options;
+  }
+
+  PausableScheduler process;
+  FakeTableStore store;
+  FakeOrderPlatform platform;
+  OrderDuty duty;
+  DutyManager manager;
+};
+
+class OrderModel {
+ public:
+  OrderModel(uint64_t seed, bool checks_before_write)
+      : m_table(&m_world, seed), m_intake(&m_world, &m_table), m_checks_before_write(checks_before_write) {
+    m_table.late_chance = 0.3;
+    m_table.never_chance = 0.2;
+    for (int i = 0; i < kInstances; ++i) {
+      m_instances.push_back(nullptr);
+      Restart(i);
+    }
+  }
+
+  std::optional<std::string> Run(const CommandSequence& commands) {
+    for (const uint32_t command : commands) {
+      Execute(command % 10, static_cast<int>(command / 10 % kInstances), command / (10 * kInstances));
+      if (m_intake.violation.has_value()) {
+        return m_intake.violation;
+      }
+    }
+    return std::nullopt;
+  }
+  int accepted() const { return m_intake.accepted; }
+
+ private:
+  void Execute(uint32_t kind, int index, uint32_t amount) {
+    switch (kind) {
+      case 0:
+        m_instances[index]->process.Pause();
+        break;
+      case 1:
+        m_instances[index]->process.Resume();
+        break;
+      case 2:
+        m_table.lost_answer_chance = (amount % 3) * 0.2;
+        m_intake.lost_answer_chance = (amount % 2) * 0.5;
+        m_intake.none_available = amount % 5 == 0;
+        break;
+      case 3:
+        Restart(index);
+        break;
+      case 4:
+        m_instances[index]->manager.Drain([] {});
+        break;
+      case 5:
+      case 6:
+        m_targets.steady = static_cast<int>(amount % 9);
+        break;
+      default:
+        m_world.Advance(Duration::Milliseconds(amount % 9000));
+    }
+  }
+
+  void Restart(int index) {
+    m_instances[index] = std::make_unique<OrderInstance>(
+        &m_world, &m_table, &m_intake, &m_targets,
+        "i" + std::to_string(index) + "-" + std::to_string(m_next_incarnation++), m_checks_before_write);
+  }
+
+  ManualScheduler m_world;
+  FakeTable m_table;
+  FixedTargets m_targets;
+  OrderIntake m_intake;
+  bool m_checks_before_write;
+  std::vector<std::unique_ptr<OrderInstance>> m_instances;
+  int m_next_incarnation = 0;
+};
+
+PropertyOutcome CheckOrders(bool checks_before_write, Shrinking shrinking, int* accepted) {
+  constexpr uint64_t kSeed = 23;
+  constexpr int kCases = 300;
+  constexpr int kLength = 150;
+  return CheckSequences(kSeed, kCases, kLength, shrinking, [&](const CommandSequence& commands) {
+    OrderModel model(commands.size(), checks_before_write);
+    std::optional<std::string> violation = model.Run(commands);
+    *accepted += model.accepted();
+    return violation;
+  });
+}
+
+// Guards against orders of an old holder that arrive after the next holder took over, and against orders that arrive
+// out of sequence, at a platform that does not check.
+TEST_CASE("orders reach the platform in the order of leases and sequences") {
+  int accepted = 0;
+  const PropertyOutcome outcome = CheckOrders(true, Shrinking::kOn, &accepted);
+  INFO(outcome.message);
+  CHECK(outcome.holds);
+  CHECK(accepted > 1000);
+}
+
+// Guards against a check that cannot fail.
+TEST_CASE("the order check finds violations without the lease check before the write") {
+  int accepted = 0;
+  CHECK_FALSE(CheckOrders(false, Shrinking::kOff, &accepted).holds);
+}
+
+}  // namespace
+}  // namespace quetzalridge
