Pass over malformed rollout rows, and make the weight roll-out a duty

Cause: a malformed row raised an exception in a callback of the store, below h2o. Groups without an owner are claimed even before the roster is known. WeightRollout implements Duty; it is idle when each order has a result, and asks its lease before each write.

--- a/src/coordination/rollout_queue.cc
+++ b/src/coordination/rollout_queue.cc
@@ -21,6 +21,16 @@
 // Time between two scans over all instances together.
 constexpr Duration kScanSpacing = Duration::Milliseconds(1250);
 
+// The digest of the group that was submitted before; empty when its row is malformed.
+std::string StoredDigest(const TableRow& group, const TableRow& done) {
+  if (group.version != 0) {
+    const std::optional<GroupRow> row = ReadGroupRow(group);
+    return row.has_value() ? SpecDigest(row->spec) : "";
+  }
+  const std::optional<DoneRow> row = ReadDoneRow(done);
+  return row.has_value() ? row->spec_digest : "";
+}
+
 }  // namespace
 
 // A submission is split into transactions, which are sent one after the other.
@@ -143,9 +153,7 @@
       submission->remaining.push_back(chunk[i]);
       continue;
     }
-    const std::string digest =
-        group.version != 0 ? SpecDigest(DecodeGroupRow(group.value).spec) : DecodeDoneRow(done.value).spec_digest;
-    if (digest != SpecDigest(chunk[i])) {
+    if (StoredDigest(group, done) != SpecDigest(chunk[i])) {
       submission->Fail(ErrorCode::kConflict,
                        "group '" + chunk[i].id + "' exists with other content; use a new identity for it");
       return;
@@ -320,7 +328,8 @@
       return;
     }
     const TableRow& row = result.rows.at(0);
-    if (row.version != 0 && DecodeGroupRow(row.value).attempt != group->row.attempt) {
+    const std::optional<GroupRow> present = row.version != 0 ? ReadGroupRow(row) : std::nullopt;
+    if (present.has_value() && present->attempt != group->row.attempt) {
       m_context.objects->Delete(group->finished.object, [](const ObjectResult&) {});
     }
     Drop(id);
@@ -353,7 +362,7 @@
 }
 
 void RolloutQueue::Scan(const std::string& after) {
-  if (m_draining || !m_context.roster->known() || (after.empty() && m_scanning)) {
+  if (m_draining || (after.empty() && m_scanning)) {
     return;
   }
   m_scanning = true;
@@ -364,7 +373,8 @@
 void RolloutQueue::OnScan(const ReadResult& result) {
   std::vector<TableRow> claimable;
   for (const TableRow& row : result.rows) {
-    if (claimable.size() < kGroupsPerClaim && MayClaim(DecodeGroupRow(row.value))) {
+    const std::optional<GroupRow> group = ReadGroupRow(row);
+    if (claimable.size() < kGroupsPerClaim && group.has_value() && MayClaim(*group)) {
       claimable.push_back(row);
     }
   }
@@ -392,9 +402,13 @@
   if (row.incarnation == m_context.incarnation) {
     return m_groups.count(row.spec.id) == 0;
   }
+  if (row.incarnation.empty()) {
+    return true;
+  }
   const std::vector<RosterMember> members = m_context.roster->live_members();
-  return std::none_of(members.begin(), members.end(),
-                      [&](const RosterMember& member) { return member.incarnation == row.incarnation; });
+  return m_context.roster->known() && std::none_of(members.begin(), members.end(), [&](const RosterMember& member) {
+           return member.incarnation == row.incarnation;
+         });
 }
 
 // Each claim begins a new attempt, so that object names of different executions never meet.
--- a/src/coordination/rollout_rows.cc
+++ b/src/coordination/rollout_rows.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/log_event.h"
 
 namespace quetzalridge {
 
@@ -25,6 +26,17 @@
   }
 }
 
+// No exception may leave a callback of the store.
+template <typename Value>
+std::optional<Value> Read(const TableRow& row, Value (*decode)(const std::string&)) {
+  try {
+    return decode(row.value);
+  } catch (const Error& error) {
+    Log(LogEvent::kRolloutRowMalformed, row.key + ": " + error.what());
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 std::string EncodeGroupRow(const GroupRow& row) {
@@ -93,6 +105,22 @@
   });
 }
 
+std::optional<GroupRow> ReadGroupRow(const TableRow& row) {
+  return Read(row, &DecodeGroupRow);
+}
+
+std::optional<FinishedGroup> ReadReadyRow(const TableRow& row) {
+  return Read(row, &DecodeReadyRow);
+}
+
+std::optional<DoneRow> ReadDoneRow(const TableRow& row) {
+  return Read(row, &DecodeDoneRow);
+}
+
+std::optional<DeliveryCursor> ReadCursorRow(const TableRow& row) {
+  return Read(row, &DeliveryCursor::Decode);
+}
+
 std::string EncodeSamples(const std::string& group, const std::vector<FinishedSample>& samples) {
   std::string text;
   for (const FinishedSample& sample : samples) {
--- a/src/coordination/rollout_rows.h
+++ b/src/coordination/rollout_rows.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "coordination/table_store.h"
 #include "state/delivery_cursor.h"
 #include "state/sample_group.h"
 
@@ -60,6 +62,12 @@
 FinishedGroup DecodeReadyRow(const std::string& value);
 DoneRow DecodeDoneRow(const std::string& value);
 
+// The same for rows as read; a malformed row is logged and gives nothing.
+std::optional<GroupRow> ReadGroupRow(const TableRow& row);
+std::optional<FinishedGroup> ReadReadyRow(const TableRow& row);
+std::optional<DoneRow> ReadDoneRow(const TableRow& row);
+std::optional<DeliveryCursor> ReadCursorRow(const TableRow& row);
+
 // The samples of one group as comma-separated JSON objects, which are joined into the body of a batch unchanged.
 std::string EncodeSamples(const std::string& group, const std::vector<FinishedSample>& samples);
 
--- a/src/coordination/sample_delivery.cc
+++ b/src/coordination/sample_delivery.cc
@@ -17,9 +17,13 @@
 // A request is answered at most this long after its `wait`, even when the store does not answer.
 constexpr Duration kAnswerLimit = Duration::Seconds(5);
 
-// The group runs again when an instance claims it.
-std::string UnownedGroupRow(const std::string& value) {
-  GroupRow row = DecodeGroupRow(value);
+// The group runs again when an instance claims it. Nothing when its row is malformed.
+std::optional<std::string> UnownedGroupRow(const TableRow& stored) {
+  std::optional<GroupRow> read = ReadGroupRow(stored);
+  if (!read.has_value()) {
+    return std::nullopt;
+  }
+  GroupRow& row = *read;
   row.state = GroupState::kRunning;
   row.owner.clear();
   row.incarnation.clear();
@@ -68,11 +72,12 @@
       callback({});
       return;
     }
-    const std::string cursor_row = cursor_result.rows.at(0).value;
-    m_context.table->Scan(m_rows.ReadyPrefix(), "", kReadyPage,
-                          m_guard.Wrap([callback, cursor_row](const ReadResult& ready) {
-                            callback({ready.ok, DeliveryCursor::Decode(cursor_row), ready.rows.size()});
-                          }));
+    const TableRow cursor_row = cursor_result.rows.at(0);
+    m_context.table->Scan(
+        m_rows.ReadyPrefix(), "", kReadyPage, m_guard.Wrap([callback, cursor_row](const ReadResult& ready) {
+          const std::optional<DeliveryCursor> cursor = ReadCursorRow(cursor_row);
+          callback({ready.ok && cursor.has_value(), cursor.value_or(DeliveryCursor()), ready.rows.size()});
+        }));
   }));
 }
 
@@ -110,10 +115,14 @@
                             return;
                           }
                           const TableRow& row = result.rows.at(0);
-                          DeliveryCursor cursor = DeliveryCursor::Decode(row.value);
-                          switch (cursor.StateOf(batch)) {
+                          std::optional<DeliveryCursor> cursor = ReadCursorRow(row);
+                          if (!cursor.has_value()) {
+                            callback(DeliveryOutcome::kStoreUnavailable);
+                            return;
+                          }
+                          switch (cursor->StateOf(batch)) {
                             case BatchState::kOpen:
-                              CommitConfirmation(row, std::move(cursor), callback);
+                              CommitConfirmation(row, std::move(*cursor), callback);
                               return;
                             case BatchState::kConfirmed:
                               callback(DeliveryOutcome::kOk);
@@ -231,8 +240,13 @@
 
 void SampleDelivery::OnCursor(uint64_t id, const TableRow& row) {
   Operation* operation = Find(id);
+  std::optional<DeliveryCursor> cursor = ReadCursorRow(row);
+  if (!cursor.has_value()) {
+    RetryLater(id, DeliveryOutcome::kStoreUnavailable);
+    return;
+  }
   operation->cursor_version = row.version;
-  operation->cursor = DeliveryCursor::Decode(row.value);
+  operation->cursor = std::move(*cursor);
   operation->rechecking = false;
   if (!operation->cursor.open().has_value()) {
     ScanReady(id);
@@ -336,7 +350,10 @@
   std::vector<TableRow> fresh;
   std::vector<TableRow> stale;
   for (const TableRow& row : rows) {
-    (IsFresh(DecodeReadyRow(row.value), *operation) ? fresh : stale).push_back(row);
+    const std::optional<FinishedGroup> group = ReadReadyRow(row);
+    if (group.has_value()) {
+      (IsFresh(*group, *operation) ? fresh : stale).push_back(row);
+    }
   }
   if (!stale.empty()) {
     stale.resize(std::min(stale.size(), kMaxGroupsPerReturn));
@@ -428,7 +445,12 @@
     if (IsFresh(groups[i], *operation)) {
       transaction.writes.push_back({m_rows.ReadyKey(groups[i].id), EncodeReadyRow(groups[i])});
     } else {
-      transaction.writes.push_back({group_rows[i].key, UnownedGroupRow(group_rows[i].value)});
+      const std::optional<std::string> unowned = UnownedGroupRow(group_rows[i]);
+      if (!unowned.has_value()) {
+        RetryLater(id, DeliveryOutcome::kStoreUnavailable);
+        return;
+      }
+      transaction.writes.push_back({group_rows[i].key, unowned});
     }
   }
   DeliveryCursor cursor = operation->cursor;
@@ -459,14 +481,17 @@
                                   const std::vector<TableRow>& group_rows) {
   TableTransaction transaction;
   for (size_t i = 0; i < ready_rows.size(); ++i) {
-    if (group_rows.at(i).version == 0) {
-      ReadCursor(id);
+    const std::optional<std::string> unowned =
+        group_rows.at(i).version != 0 ? UnownedGroupRow(group_rows[i]) : std::nullopt;
+    if (!unowned.has_value()) {
+      // Another instance has returned the group meanwhile, or its row is malformed.
+      RetryLater(id, DeliveryOutcome::kStoreUnavailable);
       return;
     }
     transaction.checks.push_back({ready_rows[i].key, ready_rows[i].version});
     transaction.checks.push_back({group_rows[i].key, group_rows[i].version});
     transaction.writes.push_back({ready_rows[i].key, std::nullopt});
-    transaction.writes.push_back({group_rows[i].key, UnownedGroupRow(group_rows[i].value)});
+    transaction.writes.push_back({group_rows[i].key, unowned});
   }
   CommitAndReread(id, std::move(transaction), true);
 }
--- a/src/coordination/weight_rollout.cc
+++ b/src/coordination/weight_rollout.cc
@@ -32,6 +32,15 @@
   m_may_act = [] { return false; };
 }
 
+void WeightRollout::OnAcquired(const Lease* lease) {
+  Start(lease->epoch(), lease->holder(),
+        [lease, scheduler = m_context.scheduler] { return lease->MayStartRequest(scheduler->clock().Now()); });
+}
+
+void WeightRollout::OnLost() {
+  Stop();
+}
+
 // A version that cannot be read leaves the last one in force.
 void WeightRollout::Poll() {
   m_poll_timer = m_context.scheduler->After(kPollInterval, [this] { Poll(); });
@@ -66,6 +75,7 @@
   const auto it = std::find_if(endpoints.begin(), endpoints.end(),
                                [&](const EndpointState& state) { return state.id == endpoint; });
   const EngineOrder order{endpoint, it->address, m_plan.target(), m_epoch, m_holder};
+  ++m_orders;
   // The result of an order of an earlier term still describes what happened to the endpoint.
   m_context.engines->LoadWeights(order, m_may_act,
                                  m_guard.Wrap([this, endpoint, version = order.version](EngineOrderOutcome outcome) {
@@ -75,6 +85,7 @@
 
 void WeightRollout::OnOutcome(const std::string& endpoint, int64_t version, EngineOrderOutcome outcome) {
   const TimePoint now = m_context.scheduler->clock().Now();
+  --m_orders;
   switch (outcome) {
     case EngineOrderOutcome::kDone:
       m_plan.OnSwapped(endpoint, version, now);
--- a/src/coordination/weight_rollout.h
+++ b/src/coordination/weight_rollout.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "coordination/callback_guard.h"
+#include "coordination/duty.h"
 #include "coordination/endpoint_view.h"
 #include "coordination/engine_control.h"
 #include "coordination/platform.h"
@@ -21,16 +22,19 @@
 };
 
 // The duty that brings the newest weights of one service to its replicas.
-class WeightRollout {
+class WeightRollout : public Duty {
  public:
   WeightRollout(WeightRolloutContext context, std::string service, RolloutPlanOptions options);
-  ~WeightRollout();
+  ~WeightRollout() override;
   WeightRollout(const WeightRollout&) = delete;
   WeightRollout& operator=(const WeightRollout&) = delete;
 
   // Begins with the epoch of the lease. `may_act` is asked before each order is written.
   void Start(int64_t epoch, const std::string& holder, std::function<bool()> may_act);
-  void Stop();
+  void Stop() override;
+  void OnAcquired(const Lease* lease) override;
+  void OnLost() override;
+  bool IsIdle() const override { return m_orders == 0; }
   bool running() const { return m_wave_timer != nullptr; }
   const RolloutPlan& plan() const { return m_plan; }
 
@@ -44,6 +48,8 @@
   WeightRolloutContext m_context;
   std::string m_service;
   RolloutPlan m_plan;
+  // Without a result yet.
+  int m_orders = 0;
   int64_t m_epoch = 0;
   std::string m_holder;
   std::function<bool()> m_may_act;
--- a/tests/coordination/rollout_path_test.cc
+++ b/tests/coordination/rollout_path_test.cc
@@ -161,5 +161,33 @@
   CHECK(Json::parse(fetched.body)["samples"].size() == 4);
 }
 
+// Guards against an exception that leaves a callback of the store, and against one row that stops a whole queue.
+TEST_CASE("malformed rows are passed over") {
+  World world;
+  world.table.Apply({"x", {}, {{"rollout/q/group/bad", "{"}, {"rollout/q/ready/bad", "[]"}}});
+  world.Submit("a", {Spec("g1")});
+  world.scheduler.Advance(Duration::Seconds(5));
+  CHECK(world.Fetch("a", kFetch).outcome == DeliveryOutcome::kOk);
+  world.table.Apply({"y", {}, {{"rollout/q/cursor", "?"}}});
+  CHECK(world.Fetch("a", kFetch).outcome == DeliveryOutcome::kStoreUnavailable);
+  CHECK(world.Confirm("a", 1) == DeliveryOutcome::kStoreUnavailable);
+}
+
+// Guards against groups without an owner that wait while the roster cannot be read, and against a takeover from
+// instances that are alive.
+TEST_CASE("without a roster only groups without an owner are claimed") {
+  World world;
+  world.Add("b");
+  world.roster.is_known = false;
+  world.roster.members.clear();
+  world.instances["a"]->engine.token_time = Duration::Seconds(100);
+  world.Submit("a", {Spec("g1")});
+  world.scheduler.Advance(Duration::Seconds(20));
+  CHECK(world.instances["b"]->queue->owned_groups() == 0);
+  world.instances["a"]->queue->Drain([] {});
+  world.scheduler.Advance(Duration::Seconds(20));
+  CHECK(world.Fetch("b", kFetch).outcome == DeliveryOutcome::kOk);
+}
+
 }  // namespace
 }  // namespace quetzalridge
