--- a/src/coordination/group_runner.cc
+++ b/src/coordination/group_runner.cc
@@ -1,5 +1,7 @@
 #include "coordination/group_runner.h"
 
+#include <algorithm>
+
 namespace quetzalridge {
 
 // Receives what the engine produces for one copy.
@@ -55,9 +57,19 @@
   m_copies[id]->start_timer = m_scheduler->After(kStartRetryDelay, [this, id] { Launch(id); });
 }
 
+// No endpoint has a version above the newest, so more is not asked for.
+int64_t GroupRunner::MinUsefulVersion() const {
+  const int64_t newest = m_forecast->newest().value_or(0);
+  if (!m_options.forecast_freshness) {
+    return m_freshness.MinVersion(newest);
+  }
+  const TimePoint now = m_scheduler->clock().Now();
+  return std::min(newest, m_freshness.MinVersion(m_forecast->ExpectedAtHandover(now)));
+}
+
 SampleRequest GroupRunner::MakeRequest(SampleGroup::CopyId id) {
-  const int64_t min_version = m_freshness.MinVersion(m_forecast->newest().value_or(0));
-  // Text that is already past the bound can never be handed over; the sample starts again.
+  const int64_t min_version = MinUsefulVersion();
+  // Text that will be past the bound at the hand-over is of no use; the sample starts again.
   if (!m_group.copy(id).runs.empty() && OldestVersion(m_group.copy(id).runs) < min_version) {
     m_group.DiscardText(id);
   }
@@ -80,9 +92,13 @@
   switch (end) {
     case SampleEnd::kFinished:
       m_group.OnFinished(id, m_scheduler->clock().Now());
+      m_forecast->ObserveRunTime(m_scheduler->clock().Now() - m_group.copy(id).started);
       break;
     case SampleEnd::kInterrupted:
       m_group.OnInterrupted(id);
+      if (!m_options.resume_interrupted) {
+        m_group.DiscardText(id);
+      }
       break;
     case SampleEnd::kNotStarted:
       m_group.OnNotStarted(id);
--- a/src/coordination/group_runner.h
+++ b/src/coordination/group_runner.h
@@ -29,6 +29,10 @@
   int64_t staleness_bound = 2;
   double straggler_factor = 2.0;
   StragglerStrategy strategy = StragglerStrategy::kSecondCopyFromText;
+  // Interrupted samples go on from their text in place of starting again.
+  bool resume_interrupted = true;
+  // Reckons with the versions that are expected until the hand-over, not only with the newest one.
+  bool forecast_freshness = true;
 };
 
 // Runs the samples of one group until the group is complete. Destroying it cancels them.
@@ -53,6 +57,8 @@
   void RunMember(int member);
   void Launch(SampleGroup::CopyId id);
   void LaunchLater(SampleGroup::CopyId id);
+  // The oldest version that a sample may contain to be fresh at its hand-over, as far as can be foreseen.
+  int64_t MinUsefulVersion() const;
   SampleRequest MakeRequest(SampleGroup::CopyId id);
   void OnCopyEnd(SampleGroup::CopyId id, SampleEnd end);
   void CheckStragglers();
--- a/src/state/freshness_rule.cc
+++ b/src/state/freshness_rule.cc
@@ -19,6 +19,12 @@
   m_newest_seen = now;
 }
 
+void VersionForecast::ObserveRunTime(Duration run_time) {
+  m_run_time = m_run_time == Duration()
+                   ? run_time
+                   : Duration::Milliseconds((m_run_time.ms() * (kAverageDivisor - 1) + run_time.ms()) / kAverageDivisor);
+}
+
 int64_t VersionForecast::ExpectedAt(TimePoint time) const {
   const int64_t newest = m_newest.value_or(0);
   if (m_interval <= Duration() || time <= m_newest_seen) {
--- a/src/state/freshness_rule.h
+++ b/src/state/freshness_rule.h
@@ -32,13 +32,17 @@
   bool IsCurrent(TimePoint now, Duration freshness) const { return now - read_started < freshness; }
 };
 
-// Predicts the newest version at a later time from the times at which versions were first seen.
+// Predicts the newest version at a later time from the times at which versions were first seen, and the time at which a
+// sample that starts now is handed over from the run times of earlier ones.
 class VersionForecast {
  public:
   void Observe(int64_t version, TimePoint now);
   std::optional<int64_t> newest() const { return m_newest; }
   // The version that is expected to be the newest at `time`. Without an observed interval, the newest one.
   int64_t ExpectedAt(TimePoint time) const;
+  void ObserveRunTime(Duration run_time);
+  // The version that is expected when a sample that starts at `now` is handed over.
+  int64_t ExpectedAtHandover(TimePoint now) const { return ExpectedAt(now + m_run_time); }
 
  private:
   // Weight of the latest interval in the moving average.
@@ -48,6 +52,7 @@
   TimePoint m_newest_seen;
   bool m_newest_dated = false;
   Duration m_interval;
+  Duration m_run_time;
 };
 
 }  // namespace quetzalridge
