Keep failed connects out of the retry budget and look again before the write

Cause: after an endpoint died, each refused connect took from the budget of repeated work, so most requests of the first seconds were refused although other endpoints were free. An endpoint could be taken out of use between its choice and the write, and slow answers of the platform's list delayed the next poll. While a breaker was open, calls from before could close it or give its trial to a second call. A key with JSON escapes passed through a plain service or a rollout prompt.

Each has a test, except the overlapping polls.

--- a/src/daemon/dispatcher_run.cc
+++ b/src/daemon/dispatcher_run.cc
@@ -205,7 +205,13 @@
   call.head_timeout = options.first_token_timeout + m_request.answer_time;
   call.idle_timeout = options.first_token_timeout;
   call.total_timeout = std::max(options.total_timeout - (Now() - m_started_at), Duration::Milliseconds(1));
+  m_endpoint_left = false;
   call.before_write = [this] {
+    const EndpointState* chosen = m_owner->m_collaborators.endpoints->Find(m_endpoint_id);
+    if (chosen == nullptr || chosen->leaving || chosen->set_aside) {
+      m_endpoint_left = true;
+      return false;
+    }
     if (m_request.before_write && !m_request.before_write()) {
       m_abandoned = true;
       return false;
@@ -229,7 +235,7 @@
   m_collected.clear();
   m_in_flight = true;
   m_owner->m_in_flight[m_id] = {endpoint.id, {m_request.fingerprint, route.alone}, m_owner->m_crashes[endpoint.id]};
-  m_owner->m_collaborators.endpoints->OnCallStarted(endpoint.id);
+  m_trial = m_owner->m_collaborators.endpoints->OnCallStarted(endpoint.id);
   m_owner->m_collaborators.router->OnDispatched(endpoint.id, route.prefix_hashes);
   m_observer->OnAttempt(endpoint.id);
   if (m_ended) {
@@ -352,7 +358,7 @@
   }
   m_in_flight = false;
   m_owner->m_in_flight.erase(m_id);
-  m_owner->m_collaborators.endpoints->OnCallEnded(m_endpoint_id, effect);
+  m_owner->m_collaborators.endpoints->OnCallEnded(m_endpoint_id, effect, m_trial);
 }
 
 // Decides between another attempt and the end. "Not run" is said only when no attempt wrote a byte.
@@ -362,7 +368,7 @@
   }
   const bool suspect_alone =
       m_owner->m_collaborators.quarantine->Check(m_request.fingerprint, Now()) == FingerprintVerdict::kQuarantined;
-  EndAttempt(m_abandoned || suspect_alone ? CallEffect::kNone : CallEffect::kFailure);
+  EndAttempt(m_abandoned || m_endpoint_left || suspect_alone ? CallEffect::kNone : CallEffect::kFailure);
   m_owner->m_collaborators.endpoints->Release(m_id);
   m_maybe_ran = m_maybe_ran || !failure.not_run;
   DispatchEnd end;
@@ -371,9 +377,9 @@
   end.endpoint_id = m_endpoint_id;
   end.ran = m_maybe_ran ? Ran::kUnknown : Ran::kNo;
   end.abandoned = m_abandoned;
-  const bool may_repeat = failure.not_run || m_request.idempotent;
-  if (m_abandoned || m_head_passed || !may_repeat || m_attempts >= kMaxAttempts ||
-      !m_owner->m_retries.TakeRetry(Now())) {
+  // An attempt without a written byte made no work, so its repetition does not count against the budget.
+  const bool is_last = m_abandoned || m_head_passed || m_attempts >= kMaxAttempts;
+  if (is_last || !(failure.not_run || (m_request.idempotent && m_owner->m_retries.TakeRetry(Now())))) {
     if (m_maybe_ran && !m_request.idempotent) {
       end.error = ErrorCode::kOutcomeUnknown;
       end.message += "; whether the request ran is not known, so look before sending it again";
--- a/src/daemon/dispatcher_run.h
+++ b/src/daemon/dispatcher_run.h
@@ -79,6 +79,9 @@
   bool m_starting = false;
   bool m_head_passed = false;
   bool m_in_flight = false;
+  bool m_trial = false;
+  // The chosen endpoint was taken out of use before the write.
+  bool m_endpoint_left = false;
   int m_attempts = 0;
   std::string m_endpoint_id;
   std::string m_address;
--- a/src/daemon/endpoint_registry.cc
+++ b/src/daemon/endpoint_registry.cc
@@ -8,6 +8,7 @@
 
 // A report describes the engine at most this long ago; older starts need not be kept.
 constexpr Duration kLongestReportAge = Duration::Seconds(60);
+constexpr int kMaxListsPending = 6;
 
 EndpointState FromConfig(const std::string& id, const EndpointConfig& config) {
   EndpointState state;
@@ -133,23 +134,23 @@
   }
 }
 
-void EndpointRegistry::OnCallStarted(const std::string& endpoint_id) {
+bool EndpointRegistry::OnCallStarted(const std::string& endpoint_id) {
   EndpointState* endpoint = FindMutable(endpoint_id);
   if (endpoint == nullptr) {
-    return;
+    return false;
   }
   const TimePoint now = m_scheduler->clock().Now();
   ++endpoint->own_in_flight;
   ++endpoint->own_since_report;
   Record& record = m_records.at(endpoint_id);
-  record.breaker.OnStart(now);
   record.recent_starts.push_back(now);
   while (record.recent_starts.front() + kLongestReportAge < now) {
     record.recent_starts.pop_front();
   }
+  return record.breaker.OnStart(now);
 }
 
-void EndpointRegistry::OnCallEnded(const std::string& endpoint_id, CallEffect effect) {
+void EndpointRegistry::OnCallEnded(const std::string& endpoint_id, CallEffect effect, bool trial) {
   EndpointState* endpoint = FindMutable(endpoint_id);
   if (endpoint == nullptr) {
     return;
@@ -159,13 +160,13 @@
   CircuitBreaker& breaker = m_records.at(endpoint_id).breaker;
   switch (effect) {
     case CallEffect::kSuccess:
-      breaker.OnSuccess();
+      breaker.OnSuccess(trial);
       break;
     case CallEffect::kFailure:
-      breaker.OnFailure(m_scheduler->clock().Now());
+      breaker.OnFailure(trial, m_scheduler->clock().Now());
       break;
     case CallEffect::kNone:
-      breaker.OnNeutral();
+      breaker.OnNeutral(trial);
       break;
   }
 }
@@ -230,11 +231,18 @@
   m_endpoints = std::move(endpoints);
 }
 
+// The next poll does not wait for a slow answer: an endpoint that is leaving may get new work for 3 s only, and an
+// answer may take up to the platform's request timeout of 5 s.
 void EndpointRegistry::PollList() {
+  m_list_timer = m_scheduler->After(m_options.list_poll, [this] { PollList(); });
+  if (m_lists_pending >= kMaxListsPending) {
+    return;
+  }
+  ++m_lists_pending;
   m_platform->ListInstances([this, alive = m_alive](const InstanceListResult& result) {
     if (*alive) {
+      --m_lists_pending;
       OnList(result);
-      m_list_timer = m_scheduler->After(m_options.list_poll, [this] { PollList(); });
     }
   });
 }
--- a/src/daemon/endpoint_registry.h
+++ b/src/daemon/endpoint_registry.h
@@ -54,8 +54,9 @@
   void Reserve(const std::string& endpoint_id, uint64_t owner);
   void Release(uint64_t owner);
 
-  void OnCallStarted(const std::string& endpoint_id);
-  void OnCallEnded(const std::string& endpoint_id, CallEffect effect);
+  // True when the call is the trial of an open circuit breaker; said again when the call ends.
+  bool OnCallStarted(const std::string& endpoint_id);
+  void OnCallEnded(const std::string& endpoint_id, CallEffect effect, bool trial);
 
   // Reads the configuration and the last list again; tests call it without waiting for a poll.
   void Refresh();
@@ -93,6 +94,7 @@
   std::map<std::string, Record> m_records;
   std::vector<PlatformInstance> m_list;
   int64_t m_list_revision = -1;
+  int m_lists_pending = 0;
   std::unique_ptr<Timer> m_list_timer;
   std::unique_ptr<Timer> m_load_timer;
   // Callbacks of calls in flight look here whether the registry still exists.
--- a/src/daemon/key_authenticator.cc
+++ b/src/daemon/key_authenticator.cc
@@ -49,6 +49,22 @@
   return decoded;
 }
 
+// Resolves the escapes that JSON allows for printable characters.
+std::string JsonUnescape(const std::string& text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text.compare(i, 4, "\\u00") == 0 && i + 5 < text.size()) {
+      decoded.push_back(static_cast<char>(std::strtol(text.substr(i + 4, 2).c_str(), nullptr, 16)));
+      i += 5;
+    } else if (text[i] == '\\' && i + 1 < text.size()) {
+      decoded.push_back(text[++i]);
+    } else {
+      decoded.push_back(text[i]);
+    }
+  }
+  return decoded;
+}
+
 }  // namespace
 
 CallerIdentity KeyAuthenticator::Identify(const HttpRequest& request) const {
@@ -91,11 +107,14 @@
   }
   const auto contains = [&key](const std::string& text) { return text.find(key) != std::string::npos; };
   if (contains(request.body) || contains(request.path) || contains(request.query) ||
-      contains(PercentDecode(request.path)) || contains(PercentDecode(request.query))) {
+      contains(PercentDecode(request.path)) || contains(PercentDecode(request.query)) ||
+      contains(PercentDecode(request.body)) || contains(JsonUnescape(request.body))) {
     return true;
   }
   return std::any_of(request.headers.begin(), request.headers.end(), [&](const HttpHeader& header) {
-    return IsRequestHeaderAllowed(header.name, ServiceKind::kPlain) && contains(header.value);
+    // The idempotency key is stored in the platform's table.
+    return (IsRequestHeaderAllowed(header.name, ServiceKind::kPlain) || header.name == "idempotency-key") &&
+           contains(header.value);
   });
 }
 
--- a/src/daemon/key_authenticator.h
+++ b/src/daemon/key_authenticator.h
@@ -31,7 +31,8 @@
   const ConfigView* m_config;
 };
 
-// True when the request carries the key outside of the headers that name it, plain or percent-encoded.
+// True when the request carries the key outside of the headers that name it: plain, percent-encoded, or with JSON
+// escapes.
 bool LeaksKey(const HttpRequest& request, const std::string& key);
 
 }  // namespace quetzalridge
--- a/src/state/circuit_breaker.cc
+++ b/src/state/circuit_breaker.cc
@@ -16,26 +16,24 @@
   return !m_open || (!m_trial_running && now >= m_opened_at + m_open_for);
 }
 
-void CircuitBreaker::OnStart(TimePoint now) {
-  if (m_open && now >= m_opened_at + m_open_for) {
-    m_trial_running = true;
-  }
+bool CircuitBreaker::OnStart(TimePoint now) {
+  const bool trial = m_open && now >= m_opened_at + m_open_for;
+  m_trial_running = m_trial_running || trial;
+  return trial;
 }
 
-void CircuitBreaker::OnSuccess() {
-  m_open = false;
-  m_trial_running = false;
-  m_failures = 0;
-  m_open_for = Duration();
+void CircuitBreaker::OnSuccess(bool trial) {
+  if (m_open && !trial) {
+    return;
+  }
+  *this = CircuitBreaker();
 }
 
-// Calls that were in flight when the breaker opened fail later. They neither double the open time nor start it again.
-void CircuitBreaker::OnFailure(TimePoint now) {
-  ++m_failures;
-  if (m_open && !m_trial_running) {
+void CircuitBreaker::OnFailure(bool trial, TimePoint now) {
+  if (m_open && !trial) {
     return;
   }
-  if (!m_open && m_failures < kFailuresToOpen) {
+  if (!m_open && ++m_failures < kFailuresToOpen) {
     return;
   }
   m_open_for = m_open ? std::min(m_open_for * 2, kLongestOpenTime) : kFirstOpenTime;
@@ -44,8 +42,10 @@
   m_opened_at = now;
 }
 
-void CircuitBreaker::OnNeutral() {
-  m_trial_running = false;
+void CircuitBreaker::OnNeutral(bool trial) {
+  if (trial) {
+    m_trial_running = false;
+  }
 }
 
 }  // namespace quetzalridge
--- a/src/state/circuit_breaker.h
+++ b/src/state/circuit_breaker.h
@@ -9,12 +9,13 @@
  public:
   // While true, calls may start. After an open period only one trial call may.
   bool Allows(TimePoint now) const;
-  // A call started; takes the trial after an open period.
-  void OnStart(TimePoint now);
-  void OnSuccess();
-  void OnFailure(TimePoint now);
+  // A call started; true when it is the trial after an open period.
+  bool OnStart(TimePoint now);
+  // While the breaker is open, only the trial decides: other calls started before it opened.
+  void OnSuccess(bool trial);
+  void OnFailure(bool trial, TimePoint now);
   // The call ended without saying anything about the endpoint, for example by a caller that left.
-  void OnNeutral();
+  void OnNeutral(bool trial);
 
   bool open() const { return m_open; }
 
--- a/tests/daemon/caller_fixture.h
+++ b/tests/daemon/caller_fixture.h
@@ -68,6 +68,13 @@
 class LeastOwnRouter : public Router {
  public:
   int Choose(const RouteRequest& request, const std::vector<EndpointState>& endpoints, TimePoint now) override;
+  void OnDispatched(const std::string& endpoint_id, const std::vector<uint64_t>&) override {
+    if (on_dispatched) {
+      on_dispatched(endpoint_id);
+    }
+  }
+
+  std::function<void(const std::string&)> on_dispatched;
 };
 
 class RecordingUsage : public UsageSink {
--- a/tests/daemon/caller_keys_test.cc
+++ b/tests/daemon/caller_keys_test.cc
@@ -60,6 +60,16 @@
   CHECK(f.Run(f.Plain("/s/desk/key-a")).status() == 400);
   CHECK(f.Run(f.Plain("/s/desk/list?k=key-a")).status() == 400);
   CHECK(f.Run(f.Plain("/s/desk/list?k=%6bey%2Da")).status() == 400);
+  HttpCall form = f.Plain("/s/desk/list", "POST");
+  form.body = "k=%6Bey-a";
+  CHECK(f.Run(form).status() == 400);
+  HttpCall json = f.Plain("/s/desk/list", "POST");
+  json.body = R"({"k":"\u006Bey-a"})";
+  CHECK(f.Run(json).status() == 400);
+  HttpCall identity = f.Plain("/s/orders/1", "POST");
+  identity.headers.push_back({"idempotency-key", "key-a"});
+  CHECK(f.Run(identity).status() == 400);
+  CHECK(f.table.rows.empty());
   CHECK(Received(*f.endpoints["e0"]).find("key-a") == std::string::npos);
   CHECK(Received(*f.endpoints["d0"]).find("key-a") == std::string::npos);
   CHECK(f.endpoints["e0"]->requests.size() == 1);
--- a/tests/daemon/dispatcher_test.cc
+++ b/tests/daemon/dispatcher_test.cc
@@ -36,6 +36,30 @@
   CHECK(f.endpoints["e0"]->requests.size() >= 1);
 }
 
+// Guards against refusals while a dead endpoint is in the list: the budget bounds repeated work, not failed connects.
+TEST_CASE("failed connects move to another endpoint without the retry budget") {
+  CallerFixture f(2);
+  f.config.Change(ConfigKind::kEndpoint, "d0", R"({"service":"desk","address":"127.0.0.1:1","zone":"z1"})");
+  for (int i = 0; i < 12; ++i) {
+    CHECK(f.Run(f.Plain("/s/orders/" + std::to_string(i), "POST")).status() == 200);
+  }
+  CHECK(f.endpoints["d1"]->requests.size() == 12);
+}
+
+// Guards against new work on an endpoint that was taken out of use between its choice and the write.
+TEST_CASE("an endpoint that leaves before the write gets nothing") {
+  CallerFixture f(2);
+  std::string left;
+  f.router.on_dispatched = [&](const std::string& id) {
+    if (left.empty()) {
+      left = id;
+      f.config.Change(ConfigKind::kEndpoint, id, std::nullopt);
+    }
+  };
+  CHECK(f.Run(f.Plain("/s/orders/1", "POST")).status() == 200);
+  CHECK(f.endpoints[left]->requests.empty());
+}
+
 // Guards against a retry after a byte of the answer was passed on, and against a cut stream that passes for whole.
 TEST_CASE("a stream that is cut ends with an error event") {
   CallerFixture f(2);
--- a/tests/state/circuit_breaker_test.cc
+++ b/tests/state/circuit_breaker_test.cc
@@ -12,24 +12,24 @@
   CircuitBreaker breaker;
   ManualClock clock;
   for (int i = 0; i < 4; ++i) {
-    breaker.OnFailure(clock.Now());
+    breaker.OnFailure(false, clock.Now());
   }
   CHECK(breaker.Allows(clock.Now()));
-  breaker.OnFailure(clock.Now());
+  breaker.OnFailure(false, clock.Now());
   CHECK_FALSE(breaker.Allows(clock.Now()));
   // Calls that were in flight when it opened fail late and do not lengthen the open time.
   clock.Advance(Duration::Milliseconds(900));
-  breaker.OnFailure(clock.Now());
+  breaker.OnFailure(false, clock.Now());
   clock.Advance(Duration::Milliseconds(100));
   REQUIRE(breaker.Allows(clock.Now()));
   breaker.OnStart(clock.Now());
   CHECK_FALSE(breaker.Allows(clock.Now()));
-  breaker.OnFailure(clock.Now());
+  breaker.OnFailure(true, clock.Now());
   clock.Advance(Duration::Milliseconds(1999));
   CHECK_FALSE(breaker.Allows(clock.Now()));
   clock.Advance(Duration::Milliseconds(1));
   breaker.OnStart(clock.Now());
-  breaker.OnSuccess();
+  breaker.OnSuccess(true);
   CHECK(breaker.Allows(clock.Now()));
 }
 
@@ -38,17 +38,21 @@
   CircuitBreaker breaker;
   ManualClock clock;
   for (int i = 0; i < 5; ++i) {
-    breaker.OnFailure(clock.Now());
+    breaker.OnFailure(false, clock.Now());
   }
   for (int i = 0; i < 10; ++i) {
     clock.Advance(Duration::Seconds(30));
     REQUIRE(breaker.Allows(clock.Now()));
-    breaker.OnStart(clock.Now());
-    breaker.OnFailure(clock.Now());
+    REQUIRE(breaker.OnStart(clock.Now()));
+    breaker.OnFailure(true, clock.Now());
   }
   clock.Advance(Duration::Seconds(30));
   breaker.OnStart(clock.Now());
-  breaker.OnNeutral();
+  // Only the trial itself frees its place, and only it closes the breaker.
+  breaker.OnNeutral(false);
+  breaker.OnSuccess(false);
+  CHECK_FALSE(breaker.Allows(clock.Now()));
+  breaker.OnNeutral(true);
   CHECK(breaker.Allows(clock.Now()));
 }
 
