--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -31,8 +31,17 @@
   kStoreUnreachable = 3006,
   kPermissionLapsed = 3007,
   kPermissionRegained = 3008,
+  kRolloutRowMalformed = 4000,
+  kWeightRolloutStarted = 4001,
+  kWeightSwapSetAside = 4002,
   kLeaseAcquired = 6000,
   kLeaseLost = 6001,
+  kInstanceSuperseded = 3009,
+  kInstanceSilent = 3010,
+  kInstanceRemoved = 3011,
+  kUsageLate = 6002,
+  kUsageDiffers = 6003,
+  kUsageDamaged = 6004,
 };
 
 struct LogEventInfo {
