--- a/tests/history/lifecycle_test.cc
+++ b/tests/history/lifecycle_test.cc
@@ -80,5 +80,24 @@
   }
 }
 
+// Guards against an instance that never serves again after it was paused, with connections that ended meanwhile.
+TEST_CASE("a paused instance serves again", "[daemon]") {
+  Deployment deployment(43);
+  ProcessHarness* harness = deployment.harness();
+  for (int pause = 0; pause < 3; ++pause) {
+    deployment.daemon(1)->process->Signal(SIGSTOP);
+    for (int i = 0; i < 60; ++i) {
+      deployment.traffic()->StartCompletion(*deployment.daemon(1), deployment.caller(0),
+                                            {"model", deployment.UniqueText("ask"), 10, true});
+      harness->RunFor(Duration::Milliseconds(50));
+    }
+    CHECK(!harness->IsReady(*deployment.daemon(1)));
+    deployment.daemon(1)->process->Signal(SIGCONT);
+    CHECK(harness->WaitReady());
+  }
+  REQUIRE(deployment.traffic()->WaitAll());
+  CHECK(deployment.Judge() == Violations{});
+}
+
 }  // namespace
 }  // namespace quetzalridge::history
