Join membership, usage, duties, metrics and the burn report in the daemon

One duty set follows the configuration: endpoint orders per zone, weight roll-outs per model service, usage. A planned stop now also releases the duties, writes the last usage and leaves the roster. The burn report counts per service and workspace, with the causes shed, errors and slow.

The experiment's fake instance follows the breaker's trial flag.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -7,23 +7,32 @@
 #include "base/log_event.h"
 #include "coordination/config_log.h"
 #include "coordination/duty_manager.h"
+#include "coordination/membership.h"
 #include "coordination/once_ledger.h"
-#include "coordination/roster_view.h"
+#include "coordination/roster.h"
+#include "coordination/usage_recorder.h"
 #include "daemon/caller_api.h"
 #include "daemon/caller_front.h"
 #include "daemon/dispatched_sample_engine.h"
 #include "daemon/dispatcher.h"
+#include "daemon/duty_set.h"
 #include "daemon/endpoint_registry.h"
+#include "daemon/metrics.h"
 #include "daemon/operator_api.h"
+#include "daemon/peer_exchange.h"
 #include "daemon/rollout_api.h"
+#include "protocol/peer_codec.h"
 #include "state/fair_share_policy.h"
 #include "state/prefix_affinity_router.h"
+#include "state/sunset_planner.h"
 #include "transport/engine_client.h"
 #include "transport/http_client.h"
+#include "transport/http_engine_control.h"
 #include "transport/http_object_store.h"
 #include "transport/http_platform.h"
 #include "transport/http_server.h"
 #include "transport/http_table_store.h"
+#include "transport/udp_peer_channel.h"
 
 namespace quetzalridge {
 
@@ -32,6 +41,8 @@
 constexpr int kIncarnationBytes = 8;
 // The load balancer needs this long to notice that the instance is not ready; requests are served meanwhile.
 constexpr Duration kLameDuckTime = Duration::Seconds(3);
+constexpr Duration kListPoll = Duration::Seconds(5);
+constexpr Duration kLastRowsTime = Duration::Seconds(5);
 constexpr Duration kDrainCheck = Duration::Milliseconds(50);
 
 struct HostPort {
@@ -70,6 +81,10 @@
   return options;
 }
 
+Location LocationOf(const Settings& settings) {
+  return {settings.instance.latitude, settings.instance.longitude};
+}
+
 HttpServerOptions ListenOptions(const std::string& address, const Settings& settings) {
   const HostPort host_port = SplitAddress(address);
   HttpServerOptions options;
@@ -87,21 +102,52 @@
   return options;
 }
 
-class IgnoreUsage : public UsageSink {
- public:
-  void Add(const std::string&, const UsageFigures&) override {}
-};
+RosterOptions RosterOptionsOf(const Settings& settings, const std::string& incarnation) {
+  RosterOptions options;
+  options.instance = settings.instance.id;
+  options.incarnation = incarnation;
+  options.zone = settings.instance.zone;
+  options.peer_address = settings.listen.peer;
+  return options;
+}
 
-class IgnoreMetrics : public RequestMetrics {
- public:
-  void OnRequestEnd(const RequestRecord&) override {}
-};
+MembershipOptions MemberOptions(const Settings& settings, const std::string& incarnation) {
+  MembershipOptions options;
+  options.instance = settings.instance.id;
+  options.incarnation = incarnation;
+  options.interval = settings.timing.peer_interval;
+  options.permission = settings.timing.permission;
+  options.seed = Hash64(incarnation);
+  return options;
+}
 
-class SelfRoster : public RosterView {
- public:
-  bool known() const override { return false; }
-  std::vector<RosterMember> live_members() const override { return {}; }
-};
+DutyManagerOptions DutyOptions(const Settings& settings, const std::string& incarnation) {
+  DutyManagerOptions options;
+  options.lease.time_to_live = settings.timing.lease_ttl;
+  options.lease.request_timeout = settings.timing.platform_request_timeout;
+  options.lease.takeover_wait = settings.timing.lease_ttl + settings.timing.platform_request_timeout;
+  options.lease.holder = settings.instance.id + "/" + incarnation;
+  options.renewal = settings.timing.lease_renewal;
+  return options;
+}
+
+OrderDutyOptions OrderOptions(const Settings& settings) {
+  OrderDutyOptions options;
+  options.request_timeout = settings.timing.platform_request_timeout;
+  return options;
+}
+
+UsageDutyOptions UsageOptions(const Settings& settings) {
+  UsageDutyOptions options;
+  options.window = settings.timing.usage_window;
+  options.grace = settings.timing.usage_grace;
+  options.request_timeout = settings.timing.platform_request_timeout;
+  return options;
+}
+
+UsageRecorderOptions RecorderOptions(const Settings& settings, const std::string& incarnation) {
+  return {settings.instance.id + "-" + incarnation, settings.timing.usage_window, settings.timing.usage_flush};
+}
 
 }  // namespace
 
@@ -117,12 +163,27 @@
         m_objects(&m_client, PlatformOptions(m_settings)),
         m_platform(&m_client, PlatformOptions(m_settings)),
         m_config(&m_table, &m_objects, loop, ConfigOptions(m_settings, m_incarnation)),
+        m_peer_codec(m_settings.instance.cluster),
+        m_peer_channel(loop, m_settings.listen.peer),
+        m_roster(&m_table, loop, RosterOptionsOf(m_settings, m_incarnation)),
+        m_membership(loop, &m_peer_channel, &m_peer_codec, &m_roster, &m_config,
+                     MemberOptions(m_settings, m_incarnation)),
+        m_usage(&m_table, loop, &WallClockMilliseconds, RecorderOptions(m_settings, m_incarnation)),
+        m_metrics(&loop->clock(), &m_config),
         m_router(Hash64(m_incarnation)),
+        m_peer_exchange(&loop->clock(), &m_config, &m_admission, &m_quarantine),
         m_endpoints(loop, &m_config, &m_platform, &m_engines, &m_router, {m_settings.timing.load_poll}),
         m_dispatcher({loop, &m_config, &m_endpoints, &m_engines, &m_router, &m_admission, &m_quarantine},
                      DispatchOptions(m_settings)),
         m_sample_engine(&m_dispatcher, &m_usage),
         m_once(&m_table, loop, m_settings.instance.id + "/" + m_incarnation),
+        m_engine_control(&m_client),
+        m_targets(
+            &m_config, [this] { return std::make_unique<SunsetPlanner>(LocationOf(m_settings)); },
+            [this](const std::string& service) { return m_peer_exchange.DemandOf(service); }, &WallClockMilliseconds),
+        m_duty_manager(&m_table, loop, DutyOptions(m_settings, m_incarnation)),
+        m_duties({&m_table, loop, &m_platform, &m_endpoints, &m_engine_control, &m_targets, &m_config, &m_duty_manager},
+                 OrderOptions(m_settings), UsageOptions(m_settings)),
         m_caller_api({loop, &m_config, &m_dispatcher, &m_once, &m_usage, &m_metrics}, {m_settings.timing.stream_hold}),
         m_rollout_api({&m_table, &m_objects, &m_platform, &m_sample_engine, &m_roster, loop, m_settings.instance.id,
                        m_incarnation},
@@ -131,8 +192,13 @@
         m_operator_api(&m_config, loop, m_settings.admin.token, MakeHooks()),
         m_caller_server(loop, CallerListenOptions(m_settings), &m_caller_front),
         m_admin_server(loop, ListenOptions(m_settings.listen.admin, m_settings), &m_operator_api) {
+    Connect();
     m_config.Start();
+    m_roster.Start();
+    m_membership.Start();
+    m_usage.Start();
     m_endpoints.Start();
+    m_duties.Start();
     Log(LogEvent::kDaemonStarted, m_settings.instance.id + " incarnation " + m_incarnation + " caller " +
                                       m_settings.listen.caller + " admin " + m_settings.listen.admin);
   }
@@ -145,7 +211,9 @@
     }
     m_draining = true;
     Log(LogEvent::kDaemonDraining, m_settings.instance.id);
+    m_membership.SetLeaving();
     m_rollout_api.Drain([this] { m_rollouts_drained = true; });
+    m_duty_manager.Drain([this] { m_duties_drained = true; });
     m_drain_deadline = m_loop->clock().Now() + m_settings.limits.drain_timeout;
     m_drain_timer = m_loop->After(kLameDuckTime, [this] {
       m_caller_front.BeginDrain();
@@ -166,10 +234,30 @@
   bool drained() const { return m_drained; }
 
  private:
+  void Connect() {
+    m_config.SetPeers(&m_membership);
+    m_roster.SetHeardAt([this](const std::string& incarnation) { return m_membership.peers().HeardAt(incarnation); });
+    m_duty_manager.SetInstanceCount([this] { return m_roster.live_count(); });
+    m_membership.SetDigestSource([this] { return m_peer_exchange.MakeDigest(); });
+    m_membership.SetDigestReceiver([this](const std::string& incarnation, const PeerDigest& digest) {
+      m_peer_exchange.OnDigest(incarnation, digest);
+    });
+    PollInstanceList();
+  }
+
+  void PollInstanceList() {
+    m_platform.ListInstances([this](const InstanceListResult& list) {
+      if (list.ok) {
+        m_roster.OnInstanceList(list);
+      }
+    });
+    m_list_timer = m_loop->After(kListPoll, [this] { PollInstanceList(); });
+  }
+
   OperatorHooks MakeHooks() {
     OperatorHooks hooks;
-    hooks.metrics = [] { return std::string(); };
-    hooks.burn = [] { return std::string(R"({"services":[]})"); };
+    hooks.metrics = [this] { return m_metrics.Text(); };
+    hooks.burn = [this] { return m_metrics.BurnReportJson(); };
     hooks.status = [this] { return StatusJson(); };
     hooks.drain = [this] { BeginDrain(); };
     hooks.draining = [this] { return m_draining; };
@@ -196,17 +284,53 @@
                                    {"zone", m_settings.instance.zone},
                                    {"requests_in_progress", m_caller_api.active()},
                                    {"rollout_groups", m_rollout_api.owned_groups()},
+                                   {"peers", PeersJson()},
+                                   {"duties", DutiesJson()},
                                    {"endpoints", endpoints}};
     return status.dump();
   }
 
+  nlohmann::json PeersJson() const {
+    nlohmann::json peers = nlohmann::json::array();
+    const TimePoint now = m_loop->clock().Now();
+    for (const auto& [id, entry] : m_roster.others()) {
+      nlohmann::json peer = {{"id", id}, {"zone", entry.record.zone}, {"address", entry.record.peer_address}};
+      if (const auto heard = m_membership.peers().HeardAt(entry.record.incarnation)) {
+        peer["heard_ms_ago"] = (now - *heard).ms();
+      }
+      peers.push_back(peer);
+    }
+    return peers;
+  }
+
+  nlohmann::json DutiesJson() const {
+    nlohmann::json duties = nlohmann::json::array();
+    for (const std::string& name : m_duty_manager.DutyNames()) {
+      const Lease* lease = m_duty_manager.FindLease(name);
+      duties.push_back(
+          {{"duty", name}, {"held_here", lease->IsHeld(m_loop->clock().Now())}, {"epoch", lease->epoch()}});
+    }
+    return duties;
+  }
+
   void CheckDrained() {
     const bool expired = m_loop->clock().Now() >= m_drain_deadline;
-    const bool idle = m_caller_api.active() == 0 && m_rollouts_drained;
+    const bool idle = m_caller_api.active() == 0 && m_rollouts_drained && m_duties_drained;
     if (!idle && !expired) {
       m_drain_timer = m_loop->After(kDrainCheck, [this] { CheckDrained(); });
       return;
     }
+    WriteLastRows();
+  }
+
+  // While the store is unreachable the last usage cannot be written; the stop does not wait for it for ever.
+  void WriteLastRows() {
+    m_drain_timer = m_loop->After(kLastRowsTime, [this] { CloseServers(); });
+    m_usage.Finish(
+        [this] { m_roster.Leave([this] { m_drain_timer = m_loop->After(Duration(), [this] { CloseServers(); }); }); });
+  }
+
+  void CloseServers() {
     m_caller_server.BeginShutdown();
     m_admin_server.BeginShutdown();
     m_drain_timer = m_loop->After(kDrainCheck, [this] { CloseWhenSent(); });
@@ -232,16 +356,24 @@
   HttpObjectStore m_objects;
   HttpPlatform m_platform;
   ConfigLog m_config;
+  CerealPeerCodec m_peer_codec;
+  UdpPeerChannel m_peer_channel;
+  Roster m_roster;
+  Membership m_membership;
+  UsageRecorder m_usage;
+  Metrics m_metrics;
   PrefixAffinityRouter m_router;
   FairSharePolicy m_admission;
   Quarantine m_quarantine;
+  PeerExchange m_peer_exchange;
   EndpointRegistry m_endpoints;
   Dispatcher m_dispatcher;
-  IgnoreUsage m_usage;
-  IgnoreMetrics m_metrics;
-  SelfRoster m_roster;
   DispatchedSampleEngine m_sample_engine;
   OnceLedger m_once;
+  HttpEngineControl m_engine_control;
+  PlannedTargets m_targets;
+  DutyManager m_duty_manager;
+  DutySet m_duties;
   CallerApi m_caller_api;
   RolloutApi m_rollout_api;
   CallerFront m_caller_front;
@@ -250,9 +382,11 @@
   HttpServer m_admin_server;
   bool m_draining = false;
   bool m_rollouts_drained = false;
+  bool m_duties_drained = false;
   bool m_drained = false;
   TimePoint m_drain_deadline;
   std::unique_ptr<Timer> m_drain_timer;
+  std::unique_ptr<Timer> m_list_timer;
 };
 
 Daemon::Daemon(EventLoop* loop, Settings settings) : m_impl(std::make_unique<Impl>(loop, std::move(settings))) {}
--- /dev/null
+++ b/src/daemon/duty_set.cc
@@ -0,0 +1,83 @@
+#include "daemon/duty_set.h"
+
+#include <utility>
+
+#include "base/clock.h"
+
+namespace quetzalridge {
+
+namespace {
+
+// Drops the duties whose configuration entry is gone.
+template <typename DutyMap, typename Wanted>
+void RemoveUnwanted(const std::string& prefix, DutyManager* manager, DutyMap* duties, const Wanted& wanted) {
+  for (auto it = duties->begin(); it != duties->end();) {
+    if (wanted(it->first)) {
+      ++it;
+      continue;
+    }
+    manager->RemoveDuty(prefix + it->first);
+    it = duties->erase(it);
+  }
+}
+
+}  // namespace
+
+DutySet::DutySet(Collaborators collaborators, OrderDutyOptions order_options, UsageDutyOptions usage_options)
+    : m_collaborators(collaborators),
+      m_order_options(order_options),
+      m_usage(collaborators.table, collaborators.scheduler, collaborators.platform, &WallClockMilliseconds,
+              usage_options) {}
+
+void DutySet::Start() {
+  m_collaborators.manager->AddDuty("usage", &m_usage);
+  m_collaborators.config->AddListener([this](const ConfigChange& change) {
+    if (change.kind == ConfigKind::kZone || change.kind == ConfigKind::kService) {
+      Update();
+    }
+  });
+  Update();
+  m_collaborators.manager->Start();
+}
+
+void DutySet::Update() {
+  UpdateOrders();
+  UpdateWeights();
+}
+
+void DutySet::UpdateOrders() {
+  const auto& zones = m_collaborators.config->document().zones();
+  RemoveUnwanted("order/", m_collaborators.manager, &m_orders,
+                 [&](const std::string& zone) { return zones.count(zone) > 0; });
+  for (const auto& [zone, config] : zones) {
+    if (m_orders.count(zone) > 0) {
+      continue;
+    }
+    auto duty = std::make_unique<OrderDuty>(m_collaborators.table, m_collaborators.scheduler, m_collaborators.platform,
+                                            m_collaborators.targets, zone, m_order_options);
+    m_collaborators.manager->AddDuty("order/" + zone, duty.get());
+    m_orders[zone] = std::move(duty);
+  }
+}
+
+void DutySet::UpdateWeights() {
+  const auto& services = m_collaborators.config->document().services();
+  const auto is_inference = [&](const std::string& name) {
+    const auto it = services.find(name);
+    return it != services.end() && it->second.kind == ServiceKind::kInference;
+  };
+  RemoveUnwanted("weights/", m_collaborators.manager, &m_weights, is_inference);
+  for (const auto& [name, service] : services) {
+    if (!is_inference(name) || m_weights.count(name) > 0) {
+      continue;
+    }
+    auto duty =
+        std::make_unique<WeightRollout>(WeightRolloutContext{m_collaborators.platform, m_collaborators.endpoints,
+                                                             m_collaborators.engines, m_collaborators.scheduler},
+                                        name, RolloutPlanOptions());
+    m_collaborators.manager->AddDuty("weights/" + name, duty.get());
+    m_weights[name] = std::move(duty);
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/daemon/duty_set.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordination/config_view.h"
+#include "coordination/duty_manager.h"
+#include "coordination/order_duty.h"
+#include "coordination/order_targets.h"
+#include "coordination/usage_duty.h"
+#include "coordination/weight_rollout.h"
+
+namespace quetzalridge {
+
+// Keeps one duty per availability zone, one per model service, and the usage duty, as the configuration changes.
+class DutySet {
+ public:
+  struct Collaborators {
+    TableStore* table = nullptr;
+    Scheduler* scheduler = nullptr;
+    Platform* platform = nullptr;
+    EndpointView* endpoints = nullptr;
+    EngineControl* engines = nullptr;
+    OrderTargets* targets = nullptr;
+    ConfigView* config = nullptr;
+    DutyManager* manager = nullptr;
+  };
+
+  DutySet(Collaborators collaborators, OrderDutyOptions order_options, UsageDutyOptions usage_options);
+
+  void Start();
+
+ private:
+  void Update();
+  void UpdateOrders();
+  void UpdateWeights();
+
+  Collaborators m_collaborators;
+  OrderDutyOptions m_order_options;
+  UsageDuty m_usage;
+  std::map<std::string, std::unique_ptr<OrderDuty>> m_orders;
+  std::map<std::string, std::unique_ptr<WeightRollout>> m_weights;
+};
+
+}  // namespace quetzalridge
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -99,10 +99,6 @@
   *text += "# HELP " + name + " " + help + "\n# TYPE " + name + " " + type + "\n";
 }
 
-nlohmann::json ToJson(const GoodBadCount& count, double burn) {
-  return {{"good", count.good}, {"bad", count.bad}, {"burn_rate", burn}};
-}
-
 }  // namespace
 
 class Metrics::Impl {
@@ -118,7 +114,12 @@
     }
     // What the caller did wrong says nothing about the service.
     if (record.outcome != RequestOutcome::kCallerError) {
-      m_burn[record.service].Add(IsGood(record), m_clock->Now());
+      Burn& burn = m_burn[{record.service, record.workspace}];
+      const bool good = IsGood(record);
+      burn.requests.Add(good, m_clock->Now());
+      if (!good) {
+        burn.causes[CauseOf(record)].Add(false, m_clock->Now());
+      }
     }
   }
 
@@ -138,22 +139,17 @@
     return text;
   }
 
+  // One line for each workspace that a service served, and one for a service without requests.
   std::vector<BurnLine> BurnReport() const {
     std::vector<BurnLine> lines;
     for (const auto& [name, service] : m_config->document().services()) {
-      const ProfileConfig profile = ProfileOf(name);
-      BurnLine line;
-      line.service = name;
-      line.objective_target = profile.objective_target;
-      line.objective_latency_ms = profile.objective_latency_ms;
-      const auto burn = m_burn.find(name);
-      if (burn != m_burn.end()) {
-        line.last_5_minutes = burn->second.Count(kShortWindow, m_clock->Now());
-        line.last_hour = burn->second.Count(kLongWindow, m_clock->Now());
+      const size_t before = lines.size();
+      for (auto it = m_burn.lower_bound({name, ""}); it != m_burn.end() && it->first.first == name; ++it) {
+        lines.push_back(MakeLine(it->first, it->second));
+      }
+      if (lines.size() == before) {
+        lines.push_back(MakeLine({name, ""}, Burn()));
       }
-      line.burn_5_minutes = BurnRate::Rate(line.last_5_minutes, profile.objective_target);
-      line.burn_hour = BurnRate::Rate(line.last_hour, profile.objective_target);
-      lines.push_back(line);
     }
     return lines;
   }
@@ -161,6 +157,41 @@
  private:
   using SeriesKey = std::pair<std::string, std::string>;
 
+  // Good and bad requests, and the bad ones by cause.
+  struct Burn {
+    BurnRate requests;
+    std::map<std::string_view, BurnRate> causes;
+  };
+
+  BurnLine MakeLine(const SeriesKey& key, const Burn& burn) const {
+    const ProfileConfig profile = ProfileOf(key.first);
+    const TimePoint now = m_clock->Now();
+    BurnLine line;
+    line.service = key.first;
+    line.workspace = key.second;
+    line.objective_target = profile.objective_target;
+    line.objective_latency_ms = profile.objective_latency_ms;
+    line.last_5_minutes = burn.requests.Count(kShortWindow, now);
+    line.last_hour = burn.requests.Count(kLongWindow, now);
+    line.burn_5_minutes = BurnRate::Rate(line.last_5_minutes, profile.objective_target);
+    line.burn_hour = BurnRate::Rate(line.last_hour, profile.objective_target);
+    for (const auto& [cause, rate] : burn.causes) {
+      line.causes[std::string(cause)] = rate.Count(kLongWindow, now).bad;
+    }
+    return line;
+  }
+
+  static std::string_view CauseOf(const RequestRecord& record) {
+    switch (record.outcome) {
+      case RequestOutcome::kRefused:
+        return "shed";
+      case RequestOutcome::kFailed:
+        return "errors";
+      default:
+        return "slow";
+    }
+  }
+
   static std::string Labels(const SeriesKey& key) {
     return "service=\"" + EscapeLabel(key.first) + "\",workspace=\"" + EscapeLabel(key.second) + "\"";
   }
@@ -191,7 +222,7 @@
   const Clock* m_clock;
   const ConfigView* m_config;
   std::map<SeriesKey, Series> m_series;
-  std::map<std::string, BurnRate> m_burn;
+  std::map<SeriesKey, Burn> m_burn;
 };
 
 Metrics::Metrics(const Clock* clock, const ConfigView* config) : m_impl(std::make_unique<Impl>(clock, config)) {}
@@ -214,10 +245,15 @@
   nlohmann::json services = nlohmann::json::array();
   for (const BurnLine& line : m_impl->BurnReport()) {
     services.push_back({{"service", line.service},
-                        {"objective_target", line.objective_target},
-                        {"objective_latency_ms", line.objective_latency_ms},
-                        {"last_5_minutes", ToJson(line.last_5_minutes, line.burn_5_minutes)},
-                        {"last_hour", ToJson(line.last_hour, line.burn_hour)}});
+                        {"workspace", line.workspace},
+                        {"objective_ms", line.objective_latency_ms},
+                        {"target", line.objective_target},
+                        {"requests", line.last_hour.good + line.last_hour.bad},
+                        {"bad", line.last_hour.bad},
+                        {"budget_left", 1.0 - line.burn_hour},
+                        {"burn_5m", line.burn_5_minutes},
+                        {"burn_1h", line.burn_hour},
+                        {"consumed_by", line.causes}});
   }
   return nlohmann::json{{"services", services}}.dump() + "\n";
 }
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -10,15 +11,18 @@
 
 namespace quetzalridge {
 
-// How fast one service uses up its error budget.
+// How fast one service uses up its error budget for one workspace.
 struct BurnLine {
   std::string service;
+  std::string workspace;
   double objective_target = 0.0;
   int64_t objective_latency_ms = 0;
   GoodBadCount last_5_minutes;
   GoodBadCount last_hour;
   double burn_5_minutes = 0.0;
   double burn_hour = 0.0;
+  // Bad requests of the last hour by cause.
+  std::map<std::string, int64_t> causes;
 };
 
 // Request counts and latency histograms of this instance for each service and workspace.
@@ -33,7 +37,7 @@
 
   // The Prometheus text format.
   std::string Text() const;
-  // One line for each service of the configuration.
+  // Lines of the services of the configuration.
   std::vector<BurnLine> BurnReport() const;
   // The same as a JSON object {"services":[...]}.
   std::string BurnReportJson() const;
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -82,6 +82,16 @@
           }};
 }
 
+Field DegreesField(const std::string& path, double* target, double limit) {
+  return {path, "degrees", "0", false, [=](const Json& value) -> std::optional<std::string> {
+            if (!value.is_number() || value.get<double>() < -limit || value.get<double>() > limit) {
+              return "must be degrees from " + Json(-limit).dump() + " to " + Json(limit).dump();
+            }
+            *target = value.get<double>();
+            return std::nullopt;
+          }};
+}
+
 Field DurationField(const std::string& path, Duration* target, int64_t minimum_ms, int64_t maximum_ms) {
   return {
       path, "milliseconds", std::to_string(target->ms()), false, [=](const Json& value) -> std::optional<std::string> {
@@ -113,6 +123,8 @@
       StringField("instance.id", &s->instance.id, true),
       StringField("instance.zone", &s->instance.zone, true),
       StringField("instance.cluster", &s->instance.cluster, false),
+      DegreesField("instance.latitude", &s->instance.latitude, 90),
+      DegreesField("instance.longitude", &s->instance.longitude, 180),
       AddressField("listen.caller", &s->listen.caller),
       AddressField("listen.admin", &s->listen.admin),
       AddressField("listen.peer", &s->listen.peer),
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -15,6 +15,9 @@
     std::string id;
     std::string zone;
     std::string cluster = "default";
+    // Degrees; the demand forecast works out the sunset from them.
+    double latitude = 0.0;
+    double longitude = 0.0;
   } instance;
 
   // Addresses are "ip:port".
--- a/tools/experiment/fake_instance.h
+++ b/tools/experiment/fake_instance.h
@@ -56,6 +56,8 @@
     RequestRecord* record = nullptr;
     int tokens_left = 0;
     int endpoint = -1;
+    // The trial call of an open breaker.
+    bool trial = false;
     bool preempted = false;
     std::vector<std::string> excluded;
   };
--- a/tools/experiment/straggler_experiment.cc
+++ b/tools/experiment/straggler_experiment.cc
@@ -246,8 +246,6 @@
   }
 
  private:
-  static int kReclaimedZone { return 0; }
-
   void StartGroup(const std::string& id) {
     SampleGroupSpec spec;
     spec.id = id;
