Bound the time that a planned stop waits for the store

scripts/demo.sh hung in its clean-up: the stand-ins end at the same moment as the daemons, leases cannot be released without the store, and the stop waited for limits.drain_timeout_ms (600 s). Leases and groups that are not handed back within 10 s are now left to lapse, as they are when an instance dies.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -42,6 +42,8 @@
 // The load balancer needs this long to notice that the instance is not ready; requests are served meanwhile.
 constexpr Duration kLameDuckTime = Duration::Seconds(3);
 constexpr Duration kListPoll = Duration::Seconds(5);
+// While the store is unreachable, leases and groups cannot be handed back; others take them over after a while.
+constexpr Duration kHandBackTime = Duration::Seconds(10);
 constexpr Duration kLastRowsTime = Duration::Seconds(5);
 constexpr Duration kDrainCheck = Duration::Milliseconds(50);
 
@@ -215,6 +217,7 @@
     m_rollout_api.Drain([this] { m_rollouts_drained = true; });
     m_duty_manager.Drain([this] { m_duties_drained = true; });
     m_drain_deadline = m_loop->clock().Now() + m_settings.limits.drain_timeout;
+    m_hand_back_deadline = m_loop->clock().Now() + kHandBackTime;
     m_drain_timer = m_loop->After(kLameDuckTime, [this] {
       m_caller_front.BeginDrain();
       m_caller_api.BeginDrain();
@@ -314,8 +317,10 @@
   }
 
   void CheckDrained() {
-    const bool expired = m_loop->clock().Now() >= m_drain_deadline;
-    const bool idle = m_caller_api.active() == 0 && m_rollouts_drained && m_duties_drained;
+    const TimePoint now = m_loop->clock().Now();
+    const bool expired = now >= m_drain_deadline;
+    const bool handed_back = (m_rollouts_drained && m_duties_drained) || now >= m_hand_back_deadline;
+    const bool idle = m_caller_api.active() == 0 && handed_back;
     if (!idle && !expired) {
       m_drain_timer = m_loop->After(kDrainCheck, [this] { CheckDrained(); });
       return;
@@ -385,6 +390,7 @@
   bool m_duties_drained = false;
   bool m_drained = false;
   TimePoint m_drain_deadline;
+  TimePoint m_hand_back_deadline;
   std::unique_ptr<Timer> m_drain_timer;
   std::unique_ptr<Timer> m_list_timer;
 };
