Keep the answer of a non-idempotent call that could not be handed over

Cause: when serving permission lapsed before the end of a call with an idempotency key, its row stayed as started, so a repetition got an unknown outcome although the answer was there. The row of a streamed call was never finished.

Adds tests of the wait for a slot and of callers that leave.

--- a/src/coordination/once_ledger.cc
+++ b/src/coordination/once_ledger.cc
@@ -130,7 +130,7 @@
   call->callback(begin);
 }
 
-void OnceLedger::Finish(const std::string& row_key, const OnceAnswer& answer) {
+void OnceLedger::Finish(const std::string& row_key, const std::optional<OnceAnswer>& answer) {
   const auto owned = m_owned.find(row_key);
   if (owned == m_owned.end()) {
     return;
--- a/src/coordination/once_ledger.h
+++ b/src/coordination/once_ledger.h
@@ -50,8 +50,8 @@
   // Writes the row before the dispatch. The callback comes later than the call, and within the timeout.
   void Begin(const std::string& workspace, const std::string& request_id, uint64_t fingerprint,
              std::function<void(const OnceBegin&)> callback);
-  // The call ended with a whole answer. Without one, the row stays as it is.
-  void Finish(const std::string& row_key, const OnceAnswer& answer);
+  // The call ended with a whole answer; absent when it is not kept, as for streams.
+  void Finish(const std::string& row_key, const std::optional<OnceAnswer>& answer);
   // The call's end is not known, which is what the row says until it expires.
   void Forget(const std::string& row_key) { m_owned.erase(row_key); }
   // The call was certainly not run. When the callback runs, its identity may be used again, unless the store did not
--- a/src/daemon/caller_request.cc
+++ b/src/daemon/caller_request.cc
@@ -210,6 +210,9 @@
   if (m_closed) {
     return;
   }
+  if (!end.error.has_value()) {
+    FinishOnce();
+  }
   if (end.abandoned) {
     const bool valid = m_owner->m_authenticator.IsValid(m_identity);
     SendError(valid ? ErrorCode::kPermissionLapsed : ErrorCode::kKeyWithdrawn,
@@ -231,6 +234,22 @@
   }
 }
 
+// The row is written also when the answer cannot be handed over, so that a repetition finds it.
+void CallerApi::Request::FinishOnce() {
+  if (m_once_row.empty()) {
+    return;
+  }
+  std::optional<OnceAnswer> answer;
+  if (!m_streaming) {
+    const std::string* type = FindHeader(m_head.headers, "content-type");
+    answer = OnceAnswer{m_head.status, type == nullptr ? "" : *type, m_answer};
+  } else if (!m_stream.done()) {
+    return;
+  }
+  m_owner->m_collaborators.once->Finish(m_once_row, answer);
+  m_once_row.clear();
+}
+
 void CallerApi::Request::EndStream(const DispatchEnd& end) {
   if (!m_held.empty()) {
     std::string held;
@@ -251,11 +270,6 @@
 }
 
 void CallerApi::Request::SendAnswer() {
-  if (!m_once_row.empty()) {
-    const std::string* type = FindHeader(m_head.headers, "content-type");
-    m_owner->m_collaborators.once->Finish(m_once_row, {m_head.status, type == nullptr ? "" : *type, m_answer});
-    m_once_row.clear();
-  }
   m_responder->Send(m_head.status, m_head.headers, m_answer);
   Close(OutcomeOfStatus(m_head.status));
 }
--- a/src/daemon/caller_request.h
+++ b/src/daemon/caller_request.h
@@ -33,6 +33,7 @@
   void ForwardStream(std::string_view data);
   void Send(std::string_view data);
   void EndStream(const DispatchEnd& end);
+  void FinishOnce();
   void SendAnswer();
   void SendError(ErrorCode code, const std::string& message, Ran ran, Duration retry_after);
   void Record(RequestOutcome outcome);
--- a/tests/daemon/dispatcher_test.cc
+++ b/tests/daemon/dispatcher_test.cc
@@ -258,6 +258,32 @@
   std::optional<SampleEnd> end;
 };
 
+// Guards against requests that wait for ever, and against one that leaves its place in the queue behind.
+TEST_CASE("a request waits for a slot, and is refused as not run when none becomes free") {
+  DispatcherOptions options;
+  options.queue_timeout = Duration::Milliseconds(60);
+  CallerFixture f(1, options);
+  std::vector<std::pair<HttpRequest, Responder>> held;
+  f.endpoints["e0"]->on_request = [&](const HttpRequest& request, const Responder& responder) {
+    held.push_back({request, responder});
+  };
+  f.admission.limit = 1;
+  const auto first = f.Send(f.Completion("a", false));
+  REQUIRE(f.Until([&] { return held.size() == 1; }));
+  const CallerAnswer refused = f.Run(f.Completion("b", false));
+  CHECK(refused.status() == 429);
+  CHECK(refused.body().find("\"ran\":\"no\"") != std::string::npos);
+  CHECK(f.admission.queue.empty());
+  const auto waiting = f.Send(f.Completion("c", false));
+  REQUIRE(f.Until([&] { return f.admission.queue.size() == 1; }));
+  held[0].second->Send(200, FakeEndpoint::EchoHeaders(held[0].first, "application/json"), "{}");
+  REQUIRE(f.Until([&] { return held.size() == 2; }));
+  held[1].second->Send(200, FakeEndpoint::EchoHeaders(held[1].first, "application/json"), "{}");
+  REQUIRE(f.Until([&] { return first->done && waiting->done; }));
+  CHECK(waiting->status() == 200);
+  CHECK(f.admission.running == 0);
+}
+
 // Guards against samples with tokens lost or without the version that produced them.
 TEST_CASE("a sample reports each token with its version, and a cut one is interrupted") {
   CallerFixture f;
--- a/tests/daemon/once_test.cc
+++ b/tests/daemon/once_test.cc
@@ -81,6 +81,33 @@
   CHECK(f.endpoints["d0"]->requests.size() == 1);
 }
 
+// Guards against an unknown outcome for a caller that was too impatient, and for one whose instance lost its
+// permission.
+TEST_CASE("an answer that could not be handed over is kept for the repetition") {
+  for (const bool caller_leaves : {true, false}) {
+    CallerFixture f;
+    std::vector<std::pair<HttpRequest, std::shared_ptr<HttpResponder>>> held;
+    f.endpoints["d0"]->on_request = [&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+      held.push_back({request, responder});
+    };
+    HttpCall call = Order(&f, "id-1");
+    call.head_timeout = caller_leaves ? Duration::Milliseconds(30) : call.head_timeout;
+    const auto first = f.Send(call);
+    REQUIRE(f.Until([&] { return held.size() == 1 && (first->done || !caller_leaves); }));
+    for (int i = 0; i < 60; ++i) {
+      f.loop.RunOnce(Duration::Milliseconds(10));
+    }
+    f.config.may_serve = caller_leaves;
+    Accept(held[0].first, held[0].second);
+    REQUIRE(f.Until([&] { return first->done && f.api->active() == 0; }));
+    f.config.may_serve = true;
+    const CallerAnswer again = f.Run(Order(&f, "id-1"));
+    CHECK(again.status() == 201);
+    CHECK(again.body() == "order of hides");
+    CHECK(held.size() == 1);
+  }
+}
+
 // Guards against malformed identities in row keys, and against rows of an unknown shape that let a call run.
 TEST_CASE("identities and rows that cannot be read are refused") {
   CallerFixture f;
