--- a/tools/experiment/fake_instance.h
+++ b/tools/experiment/fake_instance.h
@@ -56,6 +56,7 @@
     RequestRecord* record = nullptr;
     int tokens_left = 0;
     int endpoint = -1;
+    bool breaker_trial = false;
     bool preempted = false;
     std::vector<std::string> excluded;
   };
