--- a/tests/transport/http_client_fuzz_test.cc
+++ b/tests/transport/http_client_fuzz_test.cc
@@ -29,20 +29,23 @@
   RawServer& operator=(const RawServer&) = delete;
 
   void Poll(const std::string& answer) {
-    const int connection = accept(m_fd, nullptr, nullptr);
-    if (connection < 0) {
-      return;
+    if (m_connection < 0) {
+      m_connection = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK);
     }
     char request[4096];
-    recv(connection, request, sizeof(request), 0);
-    send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
-    close(connection);
+    if (m_connection < 0 || recv(m_connection, request, sizeof(request), 0) <= 0) {
+      return;
+    }
+    send(m_connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+    close(m_connection);
+    m_connection = -1;
   }
   std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
  private:
   int m_fd;
   int m_port = 0;
+  int m_connection = -1;
 };
 
 // Guards against an endpoint's malformed answer that crashes the process, leaves a call without an end, or is reported
--- a/tools/experiment/fake_instance.h
+++ b/tools/experiment/fake_instance.h
@@ -56,8 +56,7 @@
     RequestRecord* record = nullptr;
     int tokens_left = 0;
     int endpoint = -1;
-    // The trial call of an open breaker.
-    bool trial = false;
+    bool breaker_trial = false;
     bool preempted = false;
     std::vector<std::string> excluded;
   };
