--- a/src/coordination/config_log.cc
+++ b/src/coordination/config_log.cc
@@ -43,6 +43,7 @@
     Log(result.ok ? LogEvent::kStoreReachable : LogEvent::kStoreUnreachable, "configuration poll");
   }
   m_store_reachable = result.ok;
+  m_has_read_store = m_has_read_store || result.complete;
   if (result.complete && !m_started) {
     m_started = true;
     Log(LogEvent::kConfigLoaded, "version " + std::to_string(m_replica.version()));
@@ -57,7 +58,8 @@
   if (confirmation.has_value() && now - confirmation->at <= m_options.permission) {
     return true;
   }
-  return m_peers != nullptr && !m_store_reachable && m_peers->AllReportStoreUnreachable(now, m_options.permission);
+  return m_peers != nullptr && m_has_read_store && !m_store_reachable &&
+         m_peers->AllReportStoreUnreachable(now, m_options.permission);
 }
 
 void ConfigLog::ReviewPermission() {
--- a/src/coordination/config_log.h
+++ b/src/coordination/config_log.h
@@ -41,6 +41,8 @@
 
   // The configuration was read from the store, or agreed with two peers, since the process started.
   bool started() const { return m_started; }
+  // The whole configuration was read from the store since the process started.
+  bool has_read_store() const { return m_has_read_store; }
   int64_t newest_known() const { return m_replica.newest_known(); }
   std::optional<HeadConfirmation> confirmation() const { return m_replica.confirmation(); }
   // The last poll that ended was answered.
@@ -72,6 +74,7 @@
   ConfigProposer m_proposer;
   const ConfigPeers* m_peers = nullptr;
   bool m_started = false;
+  bool m_has_read_store = false;
   bool m_store_reachable = false;
   bool m_permission_logged = false;
   uint64_t m_next_poll = 0;
--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -150,7 +150,7 @@
     status.confirmed_version = confirmation->version;
     status.confirmation_age_ms = (now - confirmation->at).ms();
   }
-  status.started = m_config->started();
+  status.has_read_store = m_config->has_read_store();
   status.store_reachable = m_config->ReportsStoreReachable();
   status.leaving = m_leaving;
   status.wants_reply = wants_reply;
@@ -234,7 +234,7 @@
   for (const auto& [incarnation, peer] : m_peers.peers()) {
     const PeerStatus& status = peer.status;
     const bool is_fresh = peer.made_after.has_value() && now - *peer.made_after <= m_options.permission;
-    if (is_fresh && status.started && status.applied_version == version && status.newest_known == version) {
+    if (is_fresh && status.has_read_store && status.applied_version == version && status.newest_known == version) {
       agreeing.insert(status.sender);
     }
   }
@@ -272,7 +272,8 @@
   return true;
 }
 
-// A peer that knows a newer version may have accepted it before it lost the store.
+// A peer that knows a newer version may have accepted it before it lost the store. A peer that has not read the store
+// since it started may have accepted one before it was restarted; nobody else needs to know of it.
 bool Membership::AllReportStoreUnreachable(TimePoint now, Duration validity) const {
   if (!m_roster->joined()) {
     return false;
@@ -280,7 +281,8 @@
   for (const Member& member : Members()) {
     const PeerState* peer = m_peers.Find(member.incarnation);
     const bool is_fresh = peer != nullptr && peer->made_after.has_value() && now - *peer->made_after <= validity;
-    if (!is_fresh || peer->status.store_reachable || peer->status.newest_known > m_config->document().version()) {
+    if (!is_fresh || !peer->status.has_read_store || peer->status.store_reachable ||
+        peer->status.newest_known > m_config->document().version()) {
       return false;
     }
   }
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -43,7 +43,9 @@
   // The newest version whose being the head was confirmed, and how long ago; -1 when none was.
   int64_t confirmed_version = 0;
   int64_t confirmation_age_ms = -1;
-  bool started = false;
+  // The sender has itself read the whole configuration from the store, so it knows of every change that an earlier
+  // process with its instance id accepted.
+  bool has_read_store = false;
   // False when the store is unreachable and no change of this instance can be on its way into it.
   bool store_reachable = true;
   bool leaving = false;
--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -148,7 +148,7 @@
   Save(out, status.incarnation);
   (*out)(status.sequence, status.applied_version, status.newest_known, status.confirmed_version,
          status.confirmation_age_ms);
-  (*out)(static_cast<uint8_t>(status.started), static_cast<uint8_t>(status.store_reachable),
+  (*out)(static_cast<uint8_t>(status.has_read_store), static_cast<uint8_t>(status.store_reachable),
          static_cast<uint8_t>(status.leaving), static_cast<uint8_t>(status.wants_reply));
   SaveList(out, status.heard, kMaxHeard, SaveHeard);
   SaveList(out, status.digest.quarantine, kMaxQuarantine, SaveFingerprint);
@@ -161,7 +161,7 @@
   status.incarnation = LoadString(in, kMaxName);
   (*in)(status.sequence, status.applied_version, status.newest_known, status.confirmed_version,
         status.confirmation_age_ms);
-  status.started = LoadBool(in);
+  status.has_read_store = LoadBool(in);
   status.store_reachable = LoadBool(in);
   status.leaving = LoadBool(in);
   status.wants_reply = LoadBool(in);
--- a/tests/coordination/membership_test.cc
+++ b/tests/coordination/membership_test.cc
@@ -159,6 +159,25 @@
   CHECK(f.instances[2]->version() == 1);
 }
 
+// Guards against service with an old configuration when the only process that knew the newest change was restarted
+// during an outage of the store: the others were paused while it was accepted.
+TEST_CASE("a restarted instance that has not read the store does not vouch for the others") {
+  Fixture f;
+  f.Start(3);
+  f.instances[1]->process.Pause();
+  f.instances[2]->process.Pause();
+  REQUIRE(f.Propose(0, "w", Duration::Seconds(5)).outcome == ProposalOutcome::kInForce);
+  f.world.table.unavailable = true;
+  f.instances[0] = nullptr;
+  f.instances[0] = std::make_unique<CoordinationInstance>(&f.world, "i0", "i0-second");
+  f.instances[1]->process.Resume();
+  f.instances[2]->process.Resume();
+  for (int i = 0; i < 20; ++i) {
+    f.Advance(Duration::Seconds(1));
+    CHECK_FALSE(f.instances[1]->MayServe());
+  }
+}
+
 // Guards against a planned stop that leaves the others waiting for a process that has ended.
 TEST_CASE("an instance that leaves removes its row") {
   Fixture f;
--- a/tests/protocol/peer_codec_test.cc
+++ b/tests/protocol/peer_codec_test.cc
@@ -17,7 +17,7 @@
   status.newest_known = 6;
   status.confirmed_version = 5;
   status.confirmation_age_ms = 250;
-  status.started = true;
+  status.has_read_store = true;
   status.wants_reply = true;
   for (int i = 0; i < entries; ++i) {
     const auto n = static_cast<uint32_t>(i);
