--- a/src/state/freshness_rule.cc
+++ b/src/state/freshness_rule.cc
@@ -20,9 +20,10 @@
 }
 
 void VersionForecast::ObserveRunTime(Duration run_time) {
-  m_run_time = m_run_time == Duration()
-                   ? run_time
-                   : Duration::Milliseconds((m_run_time.ms() * (kAverageDivisor - 1) + run_time.ms()) / kAverageDivisor);
+  m_run_time =
+      m_run_time == Duration()
+          ? run_time
+          : Duration::Milliseconds((m_run_time.ms() * (kAverageDivisor - 1) + run_time.ms()) / kAverageDivisor);
 }
 
 int64_t VersionForecast::ExpectedAt(TimePoint time) const {
--- a/src/state/freshness_rule.h
+++ b/src/state/freshness_rule.h
@@ -27,8 +27,8 @@
   // When the read was sent, not when it was answered: the answer may describe any moment in between.
   TimePoint read_started;
 
-  // The limit itself is excluded: points of time are cut to whole milliseconds, so a difference of `freshness` may be up
-  // to 1 ms more.
+  // The limit itself is excluded: points of time are cut to whole milliseconds, so a difference of `freshness` may be
+  // up to 1 ms more.
   bool IsCurrent(TimePoint now, Duration freshness) const { return now - read_started < freshness; }
 };
 
--- a/tools/experiment/straggler_experiment.cc
+++ b/tools/experiment/straggler_experiment.cc
@@ -125,7 +125,6 @@
       m_running = true;
       ++m_engines->m_replicas[m_replica].running;
       m_engines->m_runs.insert(this);
-      // The length belongs to the execution: another copy of a sample draws its own.
       m_length = m_engines->DrawLength(m_request);
       m_observer->OnSampleStarted(m_engines->m_replicas[m_replica].id);
       Next();
@@ -139,7 +138,8 @@
       m_timer = m_engines->m_scheduler->After(m_engines->TokenTime(m_replica), [this] {
         ++m_tokens;
         ++m_engines->m_produced;
-        m_observer->OnSampleToken("t", m_engines->m_replicas[m_replica].version);
+        const std::string text = m_tokens == 1 ? std::to_string(m_length) + " " : "t";
+        m_observer->OnSampleToken(text, m_engines->m_replicas[m_replica].version);
         Next();
       });
     }
@@ -165,8 +165,8 @@
     int best = -1;
     for (size_t i = 0; i < m_replicas.size(); ++i) {
       const Replica& replica = m_replicas[i];
-      const bool excluded = std::find(request.excluded.begin(), request.excluded.end(), replica.id) !=
-                            request.excluded.end();
+      const bool excluded =
+          std::find(request.excluded.begin(), request.excluded.end(), replica.id) != request.excluded.end();
       if (excluded || replica.zone == m_reclaimed_zone || replica.running >= kSlotsPerReplica ||
           replica.version < request.min_weight_version) {
         continue;
@@ -178,14 +178,15 @@
     return best;
   }
 
-  // A resumed sample keeps its length, since its text leads to the same end.
+  // The first token names the length, so that a resumed sample comes to the same end. A copy from the prompt draws its
+  // own length.
   int64_t DrawLength(const SampleRequest& request) {
-    if (request.resume_tokens == 0) {
-      ++m_draws[request.prompt];
+    if (request.resume_tokens > 0) {
+      return std::stoll(request.resume_text);
     }
-    Random random(Hash64(request.prompt + "/" + std::to_string(m_draws[request.prompt]), m_seed));
+    Random random(Hash64(request.prompt + "/" + std::to_string(m_draws[request.prompt]++), m_seed));
     const double tokens = std::min(kMaxTokens, std::exp(random.Normal(kLogTokensMean, kLogTokensDeviation)));
-    return std::max<int64_t>(static_cast<int64_t>(tokens), request.resume_tokens + 1);
+    return std::max<int64_t>(static_cast<int64_t>(tokens), 1);
   }
 
   Duration TokenTime(size_t replica) const {
@@ -217,8 +218,7 @@
 // The groups of one step until all of them are complete and fresh.
 class StragglerRun {
  public:
-  StragglerRun(uint64_t seed, const Strategy& strategy)
-      : m_strategy(strategy), m_engines(&m_scheduler, seed) {}
+  StragglerRun(uint64_t seed, const Strategy& strategy) : m_strategy(strategy), m_engines(&m_scheduler, seed) {}
 
   // A step's samples are generated while the trainer works on the step before; it idles for the rest.
   StragglerResult Run() {
@@ -246,8 +246,6 @@
   }
 
  private:
-  static int kReclaimedZone { return 0; }
-
   void StartGroup(const std::string& id) {
     SampleGroupSpec spec;
     spec.id = id;
@@ -322,6 +320,8 @@
   }
 }
 
-void RunStragglerExperiment(uint64_t seed, std::ostream& csv) { StragglerExperiment(seed).Run(csv); }
+void RunStragglerExperiment(uint64_t seed, std::ostream& csv) {
+  StragglerExperiment(seed).Run(csv);
+}
 
 }  // namespace quetzalridge
