Delete the rows of groups that were delivered long ago

Purpose: a delivered group leaves a row, so that a repeated submission does not run it again; without an end these rows fill the table. The rows of the last 1,024 batches are kept, and each confirmation deletes old ones from one page.

Ruled out: keeping them by step, with a refusal of older steps; a trainer that starts again counts from the first step. Ruled out: keeping them by time; instances live shorter than the time would have to be, and do not compare wall clocks.

--- a/src/coordination/rollout_rows.cc
+++ b/src/coordination/rollout_rows.cc
@@ -96,12 +96,12 @@
 }
 
 std::string EncodeDoneRow(const DoneRow& row) {
-  return Dump({{"spec", row.spec_digest}, {"step", row.step}});
+  return Dump({{"spec", row.spec_digest}, {"batch", row.batch}});
 }
 
 DoneRow DecodeDoneRow(const std::string& value) {
   return Decode<DoneRow>(value, [](const Json& json) {
-    return DoneRow{json.at("spec").get<std::string>(), json.at("step").get<int64_t>()};
+    return DoneRow{json.at("spec").get<std::string>(), json.at("batch").get<int64_t>()};
   });
 }
 
--- a/src/coordination/rollout_rows.h
+++ b/src/coordination/rollout_rows.h
@@ -41,6 +41,8 @@
   // Delivered groups, kept so that a repeated submission does not run them again.
   std::string DonePrefix() const { return m_prefix + "done/"; }
   std::string DoneKey(const std::string& id) const { return DonePrefix() + id; }
+  // Written together with each deletion of done rows, because no transaction only deletes rows.
+  std::string CleanupKey() const { return m_prefix + "cleanup"; }
   std::string ObjectName(const std::string& group, int64_t attempt, const std::string& incarnation) const {
     return m_prefix + group + "/" + std::to_string(attempt) + "-" + incarnation;
   }
@@ -51,7 +53,8 @@
 
 struct DoneRow {
   std::string spec_digest;
-  int64_t step = 0;
+  // The batch that delivered the group.
+  int64_t batch = 0;
 };
 
 std::string EncodeGroupRow(const GroupRow& row);
--- a/src/coordination/sample_delivery.cc
+++ b/src/coordination/sample_delivery.cc
@@ -13,6 +13,8 @@
 // Two checks and two writes for each group.
 constexpr size_t kMaxGroupsPerReturn = 32;
 constexpr int kReadyPage = 128;
+// More than a confirmation adds, so that the deletion keeps up.
+constexpr int kDonePage = 100;
 constexpr Duration kPollInterval = Duration::Milliseconds(250);
 // A request is answered at most this long after its `wait`, even when the store does not answer.
 constexpr Duration kAnswerLimit = Duration::Seconds(5);
@@ -143,7 +145,7 @@
   transaction.checks = {{row.key, row.version}};
   for (const FinishedGroup& group : cursor.open()->groups) {
     transaction.writes.push_back({m_rows.GroupKey(group.id), std::nullopt});
-    transaction.writes.push_back({m_rows.DoneKey(group.id), EncodeDoneRow({group.spec_digest, group.step})});
+    transaction.writes.push_back({m_rows.DoneKey(group.id), EncodeDoneRow({group.spec_digest, batch})});
   }
   cursor.ConfirmOpen();
   transaction.writes.push_back({row.key, cursor.Encode()});
@@ -151,6 +153,7 @@
                 m_guard.Wrap([this, batch, callback = std::move(callback)](const TransactResult& result) {
                   switch (result.outcome) {
                     case TransactOutcome::kCommitted:
+                      DeleteOldDoneRows(batch);
                       callback(DeliveryOutcome::kOk);
                       return;
                     case TransactOutcome::kConflict:
@@ -164,6 +167,39 @@
                 }));
 }
 
+void SampleDelivery::DeleteOldDoneRows(int64_t confirmed) {
+  if (confirmed <= m_options.remembered_batches) {
+    return;
+  }
+  m_context.table->Scan(m_rows.DonePrefix(), m_done_position, kDonePage,
+                        m_guard.Wrap([this, confirmed](const ReadResult& result) {
+                          if (!result.ok) {
+                            return;
+                          }
+                          const bool is_last = result.rows.size() < kDonePage;
+                          m_done_position = is_last ? "" : result.rows.back().key;
+                          CommitDeletion(result.rows, confirmed);
+                        }));
+}
+
+// A deletion that fails is made up for when its page comes again.
+void SampleDelivery::CommitDeletion(const std::vector<TableRow>& rows, int64_t confirmed) {
+  TableTransaction transaction;
+  for (const TableRow& row : rows) {
+    const std::optional<DoneRow> done = ReadDoneRow(row);
+    const bool is_old = done.has_value() && done->batch <= confirmed - m_options.remembered_batches;
+    if (is_old && transaction.checks.size() < kMaxGroupsPerBatch) {
+      transaction.checks.push_back({row.key, row.version});
+      transaction.writes.push_back({row.key, std::nullopt});
+    }
+  }
+  if (transaction.checks.empty()) {
+    return;
+  }
+  transaction.writes.push_back({m_rows.CleanupKey(), std::to_string(confirmed)});
+  m_sender.Send(std::move(transaction), [](const TransactResult&) {});
+}
+
 void SampleDelivery::Fetch(const FetchRequest& request, FetchCallback callback) {
   const uint64_t id = m_next_operation++;
   auto operation = std::make_unique<Operation>();
--- a/src/coordination/sample_delivery.h
+++ b/src/coordination/sample_delivery.h
@@ -32,6 +32,9 @@
   int64_t staleness_bound = 2;
   // Longest time between reading the newest version and handing over.
   Duration version_freshness = Duration::Milliseconds(500);
+  // A submission that is repeated while fewer batches than this were confirmed has no effect. 1,024 batches have at
+  // most 64,512 groups, which take about 6 MB of the table.
+  int64_t remembered_batches = 1024;
 };
 
 struct FetchRequest {
@@ -98,6 +101,10 @@
   void ConfirmOnce(int64_t batch, ConfirmCallback callback);
   void CommitConfirmation(const TableRow& row, DeliveryCursor cursor, ConfirmCallback callback);
 
+  // Looks at one page of the rows of delivered groups and deletes the old ones.
+  void DeleteOldDoneRows(int64_t confirmed);
+  void CommitDeletion(const std::vector<TableRow>& rows, int64_t confirmed);
+
   void ReadVersion(uint64_t id);
   void ReadCursor(uint64_t id);
   void OnCursor(uint64_t id, const TableRow& row);
@@ -125,6 +132,8 @@
   TransactionSender m_sender;
   std::map<uint64_t, std::unique_ptr<Operation>> m_operations;
   uint64_t m_next_operation = 0;
+  // Where the next page of done rows begins.
+  std::string m_done_position;
   std::function<void()> m_regenerate_listener;
   CallbackGuard m_guard;
 };
--- a/tests/coordination/rollout_path_test.cc
+++ b/tests/coordination/rollout_path_test.cc
@@ -189,5 +189,24 @@
   CHECK(world.Fetch("b", kFetch).outcome == DeliveryOutcome::kOk);
 }
 
+// Guards against rows of delivered groups that fill the table, and against a deletion of recent ones.
+TEST_CASE("rows of delivered groups are deleted after a number of batches") {
+  World world;
+  DeliveryOptions options{"q", "service", 2};
+  options.remembered_batches = 2;
+  Instance& instance = *world.instances["a"];
+  instance.delivery = std::make_unique<SampleDelivery>(
+      DeliveryContext{&instance.table, &instance.objects, &instance.platform, &world.scheduler}, options);
+  for (int64_t batch = 1; batch <= 4; ++batch) {
+    world.Submit("a", {Spec("g" + std::to_string(batch))});
+    REQUIRE(world.Fetch("a", kFetch).batch == batch);
+    REQUIRE(world.Confirm("a", batch) == DeliveryOutcome::kOk);
+  }
+  CHECK(world.table.Row("rollout/q/done/g1").version == 0);
+  CHECK(world.table.Row("rollout/q/done/g2").version == 0);
+  CHECK(world.table.Row("rollout/q/done/g3").version != 0);
+  CHECK(world.table.Row("rollout/q/done/g4").version != 0);
+}
+
 }  // namespace
 }  // namespace quetzalridge
