Add the experiments on shares, zone loss, the sunset peak, capacity and slopes

Admission ranks its requests for the engine: within the share, borrowed, rollout. The rest is the wait for a slot at the endpoint: load reports are 1 s to 2 s old, so requests go to full endpoints while others have free slots.

--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -31,10 +31,17 @@
   int capacity = 0;
 };
 
+// Values of the engines' `priority` field, highest first.
+constexpr int kEnginePriorityWithinShare = 0;
+constexpr int kEnginePriorityBorrowed = 1;
+constexpr int kEnginePriorityRollout = 2;
+
 struct AdmissionResult {
   AdmissionVerdict verdict = AdmissionVerdict::kAdmit;
   // For kShed: when to come back.
   Duration retry_after;
+  // For kAdmit: goes to the engine, where requests that borrow slots from other workspaces come after the others.
+  int engine_priority = kEnginePriorityWithinShare;
 };
 
 struct QueueOutcome {
--- a/src/state/admit_all_policy.cc
+++ b/src/state/admit_all_policy.cc
@@ -3,7 +3,10 @@
 namespace quetzalridge {
 
 AdmissionResult AdmitAllPolicy::Decide(const AdmissionRequest& request, TimePoint now) {
-  return {};
+  AdmissionResult result;
+  result.engine_priority =
+      request.work_class == WorkClass::kRollout ? kEnginePriorityRollout : kEnginePriorityWithinShare;
+  return result;
 }
 
 void AdmitAllPolicy::OnFinished(const AdmissionRequest& request, TimePoint now) {}
--- a/src/state/fair_share_policy.cc
+++ b/src/state/fair_share_policy.cc
@@ -60,16 +60,15 @@
                          NextWorkspace(service, request.work_class) == request.workspace;
   if (may_start) {
     state.queue.pop_back();
-    Start(&service, request.workspace, request.work_class, request.id, now);
-    return {AdmissionVerdict::kAdmit, {}};
+    return Start(&service, request.workspace, request.work_class, request.id, now);
   }
   const Duration wait = ExpectedWait(service, workspace, request.work_class);
   // The first in line waits in any case, so that a workspace with few slots and long requests does not starve.
   if (request.id == 0 || (!first && wait > MaxWait(request.work_class))) {
     state.queue.pop_back();
-    return {AdmissionVerdict::kShed, RetryAfter(wait)};
+    return {AdmissionVerdict::kShed, RetryAfter(wait), 0};
   }
-  return {AdmissionVerdict::kQueue, {}};
+  return {AdmissionVerdict::kQueue, {}, 0};
 }
 
 void FairSharePolicy::OnFinished(const AdmissionRequest& request, TimePoint now) {
@@ -108,7 +107,7 @@
       // The expected wait may prove too short, for example when endpoints are lost.
       while (!queue.empty() && now - queue.front().since > MaxWait(work_class) * 2) {
         const Duration wait = ExpectedWait(*service, workspace, work_class);
-        outcomes->push_back({queue.front().id, {AdmissionVerdict::kShed, RetryAfter(wait)}});
+        outcomes->push_back({queue.front().id, {AdmissionVerdict::kShed, RetryAfter(wait), 0}});
         queue.pop_front();
       }
     }
@@ -122,8 +121,7 @@
       std::deque<Waiting>& queue = service->workspaces[name].classes[IndexOf(work_class)].queue;
       const uint64_t id = queue.front().id;
       queue.pop_front();
-      Start(service, name, work_class, id, now);
-      outcomes->push_back({id, {AdmissionVerdict::kAdmit, {}}});
+      outcomes->push_back({id, Start(service, name, work_class, id, now)});
       name = NextWorkspace(*service, work_class);
     }
   }
@@ -246,12 +244,18 @@
   double rollout_demand = 0;
   double local_rollout_demand = 0;
   service->rollout_limit = 0;
+  double total_share = 0;
+  for (const ShareClaim& claim : claims[0]) {
+    total_share += claim.share;
+  }
   size_t i = 0;
   for (auto& [name, workspace] : service->workspaces) {
     const std::array<double, kClasses> slots = {allocation.interactive[i], allocation.rollout[i]};
     for (size_t c = 0; c < kClasses; ++c) {
       const ShareClaim& claim = claims[c][i];
       workspace.classes[c].limit = LocalPart(slots[c], claim);
+      const double guaranteed = std::min(claim.demand, service->capacity * claim.share / std::max(total_share, 1e-9));
+      workspace.classes[c].guaranteed = LocalPart(guaranteed, claim);
       all += slots[c];
       local += claim.demand > 0 ? slots[c] * claim.local_demand / claim.demand : 0.0;
     }
@@ -331,12 +335,18 @@
   return Duration::Milliseconds(static_cast<int64_t>(rounds * service.mean_run_ms[IndexOf(work_class)]));
 }
 
-void FairSharePolicy::Start(Service* service, const std::string& workspace, WorkClass work_class, uint64_t id,
-                            TimePoint now) {
-  ++service->workspaces[workspace].classes[IndexOf(work_class)].running;
+AdmissionResult FairSharePolicy::Start(Service* service, const std::string& workspace, WorkClass work_class,
+                                       uint64_t id, TimePoint now) {
+  ClassState& state = service->workspaces[workspace].classes[IndexOf(work_class)];
+  const bool borrowed = state.running >= state.guaranteed;
+  ++state.running;
   if (id != 0) {
     service->running[id] = {workspace, work_class, now, false};
   }
+  if (work_class == WorkClass::kRollout) {
+    return {AdmissionVerdict::kAdmit, {}, kEnginePriorityRollout};
+  }
+  return {AdmissionVerdict::kAdmit, {}, borrowed ? kEnginePriorityBorrowed : kEnginePriorityWithinShare};
 }
 
 }  // namespace quetzalridge
--- a/src/state/fair_share_policy.h
+++ b/src/state/fair_share_policy.h
@@ -39,6 +39,8 @@
     int peers_waiting = 0;
     // This instance's slots, from the last allocation.
     int limit = 0;
+    // Those of them that are the workspace's by its share, whatever the others ask for.
+    int guaranteed = 0;
 
     int LocalDemand() const { return running + static_cast<int>(queue.size()); }
     int Demand() const { return LocalDemand() + peers_running + peers_waiting; }
@@ -80,7 +82,8 @@
   static bool IsWithinClassLimit(const Service& service, WorkClass work_class, int running);
   static std::string NextWorkspace(const Service& service, WorkClass work_class);
   static Duration ExpectedWait(const Service& service, const Workspace& workspace, WorkClass work_class);
-  static void Start(Service* service, const std::string& workspace, WorkClass work_class, uint64_t id, TimePoint now);
+  static AdmissionResult Start(Service* service, const std::string& workspace, WorkClass work_class, uint64_t id,
+                               TimePoint now);
   static void ShedOverdue(Service* service, TimePoint now, std::vector<QueueOutcome>* outcomes);
   static void StartQueued(Service* service, TimePoint now, std::vector<QueueOutcome>* outcomes);
   static void PreemptRollouts(Service* service, std::vector<uint64_t>* ids);
--- a/src/state/hour_planner.cc
+++ b/src/state/hour_planner.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr int64_t kHourMs = 3600 * 1000LL;
+constexpr int64_t kHourMs = int64_t{3600} * 1000;
 
 }  // namespace
 
--- a/src/state/sunset_forecast.cc
+++ b/src/state/sunset_forecast.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-constexpr int64_t kDayMs = 24 * 3600 * 1000LL;
-constexpr int64_t kHourMs = 3600 * 1000LL;
-constexpr int64_t kBinMs = 15 * 60 * 1000LL;
+constexpr int64_t kDayMs = int64_t{24} * 3600 * 1000;
+constexpr int64_t kHourMs = int64_t{3600} * 1000;
+constexpr int64_t kBinMs = int64_t{15} * 60 * 1000;
 // A day counts for three tenths, so that one unusual day does not dominate the forecast.
 constexpr double kDayWeight = 0.3;
 constexpr double kLevelWeight = 0.25;
--- a/src/state/sunset_planner.cc
+++ b/src/state/sunset_planner.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // An endpoint needs minutes to start and to load weights.
-constexpr int64_t kLeadMs = 20 * 60 * 1000LL;
+constexpr int64_t kLeadMs = int64_t{20} * 60 * 1000;
 // Headroom for the error of the forecast and for the slots that admission keeps free.
 constexpr double kHeadroom = 1.2;
 // Demand that falls and rises again within this time must not make endpoints leave and come back.
--- a/tests/state/admission_test.cc
+++ b/tests/state/admission_test.cc
@@ -210,6 +210,20 @@
   }
 }
 
+// Guards against a greedy workspace whose prompts delay others at the engine after both were admitted.
+TEST_CASE("requests that borrow slots have a lower priority at the engine") {
+  FairSharePolicy policy;
+  REQUIRE(policy.Decide(MakeRequest(1, "modest", 20), kStart).engine_priority == kEnginePriorityWithinShare);
+  for (uint64_t id = 2; id <= 16; ++id) {
+    const AdmissionResult result = policy.Decide(MakeRequest(id, "greedy", 20), kStart);
+    REQUIRE(result.verdict == AdmissionVerdict::kAdmit);
+    CHECK(result.engine_priority == (id <= 11 ? kEnginePriorityWithinShare : kEnginePriorityBorrowed));
+  }
+  CHECK(policy.Decide(MakeRequest(30, "modest", 20), kStart).engine_priority == kEnginePriorityWithinShare);
+  CHECK(policy.Decide(MakeRequest(31, "modest", 20, WorkClass::kRollout), kStart).engine_priority ==
+        kEnginePriorityRollout);
+}
+
 // Guards against a request that is answered "not run" and started later from the queue.
 TEST_CASE("a cancelled request leaves the queue") {
   FairSharePolicy policy;
--- a/tools/experiment/experiment_main.cc
+++ b/tools/experiment/experiment_main.cc
@@ -9,8 +9,13 @@
 #include <vector>
 
 #include "base/error.h"
+#include "tools/experiment/capacity_experiment.h"
 #include "tools/experiment/experiment.h"
 #include "tools/experiment/routing_experiment.h"
+#include "tools/experiment/shares_experiment.h"
+#include "tools/experiment/slopes_experiment.h"
+#include "tools/experiment/sunset_experiment.h"
+#include "tools/experiment/zone_loss_experiment.h"
 
 namespace quetzalridge {
 namespace {
@@ -24,6 +29,11 @@
 std::vector<std::unique_ptr<Experiment>> AllExperiments() {
   std::vector<std::unique_ptr<Experiment>> experiments;
   experiments.push_back(std::make_unique<RoutingExperiment>());
+  experiments.push_back(std::make_unique<SharesExperiment>());
+  experiments.push_back(std::make_unique<ZoneLossExperiment>());
+  experiments.push_back(std::make_unique<SunsetExperiment>());
+  experiments.push_back(std::make_unique<CapacityExperiment>());
+  experiments.push_back(std::make_unique<SlopesExperiment>());
   return experiments;
 }
 
--- a/tools/experiment/fake_engine.cc
+++ b/tools/experiment/fake_engine.cc
@@ -35,38 +35,52 @@
   StartPrefill();
 }
 
-// Prompts are processed one at a time, as they share the processor with each other.
+// Prompts share the processor in chunks, the one with the highest priority first.
 void FakeEngine::StartPrefill() {
   if (m_prefilling || m_to_prefill.empty()) {
     return;
   }
-  const uint64_t id = m_to_prefill.begin()->second;
+  const auto [key, id] = *m_to_prefill.begin();
   m_to_prefill.erase(m_to_prefill.begin());
-  const EngineRequest& request = m_running[id].request;
-  const int cached = std::min(request.prompt_tokens, CachedBlocks(request.prefix_hashes) * m_model.tokens_per_block);
+  Running& entry = m_running[id];
+  double overhead = 0;
+  if (entry.prefill_left < 0) {
+    const EngineRequest& request = entry.request;
+    entry.cached_tokens =
+        std::min(request.prompt_tokens, CachedBlocks(request.prefix_hashes) * m_model.tokens_per_block);
+    entry.prefill_left = request.prompt_tokens - entry.cached_tokens;
+    overhead = kPrefillOverheadMs;
+  }
+  const int chunk = std::min(entry.prefill_left, m_model.prefill_chunk_tokens);
+  entry.prefill_left -= chunk;
   m_prefilling = true;
-  const double duration = kPrefillOverheadMs + (request.prompt_tokens - cached) / m_model.prefill_tokens_per_s * 1000.0;
-  m_queue->After(duration, [this, id, cached] { FinishPrefill(id, cached); });
+  m_queue->After(overhead + chunk / m_model.prefill_tokens_per_s * 1000.0,
+                 [this, key = key, id = id] { FinishChunk(key, id); });
 }
 
-void FakeEngine::FinishPrefill(uint64_t id, int cached_tokens) {
+void FakeEngine::FinishChunk(std::pair<int, uint64_t> key, uint64_t id) {
   if (m_silent) {
     return;
   }
   m_prefilling = false;
   const auto it = m_running.find(id);
-  if (it != m_running.end()) {
-    Running& entry = it->second;
-    Store(entry.request.prefix_hashes);
-    entry.decode_start_ms = m_queue->now_ms();
-    entry.token_ms = m_model.token_ms * (1.0 + m_model.batch_slowdown * running() / m_model.slots);
-    const int tokens = entry.request.output_tokens;
-    m_queue->After(entry.token_ms * tokens, [this, id, tokens] { End(id, tokens); });
-    entry.request.on_first_token(cached_tokens);
+  if (it != m_running.end() && it->second.prefill_left > 0) {
+    m_to_prefill.emplace(key, id);
+  } else if (it != m_running.end()) {
+    FinishPrefill(&it->second);
   }
   StartPrefill();
 }
 
+void FakeEngine::FinishPrefill(Running* entry) {
+  Store(entry->request.prefix_hashes);
+  entry->decode_start_ms = m_queue->now_ms();
+  entry->token_ms = m_model.token_ms * (1.0 + m_model.batch_slowdown * running() / m_model.slots);
+  const int tokens = entry->request.output_tokens;
+  m_queue->After(entry->token_ms * tokens, [this, id = entry->request.id, tokens] { End(id, tokens); });
+  entry->request.on_first_token(entry->cached_tokens);
+}
+
 void FakeEngine::End(uint64_t id, int tokens) {
   const auto it = m_running.find(id);
   if (m_silent || it == m_running.end()) {
@@ -79,6 +93,9 @@
 }
 
 void FakeEngine::Cancel(uint64_t id) {
+  if (m_silent) {
+    return;
+  }
   for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
     if (it->second.id == id) {
       const auto ended = std::move(it->second.on_ended);
--- a/tools/experiment/fake_engine.h
+++ b/tools/experiment/fake_engine.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "tools/experiment/event_queue.h"
@@ -17,6 +18,8 @@
 struct EngineModel {
   int slots = 16;
   double prefill_tokens_per_s = 6000;
+  // Between chunks a prompt with a higher priority goes first.
+  int prefill_chunk_tokens = 512;
   double token_ms = 20;
   // A full batch decodes slower by this fraction than a single request.
   double batch_slowdown = 0.1;
@@ -61,13 +64,17 @@
  private:
   struct Running {
     EngineRequest request;
+    // Prompt tokens still to process; negative before the first chunk.
+    int prefill_left = -1;
+    int cached_tokens = 0;
     double decode_start_ms = -1;
     double token_ms = 0;
   };
 
   void FillSlots();
   void StartPrefill();
-  void FinishPrefill(uint64_t id, int cached_tokens);
+  void FinishChunk(std::pair<int, uint64_t> key, uint64_t id);
+  void FinishPrefill(Running* entry);
   void End(uint64_t id, int tokens);
   int CachedBlocks(const std::vector<uint64_t>& hashes);
   void Store(const std::vector<uint64_t>& hashes);
--- a/tools/experiment/fake_instance.cc
+++ b/tools/experiment/fake_instance.cc
@@ -134,6 +134,7 @@
 void FakeInstance::Admit(uint64_t id) {
   const AdmissionResult result = m_policy->Decide(MakeAdmissionRequest(id), m_queue->Now());
   if (result.verdict == AdmissionVerdict::kAdmit) {
+    m_active[id].priority = result.engine_priority;
     Send(id);
   } else if (result.verdict == AdmissionVerdict::kQueue) {
     Settle();
@@ -183,7 +184,7 @@
   m_router->OnDispatched(state.id, request.prefix_hashes);
   EngineRequest call;
   call.id = id;
-  call.priority = m_rules.engine_priority && request.work_class == WorkClass::kRollout ? 1 : 0;
+  call.priority = m_rules.engine_priority ? active.priority : 0;
   call.prefix_hashes = request.prefix_hashes;
   call.prompt_tokens = request.prompt_tokens + request.output_tokens - active.tokens_left;
   call.output_tokens = active.tokens_left;
@@ -236,6 +237,7 @@
 void FakeInstance::Settle() {
   for (const QueueOutcome& outcome : m_policy->NextQueued(m_queue->Now())) {
     if (outcome.result.verdict == AdmissionVerdict::kAdmit) {
+      m_active[outcome.id].priority = outcome.result.engine_priority;
       Send(outcome.id);
       continue;
     }
@@ -252,8 +254,12 @@
   }
   for (const uint64_t id : m_policy->TakePreemptions(m_queue->Now())) {
     m_active[id].preempted = true;
-    const int endpoint = m_active[id].endpoint;
-    m_queue->After(0, [this, id, endpoint] { (*m_engines)[endpoint]->Cancel(id); });
+    m_queue->After(0, [this, id] {
+      const auto it = m_active.find(id);
+      if (it != m_active.end() && it->second.endpoint >= 0) {
+        (*m_engines)[it->second.endpoint]->Cancel(id);
+      }
+    });
   }
 }
 
--- a/tools/experiment/fake_instance.h
+++ b/tools/experiment/fake_instance.h
@@ -34,7 +34,7 @@
 // Rules that an experiment switches on and off.
 struct InstanceRules {
   bool breakers = true;
-  // Engines serve interactive requests first.
+  // Engines serve first what admission ranks first.
   bool engine_priority = true;
   bool preempt = true;
 };
@@ -56,6 +56,7 @@
     RequestRecord* record = nullptr;
     int tokens_left = 0;
     int endpoint = -1;
+    int priority = 0;
     bool preempted = false;
     std::vector<std::string> excluded;
   };
--- a/tools/experiment/result_table.cc
+++ b/tools/experiment/result_table.cc
@@ -1,6 +1,7 @@
 #include "tools/experiment/result_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iomanip>
 #include <ostream>
 #include <set>
@@ -13,8 +14,8 @@
   if (values.empty()) {
     return 0.0;
   }
-  const auto rank = static_cast<size_t>(fraction * static_cast<double>(values.size() - 1) + 0.5);
-  std::nth_element(values.begin(), values.begin() + static_cast<long>(rank), values.end());
+  const auto rank = std::lround(fraction * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + rank, values.end());
   return values[rank];
 }
 
--- a/tools/experiment/routing_experiment.cc
+++ b/tools/experiment/routing_experiment.cc
@@ -24,14 +24,7 @@
   options.seed = seed;
   options.make_router = RouterFactory(router);
   options.make_policy = [] { return std::make_unique<AdmitAllPolicy>(); };
-  for (int w = 0; w < deployment.workspaces; ++w) {
-    TrafficSource source;
-    source.workspace = "workspace-" + std::to_string(w);
-    // A few workspaces are large: the first two send half of the requests.
-    const double part = w < 2 ? 0.25 : 0.5 / (deployment.workspaces - 2);
-    source.rate = [part](double) { return kRequestsPerSecond * part; };
-    options.sources.push_back(source);
-  }
+  options.sources = InteractiveTraffic(deployment.workspaces, [](double) { return kRequestsPerSecond; });
   return options;
 }
 
--- a/tools/experiment/traffic.cc
+++ b/tools/experiment/traffic.cc
@@ -52,6 +52,30 @@
 
 }  // namespace
 
+std::vector<TrafficSource> InteractiveTraffic(int workspaces, const std::function<double(double at_ms)>& rate) {
+  std::vector<TrafficSource> sources;
+  for (int w = 0; w < workspaces; ++w) {
+    TrafficSource source;
+    source.workspace = "workspace-" + std::to_string(w);
+    const double part = w < 2 ? 0.25 : 0.5 / (workspaces - 2);
+    source.rate = [part, rate](double at_ms) { return rate(at_ms) * part; };
+    sources.push_back(source);
+  }
+  return sources;
+}
+
+TrafficSource TrainerTraffic(const std::string& workspace, double samples_per_second) {
+  TrafficSource source;
+  source.workspace = workspace;
+  source.work_class = WorkClass::kRollout;
+  source.rate = [samples_per_second](double) { return samples_per_second; };
+  source.group_size = 8;
+  source.templates = 200;
+  source.template_blocks = 8;
+  source.output_tokens = 300;
+  return source;
+}
+
 std::vector<TrafficRequest> MakeTraffic(const std::vector<TrafficSource>& sources, int instances, double end_ms,
                                         uint64_t seed) {
   std::vector<TrafficRequest> requests;
--- a/tools/experiment/traffic.h
+++ b/tools/experiment/traffic.h
@@ -37,6 +37,12 @@
   double output_tokens = 150;
 };
 
+// Interactive traffic of all workspaces; the first two are large and send half of it.
+std::vector<TrafficSource> InteractiveTraffic(int workspaces, const std::function<double(double at_ms)>& rate);
+
+// Rollout samples of one trainer in groups of eight.
+TrafficSource TrainerTraffic(const std::string& workspace, double samples_per_second);
+
 // All requests of the sources in order of time.
 std::vector<TrafficRequest> MakeTraffic(const std::vector<TrafficSource>& sources, int instances, double end_ms,
                                         uint64_t seed);
