--- a/tools/experiment/result_table.cc
+++ b/tools/experiment/result_table.cc
@@ -59,9 +59,10 @@
 }
 
 void ResultTable::WriteCsv(std::ostream& os) const {
+  // Names of measures contain commas.
   os << "deployment,variant,measure,unit,seed,value\n";
   for (const Result& result : m_results) {
-    os << result.deployment << ',' << result.variant << ',' << result.measure << ',' << result.unit << ','
+    os << result.deployment << ',' << result.variant << ",\"" << result.measure << "\"," << result.unit << ','
        << result.seed << ',' << std::setprecision(6) << result.value << '\n';
   }
 }
