Keep the order of held pieces of a stream, and a client's timeouts after its end

When the serving permission returned, a new piece was passed on before the pieces that were held meanwhile, and the caller got its tokens in another order as a whole answer.

The io timeout of an HttpClient stayed in the loop's list after the client was destroyed; a test program with several harnesses on one loop ended with SIGSEGV after a failed run. It is now kept for the life of the process.

--- a/src/daemon/caller_request.cc
+++ b/src/daemon/caller_request.cc
@@ -1,5 +1,7 @@
 #include "daemon/caller_request.h"
 
+#include <utility>
+
 #include "protocol/completion_answer.h"
 #include "protocol/error_body.h"
 #include "protocol/header_allow_list.h"
@@ -177,12 +179,10 @@
       whole += EncodeSseEvent(event.event.data, event.event.type == "message" ? "" : event.event.type);
     }
   }
-  if (!whole.empty()) {
-    if (MayForward()) {
-      Send(whole);
-    } else {
-      m_held += whole;
-    }
+  // Through the held pieces, so that a piece never overtakes one that came before it.
+  m_held += whole;
+  if (!m_held.empty() && MayForward()) {
+    Send(std::exchange(m_held, std::string()));
   }
   if (m_stream.broken() && !m_closed) {
     DispatchEnd end;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -77,9 +77,9 @@
 class HttpClient::Impl {
  public:
   explicit Impl(EventLoop* loop) : m_loop(loop) {
-    h2o_timeout_init(loop->h2o_loop(), &m_io_timeout, kBackstopTimeoutMs);
+    h2o_timeout_init(loop->h2o_loop(), m_io_timeout, kBackstopTimeoutMs);
     m_context.loop = loop->h2o_loop();
-    m_context.io_timeout = &m_io_timeout;
+    m_context.io_timeout = m_io_timeout;
     m_context.websocket_timeout = nullptr;
     m_context.ssl_ctx = nullptr;
     m_context.getaddr_receiver = nullptr;
@@ -120,7 +120,8 @@
 
   EventLoop* m_loop;
   h2o_http1client_ctx_t m_context{};
-  h2o_timeout_t m_io_timeout{};
+  // Kept for the life of the process: the loop's list of timeouts refers to it.
+  h2o_timeout_t* m_io_timeout = new h2o_timeout_t{};
   std::map<std::string, h2o_socketpool_t*> m_pools;
   std::unordered_set<FetchCall*> m_fetches;
 };
--- a/tests/daemon/caller_keys_test.cc
+++ b/tests/daemon/caller_keys_test.cc
@@ -128,6 +128,27 @@
   CHECK(ended->body().find("permission_lapsed") != std::string::npos);
 }
 
+// Guards against pieces that overtake the ones held before them when the permission returns: the caller would get the
+// tokens in another order, as a whole answer.
+TEST_CASE("held pieces of a stream keep their order") {
+  CallerFixture f;
+  HoldStream(f.endpoints["e0"].get());
+  const auto stream = f.Send(f.Completion("x", true));
+  REQUIRE(f.Until([&] { return f.endpoints["e0"]->open.size() == 1; }));
+  f.Turn(5);
+  f.config.may_serve = false;
+  f.endpoints["e0"]->open[0]->Write(FakeEndpoint::TokenEvent("second", 1));
+  f.Turn(3);
+  f.config.may_serve = true;
+  f.endpoints["e0"]->open[0]->Write(FakeEndpoint::TokenEvent("third", 2));
+  f.Turn(3);
+  f.endpoints["e0"]->open[0]->Write(EncodeSseEvent(kSseDone));
+  f.endpoints["e0"]->open[0]->End();
+  REQUIRE(f.Until([&] { return stream->done; }));
+  REQUIRE(stream->body().find("third") != std::string::npos);
+  CHECK(stream->body().find("second") < stream->body().find("third"));
+}
+
 // Guards against a whole answer that is handed over although the permission lapsed while the endpoint worked on it.
 TEST_CASE("a whole answer is held without permission") {
   CallerFixture f;
--- a/tests/history/deployment.cc
+++ b/tests/history/deployment.cc
@@ -100,6 +100,10 @@
 
 Violations Deployment::Judge() {
   m_harness.ReadRecords(&m_history);
+  std::cout << "calls " << m_history.calls.size() << ", executions " << m_history.executions.size() << ", batches "
+            << m_history.batches.size() << ", orders " << m_history.orders.size() << ", usage reports "
+            << m_history.usage_reports.size() << ", configuration observations " << m_history.config_observations.size()
+            << std::endl;
   Violations all;
   for (const NamedCheck& named : AllChecks()) {
     for (const std::string& violation : named.check(m_history)) {
--- a/tests/history/mixed_faults_test.cc
+++ b/tests/history/mixed_faults_test.cc
@@ -62,10 +62,7 @@
   CHECK(trained);
   deployment.history()->expects_all_samples = trained;
   CHECK(deployment.Judge() == Violations{});
-  const History& history = *deployment.history();
-  std::cout << "calls " << history.calls.size() << ", executions " << history.executions.size() << ", batches "
-            << history.batches.size() << ", orders " << history.orders.size() << ", usage reports "
-            << history.usage_reports.size() << ", faults " << injector.log().size() << std::endl;
+  std::cout << "faults " << injector.log().size() << std::endl;
 }
 
 // Guards against any guarantee that breaks only when faults occur at the same time or twice.
--- a/tests/history/request_checks.cc
+++ b/tests/history/request_checks.cc
@@ -148,8 +148,8 @@
     }
     const bool is_right = call.expected_tokens > 0 ? IsWholeCompletion(call) : call.text == call.hash;
     if (!is_right) {
-      violations.push_back(Name(call) + " ended as whole with another or a partial answer: '" +
-                           call.text.substr(0, 60) + "'");
+      violations.push_back(Name(call) + " with " + std::to_string(call.expected_tokens) +
+                           " tokens ended as whole with another answer: '" + call.text + "'");
     }
   }
   return violations;
