--- a/tests/daemon/dispatcher_test.cc
+++ b/tests/daemon/dispatcher_test.cc
@@ -36,6 +36,30 @@
   CHECK(f.endpoints["e0"]->requests.size() >= 1);
 }
 
+// Guards against refusals while a dead endpoint is in the list: the budget bounds repeated work, not failed connects.
+TEST_CASE("failed connects move to another endpoint without the retry budget") {
+  CallerFixture f(2);
+  f.config.Change(ConfigKind::kEndpoint, "d0", R"({"service":"desk","address":"127.0.0.1:1","zone":"z1"})");
+  for (int i = 0; i < 12; ++i) {
+    CHECK(f.Run(f.Plain("/s/orders/" + std::to_string(i), "POST")).status() == 200);
+  }
+  CHECK(f.endpoints["d1"]->requests.size() == 12);
+}
+
+// Guards against new work on an endpoint that was taken out of use between its choice and the write.
+TEST_CASE("an endpoint that leaves before the write gets nothing") {
+  CallerFixture f(2);
+  std::string left;
+  f.router.on_dispatched = [&](const std::string& id) {
+    if (left.empty()) {
+      left = id;
+      f.config.Change(ConfigKind::kEndpoint, id, std::nullopt);
+    }
+  };
+  CHECK(f.Run(f.Plain("/s/orders/1", "POST")).status() == 200);
+  CHECK(f.endpoints[left]->requests.empty());
+}
+
 // Guards against a retry after a byte of the answer was passed on, and against a cut stream that passes for whole.
 TEST_CASE("a stream that is cut ends with an error event") {
   CallerFixture f(2);
@@ -234,6 +258,32 @@
   std::optional<SampleEnd> end;
 };
 
+// Guards against requests that wait for ever, and against one that leaves its place in the queue behind.
+TEST_CASE("a request waits for a slot, and is refused as not run when none becomes free") {
+  DispatcherOptions options;
+  options.queue_timeout = Duration::Milliseconds(60);
+  CallerFixture f(1, options);
+  std::vector<std::pair<HttpRequest, Responder>> held;
+  f.endpoints["e0"]->on_request = [&](const HttpRequest& request, const Responder& responder) {
+    held.push_back({request, responder});
+  };
+  f.admission.limit = 1;
+  const auto first = f.Send(f.Completion("a", false));
+  REQUIRE(f.Until([&] { return held.size() == 1; }));
+  const CallerAnswer refused = f.Run(f.Completion("b", false));
+  CHECK(refused.status() == 429);
+  CHECK(refused.body().find("\"ran\":\"no\"") != std::string::npos);
+  CHECK(f.admission.queue.empty());
+  const auto waiting = f.Send(f.Completion("c", false));
+  REQUIRE(f.Until([&] { return f.admission.queue.size() == 1; }));
+  held[0].second->Send(200, FakeEndpoint::EchoHeaders(held[0].first, "application/json"), "{}");
+  REQUIRE(f.Until([&] { return held.size() == 2; }));
+  held[1].second->Send(200, FakeEndpoint::EchoHeaders(held[1].first, "application/json"), "{}");
+  REQUIRE(f.Until([&] { return first->done && waiting->done; }));
+  CHECK(waiting->status() == 200);
+  CHECK(f.admission.running == 0);
+}
+
 // Guards against samples with tokens lost or without the version that produced them.
 TEST_CASE("a sample reports each token with its version, and a cut one is interrupted") {
   CallerFixture f;
