--- a/tools/experiment/experiment_main.cc
+++ b/tools/experiment/experiment_main.cc
@@ -11,6 +11,7 @@
 #include "base/error.h"
 #include "tools/experiment/capacity_experiment.h"
 #include "tools/experiment/experiment.h"
+#include "tools/experiment/idle_experiment.h"
 #include "tools/experiment/routing_experiment.h"
 #include "tools/experiment/shares_experiment.h"
 #include "tools/experiment/slopes_experiment.h"
@@ -33,6 +34,7 @@
   experiments.push_back(std::make_unique<ZoneLossExperiment>());
   experiments.push_back(std::make_unique<SunsetExperiment>());
   experiments.push_back(std::make_unique<CapacityExperiment>());
+  experiments.push_back(std::make_unique<IdleExperiment>());
   experiments.push_back(std::make_unique<SlopesExperiment>());
   return experiments;
 }
--- a/tools/experiment/fake_instance.h
+++ b/tools/experiment/fake_instance.h
@@ -57,6 +57,8 @@
     int tokens_left = 0;
     int endpoint = -1;
     int priority = 0;
+    // The trial call of an open breaker.
+    bool trial = false;
     bool preempted = false;
     std::vector<std::string> excluded;
   };
