Fix linter findings in the roster, the usage duty and the peer channel

Purpose: clang-tidy reports copies of shared pointers, a missing reserve and a plain integer type in files of the coordination work. No change of behaviour. Tests of the base, coordination, protocol, daemon and transport layers pass; the fuzz test of the HTTP client did not end within 20 s on the loaded machine and was left out of that run.

--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -87,6 +87,7 @@
 }
 
 void Membership::StartRound(const std::vector<Member>& members) {
+  m_round.reserve(members.size());
   for (const Member& member : members) {
     m_round.push_back(member.address);
   }
--- a/src/coordination/roster.cc
+++ b/src/coordination/roster.cc
@@ -105,7 +105,8 @@
   ScanAfter("", std::make_shared<std::vector<TableRow>>(), m_own_row_in_place);
 }
 
-void Roster::ScanAfter(const std::string& after, std::shared_ptr<std::vector<TableRow>> rows, bool own_row_in_place) {
+void Roster::ScanAfter(const std::string& after, const std::shared_ptr<std::vector<TableRow>>& rows,
+                       bool own_row_in_place) {
   m_store->Scan(kRosterPrefix, after, kRowsPerScan,
                 [this, rows, own_row_in_place, alive = std::weak_ptr<bool>(m_alive)](const ReadResult& read) {
                   if (alive.expired() || !read.ok) {
--- a/src/coordination/roster.h
+++ b/src/coordination/roster.h
@@ -79,7 +79,7 @@
   void TakeOwnRow(const TableRow& row);
   void RemoveOwnRow();
   void Scan();
-  void ScanAfter(const std::string& after, std::shared_ptr<std::vector<TableRow>> rows, bool own_row_in_place);
+  void ScanAfter(const std::string& after, const std::shared_ptr<std::vector<TableRow>>& rows, bool own_row_in_place);
   void OnScanned(const std::vector<TableRow>& rows, bool own_row_in_place);
   void ReviewOthers();
   void MarkSilent(const RosterEntry& entry);
--- a/src/coordination/usage_duty.cc
+++ b/src/coordination/usage_duty.cc
@@ -153,7 +153,7 @@
   m_resolving_store.Transact(std::move(transaction), key, [this](const TransactResult&) { EndStep(); });
 }
 
-void UsageDuty::Sum(const std::string& after, int64_t row_version, std::shared_ptr<UsageByWorkspace> sum) {
+void UsageDuty::Sum(const std::string& after, int64_t row_version, const std::shared_ptr<UsageByWorkspace>& sum) {
   m_store->Scan(UsagePrefix(m_next_window), after, kRowsPerScan,
                 m_guard.Wrap([this, row_version, sum](const ReadResult& read) {
                   if (!read.ok || !IsActive()) {
--- a/src/coordination/usage_duty.h
+++ b/src/coordination/usage_duty.h
@@ -53,7 +53,7 @@
   void ReviewWindow();
   void OnWindowRecord(const ReadResult& read);
   void Close();
-  void Sum(const std::string& after, int64_t row_version, std::shared_ptr<UsageByWorkspace> sum);
+  void Sum(const std::string& after, int64_t row_version, const std::shared_ptr<UsageByWorkspace>& sum);
   void Freeze(int64_t row_version, const UsageByWorkspace& sum);
   void BeginReports(const UsageByWorkspace& usage);
   void SendReport();
--- a/src/transport/udp_peer_channel.cc
+++ b/src/transport/udp_peer_channel.cc
@@ -28,7 +28,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   char* end = nullptr;
-  const unsigned long port = std::strtoul(text.c_str() + colon + 1, &end, 10);
+  const uint64_t port = std::strtoul(text.c_str() + colon + 1, &end, 10);
   if (end == text.c_str() + colon + 1 || *end != '\0' || port > UINT16_MAX ||
       inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) {
     return std::nullopt;
