--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -112,6 +112,7 @@
     }
   }
   std::vector<Member> members;
+  members.reserve(by_instance.size());
   for (const auto& entry : by_instance) {
     members.push_back(entry.second);
   }
