--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -87,6 +87,7 @@
 }
 
 void Membership::StartRound(const std::vector<Member>& members) {
+  m_round.reserve(members.size());
   for (const Member& member : members) {
     m_round.push_back(member.address);
   }
@@ -111,6 +112,7 @@
     }
   }
   std::vector<Member> members;
+  members.reserve(by_instance.size());
   for (const auto& entry : by_instance) {
     members.push_back(entry.second);
   }
