--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -68,7 +68,7 @@
 }  // namespace
 
 CallerApi::CallerApi(Collaborators collaborators, CallerApiOptions options)
-    : m_collaborators(std::move(collaborators)), m_options(options), m_authenticator(m_collaborators.config) {
+    : m_collaborators(collaborators), m_options(options), m_authenticator(m_collaborators.config) {
   m_collaborators.config->AddListener([this, alive = m_alive](const ConfigChange&) {
     if (*alive) {
       CheckKeys();
--- a/tools/experiment/fake_instance.cc
+++ b/tools/experiment/fake_instance.cc
@@ -58,12 +58,12 @@
   // A poll also serves as the breaker's evidence and trial call, so that few requests have to.
   CircuitBreaker& breaker = m_breakers[endpoint];
   if (breaker.Allows(m_queue->Now())) {
-    breaker.OnStart(m_queue->Now());
-    m_queue->After(engine.silent() ? kConnectTimeoutMs : 1.0, [this, &breaker, ok = !engine.silent()] {
+    const bool trial = breaker.OnStart(m_queue->Now());
+    m_queue->After(engine.silent() ? kConnectTimeoutMs : 1.0, [this, &breaker, trial, ok = !engine.silent()] {
       if (ok) {
-        breaker.OnSuccess();
+        breaker.OnSuccess(trial);
       } else {
-        breaker.OnFailure(m_queue->Now());
+        breaker.OnFailure(trial, m_queue->Now());
       }
     });
   }
@@ -180,7 +180,7 @@
   ++state.own_in_flight;
   ++state.own_since_report;
   m_sent_at_ms[active.endpoint].push_back(m_queue->now_ms());
-  m_breakers[active.endpoint].OnStart(m_queue->Now());
+  active.breaker_trial = m_breakers[active.endpoint].OnStart(m_queue->Now());
   m_router->OnDispatched(state.id, request.prefix_hashes);
   EngineRequest call;
   call.id = id;
@@ -203,9 +203,9 @@
   if (active.endpoint >= 0) {
     --m_view[active.endpoint].own_in_flight;
     if (ok) {
-      m_breakers[active.endpoint].OnSuccess();
+      m_breakers[active.endpoint].OnSuccess(active.breaker_trial);
     } else {
-      m_breakers[active.endpoint].OnFailure(m_queue->Now());
+      m_breakers[active.endpoint].OnFailure(active.breaker_trial, m_queue->Now());
     }
   }
   active.tokens_left -= tokens;
--- a/tools/experiment/fake_instance.h
+++ b/tools/experiment/fake_instance.h
@@ -53,6 +53,7 @@
 
  private:
   struct Active {
+    bool breaker_trial = false;
     RequestRecord* record = nullptr;
     int tokens_left = 0;
     int endpoint = -1;
