Add the rate of weight loads to the service configuration

The default of 4/s is the limit of the platform's stand-in. At 1,000 replicas 64/s are needed.

Conclusion: state_test, ctl_test and coordination_test pass after the change, and quetzalridged links. daemon_test was not built again; the machine was busy.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -282,7 +282,9 @@
       EntryCommand("profile",
                    "staleness_bound, rollout_share_max, cheap_share_max, spend_limit_per_hour, objective_latency_ms, "
                    "objective_target, straggler_factor"),
-      EntryCommand("service", "kind (inference, plain), profile, min_replicas, max_replicas, slots_per_replica"),
+      EntryCommand("service",
+                   "kind (inference, plain), profile, min_replicas, max_replicas, slots_per_replica, "
+                   "weight_loads_per_second"),
       EntryCommand("route", "service, open, idempotent"),
       EntryCommand("queue", "workspace, service"),
       EntryCommand("endpoint", "service, address, zone, cheap, checks_fencing"),
--- a/src/state/config_document.cc
+++ b/src/state/config_document.cc
@@ -123,6 +123,7 @@
   reader->Number("min_replicas", &config.min_replicas, 0, kMaxCount);
   reader->Number("max_replicas", &config.max_replicas, config.min_replicas, kMaxCount);
   reader->Number("slots_per_replica", &config.slots_per_replica, 1, 4096);
+  reader->Number("weight_loads_per_second", &config.weight_loads_per_second, 0.1, 10'000);
   return config;
 }
 
@@ -182,7 +183,8 @@
           {"profile", c.profile},
           {"min_replicas", c.min_replicas},
           {"max_replicas", c.max_replicas},
-          {"slots_per_replica", c.slots_per_replica}};
+          {"slots_per_replica", c.slots_per_replica},
+          {"weight_loads_per_second", c.weight_loads_per_second}};
 }
 
 Json ToJsonValue(const RouteConfig& c) {
--- a/src/state/config_document.h
+++ b/src/state/config_document.h
@@ -56,6 +56,8 @@
   int max_replicas = 16;
   // Requests that one replica serves at the same time.
   int slots_per_replica = 16;
+  // Weight loads that may begin in one second: the service's part of the weight store's rate limit.
+  double weight_loads_per_second = 4.0;
 };
 
 struct RouteConfig {
