--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,7 +15,8 @@
 finish() {
   status=$?
   for pid in "${pids[@]}"; do
-    kill "$pid" 2>/dev/null || true
+    # A planned stop would wait for the platform, which ends at the same time.
+    kill -9 "$pid" 2>/dev/null || true
   done
   wait 2>/dev/null || true
   if [ "$status" -ne 0 ]; then
