Recognise a crashing prompt whatever else the request changes

Ruled out: lost peer counts; membership carried them within 1.5 s. Cause: the fingerprint covered the whole body, and the caller's repeats alternate `stream`, so each form was counted by itself. The fingerprint of a completion is now the workspace, the model and the prompt; the check that an Idempotency-Key names one request still covers the whole body.

Also: weight roll-outs follow the service's weight_loads_per_second.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -56,7 +56,7 @@
   void Print(const std::string& json) { m_out << (m_options.json ? json + "\n" : FormatJsonForHumans(json)); }
 
   Json Config() {
-    const Json config = Json::parse(Get("/admin/config"), nullptr, false);
+    Json config = Json::parse(Get("/admin/config"), nullptr, false);
     if (!config.is_object()) {
       throw CommandFailure(ExitCode::kRefused, "the instance sent no configuration; check --address");
     }
@@ -119,7 +119,7 @@
 // Accepts one JSON object, or members to change as key=value with JSON values; bare words are strings.
 Json ParseValue(const Words& words, size_t first, const Json& present) {
   if (words.size() == first + 1 && words[first].rfind('{', 0) == 0) {
-    const Json value = Json::parse(words[first], nullptr, false);
+    Json value = Json::parse(words[first], nullptr, false);
     if (!value.is_object()) {
       throw CommandFailure(ExitCode::kUsage, "the value is not a JSON object; check quotes and commas");
     }
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -176,7 +176,9 @@
     const int64_t tokens = completion.max_tokens > 0 ? completion.max_tokens : kTokensWhenNotNamed;
     dispatch.answer_time = kTimePerToken * tokens;
   }
-  dispatch.fingerprint = RequestFingerprint(identity.workspace, request.path, completion.body);
+  // A caller that sends a crashing prompt again often changes other members, such as `stream`, on the way.
+  dispatch.fingerprint = RequestFingerprint(identity.workspace, completion.model,
+                                            completion.prompt.empty() ? completion.body : completion.prompt);
   dispatch.prefix_hashes = PrefixHashes(completion.prompt);
   StartRequest(std::move(dispatch), identity, !route.open, request, responder);
 }
--- a/src/daemon/caller_request.cc
+++ b/src/daemon/caller_request.cc
@@ -6,6 +6,7 @@
 #include "protocol/error_body.h"
 #include "protocol/header_allow_list.h"
 #include "protocol/sse_writer.h"
+#include "state/request_fingerprint.h"
 
 namespace quetzalridge {
 
@@ -66,7 +67,7 @@
   }
   const std::string workspace = m_workspace.empty() ? kOpenWorkspace : m_workspace;
   m_owner->m_collaborators.once->Begin(
-      workspace, m_once_id, m_dispatch.fingerprint,
+      workspace, m_once_id, RequestFingerprint(workspace, m_dispatch.target, m_dispatch.body),
       [self = shared_from_this()](const OnceBegin& begin) { self->OnOnceBegin(begin); });
 }
 
--- a/src/daemon/duty_set.cc
+++ b/src/daemon/duty_set.cc
@@ -71,10 +71,12 @@
     if (!is_inference(name) || m_weights.count(name) > 0) {
       continue;
     }
+    RolloutPlanOptions options;
+    options.orders_per_second = service.weight_loads_per_second;
     auto duty =
         std::make_unique<WeightRollout>(WeightRolloutContext{m_collaborators.platform, m_collaborators.endpoints,
                                                              m_collaborators.engines, m_collaborators.scheduler},
-                                        name, RolloutPlanOptions());
+                                        name, options);
     m_collaborators.manager->AddDuty("weights/" + name, duty.get());
     m_weights[name] = std::move(duty);
   }
