--- a/src/coordination/order_duty.cc
+++ b/src/coordination/order_duty.cc
@@ -19,49 +19,18 @@
 
 OrderDuty::OrderDuty(TableStore* store, Scheduler* scheduler, Platform* platform, OrderTargets* targets,
                      std::string zone, OrderDutyOptions options)
-    : m_store(store),
-      m_scheduler(scheduler),
+    : PlatformDuty(scheduler, options.poll, options.request_timeout),
+      m_store(store),
       m_platform(platform),
       m_targets(targets),
       m_zone(std::move(zone)),
-      m_options(options),
-      m_resolving_store(store, scheduler),
-      m_gate(std::make_shared<RequestGate>(&scheduler->clock(), options.request_timeout)) {}
+      m_resolving_store(store, scheduler) {}
 
-void OrderDuty::OnAcquired(const Lease* lease) {
-  m_lease = lease;
-  m_stopped = false;
+void OrderDuty::ForgetState() {
   m_intents_known = false;
-  m_gate->Open(lease);
-  Tick();
 }
 
-void OrderDuty::OnLost() {
-  m_lease = nullptr;
-  m_gate->Close();
-  m_timer.reset();
-}
-
-void OrderDuty::Stop() {
-  m_stopped = true;
-  m_gate->Close();
-  m_timer.reset();
-}
-
-bool OrderDuty::IsIdle() const {
-  return m_gate->IsIdle();
-}
-
-void OrderDuty::Tick() {
-  if (!IsActive()) {
-    return;
-  }
-  m_timer = m_scheduler->After(m_options.poll, [this] { Tick(); });
-  // An order that may still arrive must not be overtaken by the next one.
-  if (m_busy || !m_gate->IsIdle()) {
-    return;
-  }
-  m_busy = true;
+void OrderDuty::BeginStep() {
   if (m_intents_known) {
     ReadInstances();
     return;
@@ -110,7 +79,7 @@
 
 void OrderDuty::Review(const std::vector<PlatformInstance>& instances) {
   m_pending.clear();
-  for (const ServiceTarget& target : m_targets->Targets(m_zone, instances, m_scheduler->clock().Now())) {
+  for (const ServiceTarget& target : m_targets->Targets(m_zone, instances, Now())) {
     m_pending.push_back(target);
   }
   // A service that was removed from the configuration needs no endpoints.
@@ -152,8 +121,8 @@
   intent.steady = target.steady;
   intent.cheap = target.cheap;
   intent.sequence = m_sequence + 1;
-  intent.fence = m_lease->epoch();
-  intent.holder = m_lease->holder();
+  intent.fence = lease()->epoch();
+  intent.holder = lease()->holder();
   m_sequence += kOrdersPerIntent;
   const std::string key = OrderPrefix(m_zone) + target.service;
   TableTransaction transaction;
@@ -189,7 +158,7 @@
   order.fence = intent.fence;
   order.holder = intent.holder;
   m_platform->OrderEndpoints(
-      order, [gate = m_gate, epoch = order.fence] { return gate->MayWrite(epoch); },
+      order, [gate = gate(), epoch = order.fence] { return gate->MayWrite(epoch); },
       m_guard.Wrap([this, service, kind](const OrderResult& result) { OnOrdered(service, kind, result); }));
 }
 
@@ -197,7 +166,7 @@
 // answer to the previous one is known or given up, so orders arrive in sequence.
 void OrderDuty::OnOrdered(const std::string& service, EndpointKind kind, const OrderResult& result) {
   if (result.outcome != OrderOutcome::kUnknown) {
-    m_gate->OnAnswered();
+    gate()->OnAnswered();
   }
   switch (result.outcome) {
     case OrderOutcome::kAccepted:
@@ -211,7 +180,7 @@
       return;
     case OrderOutcome::kNoneAvailable:
       Log(LogEvent::kNoEndpointsToOrder, m_zone + "/" + service);
-      m_targets->OnNoneAvailable(m_zone, service, kind, m_scheduler->clock().Now());
+      m_targets->OnNoneAvailable(m_zone, service, kind, Now());
       // The other services of the zone need not wait for this one.
       m_pending.pop_front();
       Next();
--- a/src/coordination/order_duty.h
+++ b/src/coordination/order_duty.h
@@ -8,11 +8,10 @@
 #include <vector>
 
 #include "coordination/callback_guard.h"
-#include "coordination/duty.h"
 #include "coordination/order_record.h"
 #include "coordination/order_targets.h"
 #include "coordination/platform.h"
-#include "coordination/request_gate.h"
+#include "coordination/platform_duty.h"
 #include "coordination/resolving_store.h"
 #include "coordination/scheduler.h"
 #include "coordination/table_store.h"
@@ -26,16 +25,11 @@
 
 // Orders the endpoints of one availability zone: writes down each intent, then sends absolute targets, one order at a
 // time.
-class OrderDuty : public Duty {
+class OrderDuty : public PlatformDuty {
  public:
   OrderDuty(TableStore* store, Scheduler* scheduler, Platform* platform, OrderTargets* targets, std::string zone,
             OrderDutyOptions options);
 
-  void OnAcquired(const Lease* lease) override;
-  void OnLost() override;
-  void Stop() override;
-  bool IsIdle() const override;
-
  private:
   struct Service {
     OrderIntent intent;
@@ -48,8 +42,8 @@
     bool cheap_accepted = false;
   };
 
-  bool IsActive() const { return m_lease != nullptr && !m_stopped; }
-  void Tick();
+  void ForgetState() override;
+  void BeginStep() override;
   void ReadIntents(const std::string& after);
   void OnIntents(const ReadResult& read);
   void ReadInstances();
@@ -59,26 +53,18 @@
   void OnIntentWritten(const std::string& service, const OrderIntent& intent, const TransactResult& result);
   void SendOrder(const std::string& service, EndpointKind kind);
   void OnOrdered(const std::string& service, EndpointKind kind, const OrderResult& result);
-  void EndStep() { m_busy = false; }
 
   TableStore* m_store;
-  Scheduler* m_scheduler;
   Platform* m_platform;
   OrderTargets* m_targets;
   std::string m_zone;
-  OrderDutyOptions m_options;
   ResolvingStore m_resolving_store;
-  std::shared_ptr<RequestGate> m_gate;
-  const Lease* m_lease = nullptr;
-  bool m_stopped = false;
-  bool m_busy = false;
   // The intents of earlier holders were read under the present lease.
   bool m_intents_known = false;
   int64_t m_sequence = 0;
   std::map<std::string, Service> m_services;
   // Targets of the present review that are still to be looked at.
   std::deque<ServiceTarget> m_pending;
-  std::unique_ptr<Timer> m_timer;
   CallbackGuard m_guard;
 };
 
--- a/src/coordination/usage_duty.cc
+++ b/src/coordination/usage_duty.cc
@@ -19,47 +19,18 @@
 
 UsageDuty::UsageDuty(TableStore* store, Scheduler* scheduler, Platform* platform, std::function<int64_t()> wall_ms,
                      UsageDutyOptions options)
-    : m_store(store),
-      m_scheduler(scheduler),
+    : PlatformDuty(scheduler, options.poll, options.request_timeout),
+      m_store(store),
       m_platform(platform),
       m_wall_ms(std::move(wall_ms)),
       m_options(options),
-      m_resolving_store(store, scheduler),
-      m_gate(std::make_shared<RequestGate>(&scheduler->clock(), options.request_timeout)) {}
+      m_resolving_store(store, scheduler) {}
 
-void UsageDuty::OnAcquired(const Lease* lease) {
-  m_lease = lease;
-  m_stopped = false;
+void UsageDuty::ForgetState() {
   m_next_known = false;
-  m_gate->Open(lease);
-  Tick();
 }
 
-void UsageDuty::OnLost() {
-  m_lease = nullptr;
-  m_gate->Close();
-  m_timer.reset();
-}
-
-void UsageDuty::Stop() {
-  m_stopped = true;
-  m_gate->Close();
-  m_timer.reset();
-}
-
-bool UsageDuty::IsIdle() const {
-  return m_gate->IsIdle();
-}
-
-void UsageDuty::Tick() {
-  if (!IsActive()) {
-    return;
-  }
-  m_timer = m_scheduler->After(m_options.poll, [this] { Tick(); });
-  if (m_busy || !m_gate->IsIdle()) {
-    return;
-  }
-  m_busy = true;
+void UsageDuty::BeginStep() {
   if (m_next_known) {
     ReviewWindow();
   } else {
@@ -211,10 +182,10 @@
   report.window = m_next_window;
   report.figures = next.usage.figures;
   report.late_figures = next.usage.late;
-  report.fence = m_lease->epoch();
-  report.holder = m_lease->holder();
+  report.fence = lease()->epoch();
+  report.holder = lease()->holder();
   m_platform->ReportUsage(
-      report, [gate = m_gate, epoch = report.fence] { return gate->MayWrite(epoch); },
+      report, [gate = gate(), epoch = report.fence] { return gate->MayWrite(epoch); },
       m_guard.Wrap([this](ReportOutcome outcome) { OnReported(outcome); }));
 }
 
@@ -224,7 +195,7 @@
     EndStep();
     return;
   }
-  m_gate->OnAnswered();
+  gate()->OnAnswered();
   if (outcome == ReportOutcome::kNotSent) {
     EndStep();
     return;
--- a/src/coordination/usage_duty.h
+++ b/src/coordination/usage_duty.h
@@ -7,9 +7,8 @@
 #include <vector>
 
 #include "coordination/callback_guard.h"
-#include "coordination/duty.h"
 #include "coordination/platform.h"
-#include "coordination/request_gate.h"
+#include "coordination/platform_duty.h"
 #include "coordination/resolving_store.h"
 #include "coordination/scheduler.h"
 #include "coordination/table_store.h"
@@ -26,16 +25,11 @@
 };
 
 // Closes each window after its end, records the sums once, and reports them to the platform.
-class UsageDuty : public Duty {
+class UsageDuty : public PlatformDuty {
  public:
   UsageDuty(TableStore* store, Scheduler* scheduler, Platform* platform, std::function<int64_t()> wall_ms,
             UsageDutyOptions options);
 
-  void OnAcquired(const Lease* lease) override;
-  void OnLost() override;
-  void Stop() override;
-  bool IsIdle() const override;
-
   // Reports that the platform refused because it holds other figures; each one is a fault.
   int differing_reports() const { return m_differing; }
 
@@ -45,8 +39,8 @@
     WorkspaceUsage usage;
   };
 
-  bool IsActive() const { return m_lease != nullptr && !m_stopped; }
-  void Tick();
+  void ForgetState() override;
+  void BeginStep() override;
   void ReadProgress();
   void FindFirstWindow(const TableRow& first);
   void RecordFirstWindow(int64_t window);
@@ -59,26 +53,18 @@
   void SendReport();
   void OnReported(ReportOutcome outcome);
   void RecordProgress();
-  void EndStep() { m_busy = false; }
 
   TableStore* m_store;
-  Scheduler* m_scheduler;
   Platform* m_platform;
   std::function<int64_t()> m_wall_ms;
   UsageDutyOptions m_options;
   ResolvingStore m_resolving_store;
-  std::shared_ptr<RequestGate> m_gate;
-  const Lease* m_lease = nullptr;
-  bool m_stopped = false;
-  // A step is under way; the next one starts after its end.
-  bool m_busy = false;
   // The next window to report, once it is known.
   bool m_next_known = false;
   int64_t m_next_window = 0;
   int64_t m_progress_version = 0;
   std::vector<Report> m_reports;
   int m_differing = 0;
-  std::unique_ptr<Timer> m_timer;
   CallbackGuard m_guard;
 };
 
