--- /dev/null
+++ b/scripts/measure_daemon.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Measures one daemon in front of one engine stand-in: the latency that it adds at a fixed rate against the stand-in
+# directly, its memory and processor share at rest, and its control traffic with two peers. Build first with
+# scripts/test.sh. Uses ports 19600 to 19640 of the loopback address.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$PWD/build
+rate=${1:-500}
+seconds=${2:-10}
+folder=$(mktemp -d)
+pids=()
+finish() {
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  rm -rf "$folder"
+}
+trap finish EXIT
+
+start() {
+  "$@" >"$folder/${#pids[@]}.log" 2>&1 &
+  pids+=($!)
+}
+await() { for _ in $(seq 300); do curl -sf "$1" >/dev/null && return 0; sleep 0.1; done; echo "no answer from $1" >&2; exit 1; }
+
+start "$bin/standin_platform" --port 19600
+start "$bin/standin_engine" --port 19601 --id engine1 --service chat --slots 64 --token-ms 1
+for i in 1 2 3; do
+  cat >"$folder/entry$i.json" <<JSON
+{ "instance": {"id": "entry$i", "zone": "a"}, "platform": {"address": "127.0.0.1:19600"},
+  "listen": {"caller": "127.0.0.1:1961$i", "admin": "127.0.0.1:1962$i", "peer": "127.0.0.1:1963$i"} }
+JSON
+  start "$bin/quetzalridged" --settings "$folder/entry$i.json"
+done
+daemon=${pids[2]}
+for i in 1 2 3; do await "http://127.0.0.1:1962$i/readyz"; done
+sleep 2
+ctl() { "$bin/quetzalridgectl" --address 127.0.0.1:19621 "$@" >/dev/null; }
+ctl profile set normal objective_latency_ms=1000
+ctl service set chat profile=normal slots_per_replica=64
+ctl workspace set w max_concurrent=1000
+ctl endpoint set engine1 service=chat address=127.0.0.1:19601 zone=a
+ctl route set chat service=chat
+key=$("$bin/quetzalridgectl" --address 127.0.0.1:19621 key grant w | sed -n 's/^secret: //p')
+sleep 2
+
+cpu_ticks() { awk '{print $14 + $15}' "/proc/$daemon/stat"; }
+io_bytes() { awk '/^(rchar|wchar)/ {sum += $2} END {print sum}' "/proc/$daemon/io"; }
+ticks=$(cpu_ticks) bytes=$(io_bytes)
+sleep 10
+echo "at rest, one of three instances: resident $(awk '/VmRSS/ {print $2}' "/proc/$daemon/status") kB," \
+  "processor $((($(cpu_ticks) - ticks) * 100 / $(getconf CLK_TCK) / 10)).$(((($(cpu_ticks) - ticks) * 1000 / $(getconf CLK_TCK) / 10) % 10)) %," \
+  "HTTP bytes read and written $((($(io_bytes) - bytes) / 10)) per s"
+for run in 1 2 3; do
+  echo "run $run, direct:"
+  "$bin/quetzalridge_load" --mode latency --addresses 127.0.0.1:19601 --rate "$rate" --seconds "$seconds" --model chat --tokens 1
+  echo "run $run, through one daemon:"
+  "$bin/quetzalridge_load" --mode latency --addresses 127.0.0.1:19611 --keys "w=$key" --rate "$rate" --seconds "$seconds" --model chat --tokens 1
+done
+echo "after the load: resident $(awk '/VmRSS/ {print $2}' "/proc/$daemon/status") kB"
