Give finished groups one JSON form, and drop two error codes that nothing uses

The ready rows and the delivery cursor each wrote and read the same seven members; both now call state/finished_group_json, with the same bytes. The codes `forbidden` and `not_leader` stood in the table and on the interface page, but no code path returns them.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -17,7 +17,6 @@
     {ErrorCode::kMethodNotAllowed, "method_not_allowed", 405},
     {ErrorCode::kNotFound, "not_found", 404},
     {ErrorCode::kUnauthorized, "unauthorized", 401},
-    {ErrorCode::kForbidden, "forbidden", 403},
     {ErrorCode::kKeyWithdrawn, "key_withdrawn", 401},
     {ErrorCode::kPermissionLapsed, "permission_lapsed", 503},
     {ErrorCode::kOverloaded, "overloaded", 429},
@@ -32,7 +31,6 @@
     {ErrorCode::kConflict, "conflict", 409},
     {ErrorCode::kBatchVoid, "batch_void", 409},
     {ErrorCode::kDraining, "draining", 503},
-    {ErrorCode::kNotLeader, "not_leader", 503},
     {ErrorCode::kInternal, "internal", 500},
 };
 
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -14,7 +14,6 @@
   kMethodNotAllowed,
   kNotFound,
   kUnauthorized,
-  kForbidden,
   kKeyWithdrawn,
   kPermissionLapsed,
   kOverloaded,
@@ -29,7 +28,6 @@
   kConflict,
   kBatchVoid,
   kDraining,
-  kNotLeader,
   kInternal,
 };
 
--- a/src/coordination/rollout_rows.cc
+++ b/src/coordination/rollout_rows.cc
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "base/log_event.h"
+#include "state/finished_group_json.h"
 
 namespace quetzalridge {
 
@@ -72,27 +73,11 @@
 }
 
 std::string EncodeReadyRow(const FinishedGroup& group) {
-  return Dump({{"id", group.id},
-               {"attempt", group.attempt},
-               {"step", group.step},
-               {"object", group.object},
-               {"oldest", group.oldest_version},
-               {"samples", group.samples},
-               {"spec", group.spec_digest}});
+  return Dump(FinishedGroupToJson(group));
 }
 
 FinishedGroup DecodeReadyRow(const std::string& value) {
-  return Decode<FinishedGroup>(value, [](const Json& json) {
-    FinishedGroup group;
-    group.id = json.at("id").get<std::string>();
-    group.attempt = json.at("attempt").get<int64_t>();
-    group.step = json.at("step").get<int64_t>();
-    group.object = json.at("object").get<std::string>();
-    group.oldest_version = json.at("oldest").get<int64_t>();
-    group.samples = json.at("samples").get<int64_t>();
-    group.spec_digest = json.at("spec").get<std::string>();
-    return group;
-  });
+  return Decode<FinishedGroup>(value, &FinishedGroupFromJson);
 }
 
 std::string EncodeDoneRow(const DoneRow& row) {
--- a/src/state/delivery_cursor.cc
+++ b/src/state/delivery_cursor.cc
@@ -5,6 +5,7 @@
 #include <stdexcept>
 
 #include "base/error.h"
+#include "state/finished_group_json.h"
 
 namespace quetzalridge {
 
@@ -12,24 +13,6 @@
 
 using Json = nlohmann::json;
 
-Json GroupToJson(const FinishedGroup& group) {
-  return {{"id", group.id},           {"attempt", group.attempt},       {"step", group.step},
-          {"object", group.object},   {"oldest", group.oldest_version}, {"samples", group.samples},
-          {"spec", group.spec_digest}};
-}
-
-FinishedGroup GroupFromJson(const Json& json) {
-  FinishedGroup group;
-  group.id = json.at("id").get<std::string>();
-  group.attempt = json.at("attempt").get<int64_t>();
-  group.step = json.at("step").get<int64_t>();
-  group.object = json.at("object").get<std::string>();
-  group.oldest_version = json.at("oldest").get<int64_t>();
-  group.samples = json.at("samples").get<int64_t>();
-  group.spec_digest = json.at("spec").get<std::string>();
-  return group;
-}
-
 }  // namespace
 
 BatchState DeliveryCursor::StateOf(int64_t number) const {
@@ -84,7 +67,7 @@
   if (m_open.has_value()) {
     Json groups = Json::array();
     for (const FinishedGroup& group : m_open->groups) {
-      groups.push_back(GroupToJson(group));
+      groups.push_back(FinishedGroupToJson(group));
     }
     json["open"] = {{"number", m_open->number}, {"groups", groups}};
   }
@@ -108,7 +91,7 @@
     if (json.contains("open")) {
       cursor.m_open = DeliveryBatch{json["open"].at("number").get<int64_t>(), {}};
       for (const Json& group : json["open"].at("groups")) {
-        cursor.m_open->groups.push_back(GroupFromJson(group));
+        cursor.m_open->groups.push_back(FinishedGroupFromJson(group));
       }
     }
   } catch (const Json::exception& e) {
