Keep work from endpoints whose load polls fail

Cause: the first crash cut the stream after its first token, so the caller sent the request again. The next instance ran it as a suspect on an endpoint that was idle by its last report, which was the crashed one. The relay of the test accepted the connection and closed it, the instance took the lost connection for a second crash, and the request was quarantined after one. Failed polls of /load had no effect on the choice of an endpoint.

Ruled out: stale pooled connections (no request reached a second engine in the kept records) and the merge of peers' counts (the second count was the instance's own).

Now an endpoint is out of use after two failed polls, unless no endpoint of the service answers, and a suspect needs an endpoint that answered its last poll. A load poll times out after 1 s (before: 2 s), so that a silent endpoint is out of use in less than 3 s.

--- a/src/daemon/dispatcher_run.cc
+++ b/src/daemon/dispatcher_run.cc
@@ -173,7 +173,8 @@
   const bool own_work_decides = Now() >= m_suspect_since + m_owner->m_options.idle_endpoint_wait;
   int best = -1;
   for (size_t i = 0; i < endpoints.size(); ++i) {
-    if (!IsEligible(shared, endpoints[i])) {
+    // A connection that an endpoint lost because it was down before would be blamed on the suspect.
+    if (!IsEligible(shared, endpoints[i]) || endpoints[i].failed_polls > 0) {
       continue;
     }
     if (own_work_decides && endpoints[i].own_in_flight == 0) {
--- a/src/daemon/endpoint_registry.cc
+++ b/src/daemon/endpoint_registry.cc
@@ -9,6 +9,12 @@
 // A report describes the engine at most this long ago; older starts need not be kept.
 constexpr Duration kLongestReportAge = Duration::Seconds(60);
 constexpr int kMaxListsPending = 6;
+// One failed poll may be a lost packet or a busy moment of the engine.
+constexpr int kFailedPollsToUnreachable = 2;
+
+bool IsUnreachable(const EndpointState& endpoint) {
+  return endpoint.failed_polls >= kFailedPollsToUnreachable;
+}
 
 EndpointState FromConfig(const std::string& id, const EndpointConfig& config) {
   EndpointState state;
@@ -69,14 +75,22 @@
 
 std::vector<EndpointState> EndpointRegistry::Available(const std::string& service, uint64_t owner) const {
   std::vector<EndpointState> available;
+  const bool any_reachable = IsAnyReachable(service);
   for (const EndpointState& endpoint : m_endpoints) {
-    if (endpoint.service == service && IsUsable(endpoint, owner)) {
+    if (endpoint.service == service && !(any_reachable && IsUnreachable(endpoint)) && IsUsable(endpoint, owner)) {
       available.push_back(endpoint);
     }
   }
   return available;
 }
 
+// When no endpoint answers polls, the fault may lie with the polls, so they are not believed then.
+bool EndpointRegistry::IsAnyReachable(const std::string& service) const {
+  return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const EndpointState& endpoint) {
+    return endpoint.service == service && !endpoint.leaving && !IsUnreachable(endpoint);
+  });
+}
+
 bool EndpointRegistry::IsUsable(const EndpointState& endpoint, uint64_t owner) const {
   const Record& record = m_records.at(endpoint.id);
   return !endpoint.leaving && !endpoint.set_aside && (record.reserved_by == 0 || record.reserved_by == owner) &&
@@ -85,8 +99,10 @@
 
 int EndpointRegistry::Capacity(const std::string& service) const {
   int capacity = 0;
+  const bool any_reachable = IsAnyReachable(service);
   for (const EndpointState& endpoint : m_endpoints) {
     if (endpoint.service == service && !endpoint.leaving && !endpoint.set_aside &&
+        !(any_reachable && IsUnreachable(endpoint)) &&
         !m_records.at(endpoint.id).breaker.open()) {
       capacity += endpoint.slots;
     }
@@ -303,8 +319,10 @@
   Record& record = m_records.at(endpoint_id);
   record.load_pending = false;
   if (!load.has_value()) {
+    ++endpoint->failed_polls;
     return;
   }
+  endpoint->failed_polls = 0;
   const TimePoint described_at = m_scheduler->clock().Now() - Duration::Milliseconds(load->age_ms);
   endpoint->reported_running = load->running;
   endpoint->reported_queued = load->queued;
--- a/src/daemon/endpoint_registry.h
+++ b/src/daemon/endpoint_registry.h
@@ -83,6 +83,7 @@
   std::map<std::string, EndpointState> Wanted() const;
   EndpointState* FindMutable(const std::string& endpoint_id);
   bool IsUsable(const EndpointState& endpoint, uint64_t owner) const;
+  bool IsAnyReachable(const std::string& service) const;
 
   Scheduler* m_scheduler;
   ConfigView* m_config;
--- a/src/state/endpoint_state.h
+++ b/src/state/endpoint_state.h
@@ -19,6 +19,8 @@
   bool leaving = false;
   // A failed weight swap or another lasting fault took it out of use.
   bool set_aside = false;
+  // Load polls that failed since the last one that succeeded.
+  int failed_polls = 0;
   int slots = 16;
 
   int reported_running = 0;
--- a/src/state/router.cc
+++ b/src/state/router.cc
@@ -11,7 +11,7 @@
   if (endpoint.cheap && !request.resumable) {
     return false;
   }
-  if (request.alone && (endpoint.own_in_flight > 0 || endpoint.reported_running > 0)) {
+  if (request.alone && (endpoint.own_in_flight > 0 || endpoint.reported_running > 0 || endpoint.failed_polls > 0)) {
     return false;
   }
   if (endpoint.weight_version < request.min_weight_version) {
--- a/src/transport/engine_client.cc
+++ b/src/transport/engine_client.cc
@@ -7,18 +7,20 @@
 namespace {
 
 constexpr Duration kPollTimeout = Duration::Seconds(2);
+// Two failed polls take a silent endpoint out of use, which should not last longer than 3 s.
+constexpr Duration kLoadPollTimeout = Duration::Seconds(1);
 constexpr size_t kMaxLoadBytes = 64 << 10;
 constexpr size_t kMaxCacheEventBytes = 4 << 20;
 constexpr int kStatusOk = 200;
 
-HttpCall SmallCall(const std::string& address, const std::string& target) {
+HttpCall SmallCall(const std::string& address, const std::string& target, Duration timeout = kPollTimeout) {
   HttpCall call;
   call.address = address;
   call.target = target;
-  call.connect_timeout = kPollTimeout;
-  call.head_timeout = kPollTimeout;
-  call.idle_timeout = kPollTimeout;
-  call.total_timeout = kPollTimeout;
+  call.connect_timeout = timeout;
+  call.head_timeout = timeout;
+  call.idle_timeout = timeout;
+  call.total_timeout = timeout;
   return call;
 }
 
@@ -35,7 +37,7 @@
 void EngineClient::PollLoad(const std::string& address,
                             std::function<void(const std::optional<EngineLoad>&)> callback) {
   m_client->Fetch(
-      SmallCall(address, "/load"),
+      SmallCall(address, "/load", kLoadPollTimeout),
       [callback = std::move(callback)](const HttpResponse& response) {
         callback(IsUsable(response) ? ParseEngineLoad(response.body) : std::nullopt);
       },
--- a/tests/daemon/dispatcher_test.cc
+++ b/tests/daemon/dispatcher_test.cc
@@ -243,6 +243,24 @@
   }
 }
 
+// Guards against a suspect that is blamed for a second crash because it was sent to an endpoint that was down already.
+TEST_CASE("a suspect does not run on an endpoint whose last poll failed") {
+  DispatcherOptions options;
+  options.queue_timeout = Duration::Milliseconds(60);
+  CallerFixture f(1, options);
+  f.endpoints["e0"]->on_request = AbortAtOnce;
+  CHECK(f.Run(f.Completion("culprit", false)).body().find("\"ran\":\"unknown\"") != std::string::npos);
+  const size_t requests = Requests(f, "e");
+  f.config.Change(ConfigKind::kEndpoint, "e0", std::nullopt);
+  f.config.Change(ConfigKind::kEndpoint, "dead", R"({"service":"sort","address":"127.0.0.1:1","zone":"z1"})");
+  f.registry->Start();
+  REQUIRE(f.Until([&] { return f.registry->Find("dead")->failed_polls >= 1; }));
+  const CallerAnswer refused = f.Run(f.Completion("culprit", false));
+  CHECK(refused.status() == 503);
+  CHECK(refused.body().find("\"ran\":\"no\"") != std::string::npos);
+  CHECK(Requests(f, "e") == requests);
+}
+
 class RecordingSample : public SampleObserver {
  public:
   void OnSampleStarted(const std::string& endpoint_id) override { endpoint = endpoint_id; }
--- a/tests/daemon/endpoint_registry_test.cc
+++ b/tests/daemon/endpoint_registry_test.cc
@@ -65,6 +65,21 @@
   CHECK(f.registry->Find("e0") == nullptr);
 }
 
+// Guards against work that is sent to an endpoint which the registry already knows to be down, and against a service
+// that is refused because its polls alone fail.
+TEST_CASE("an endpoint whose polls fail gets no work while another one answers") {
+  CallerFixture f;
+  f.config.Change(ConfigKind::kEndpoint, "dead", R"({"service":"sort","address":"127.0.0.1:1","zone":"z1"})");
+  f.registry->Start();
+  REQUIRE(f.Until([&] { return f.registry->Find("dead")->failed_polls >= 2; }));
+  const std::vector<EndpointState> available = f.registry->Available("sort", 0);
+  REQUIRE(available.size() == 1);
+  CHECK(available[0].id == "e0");
+  CHECK(f.registry->Capacity("sort") == available[0].slots);
+  f.config.Change(ConfigKind::kEndpoint, "e0", std::nullopt);
+  CHECK(f.registry->Available("sort", 0).size() == 1);
+}
+
 // Guards against a planned stop that cuts off a request, and against requests that are taken on while stopping.
 TEST_CASE("a planned stop finishes streams and refuses new requests as not run") {
   CallerFixture f;
--- a/tests/history/deployment.cc
+++ b/tests/history/deployment.cc
@@ -49,7 +49,9 @@
 }
 
 void Deployment::Add(const std::string& kind, const std::string& name, const std::string& value_json) {
-  if (m_harness.Change(*daemon(0), kind, name, value_json) < 0) {
+  // An instance that is ready may not be in the roster yet. Until it is, it refuses changes as not accepted.
+  const bool accepted = m_harness.WaitUntil([&] { return m_harness.Change(*daemon(0), kind, name, value_json) >= 0; });
+  if (!accepted) {
     throw std::runtime_error("the change of " + kind + " " + name + " was refused");
   }
 }
