--- a/src/daemon/endpoint_registry.cc
+++ b/src/daemon/endpoint_registry.cc
@@ -102,8 +102,7 @@
   const bool any_reachable = IsAnyReachable(service);
   for (const EndpointState& endpoint : m_endpoints) {
     if (endpoint.service == service && !endpoint.leaving && !endpoint.set_aside &&
-        !(any_reachable && IsUnreachable(endpoint)) &&
-        !m_records.at(endpoint.id).breaker.open()) {
+        !(any_reachable && IsUnreachable(endpoint)) && !m_records.at(endpoint.id).breaker.open()) {
       capacity += endpoint.slots;
     }
   }
