Move the confirmation of batches out of SampleDelivery

No behaviour changes.

Ruled out: a split of the hand-over itself, since its steps share the state of one operation.

--- a/src/coordination/rollout_rows.h
+++ b/src/coordination/rollout_rows.h
@@ -17,6 +17,10 @@
   kFinished,
 };
 
+// A transaction has at most 128 checks and writes; forming and confirming a batch need two for each group, and two for
+// the cursor.
+constexpr size_t kMaxGroupsPerBatch = 63;
+
 // Row rollout/<queue>/group/<id>.
 struct GroupRow {
   SampleGroupSpec spec;
--- a/src/coordination/sample_delivery.cc
+++ b/src/coordination/sample_delivery.cc
@@ -7,14 +7,9 @@
 
 namespace {
 
-// A transaction has at most 128 checks and writes; forming and confirming need two for each group, and two for the
-// cursor.
-constexpr size_t kMaxGroupsPerBatch = 63;
 // Two checks and two writes for each group.
 constexpr size_t kMaxGroupsPerReturn = 32;
 constexpr int kReadyPage = 128;
-// More than a confirmation adds, so that the deletion keeps up.
-constexpr int kDonePage = 100;
 constexpr Duration kPollInterval = Duration::Milliseconds(250);
 // A request is answered at most this long after its `wait`, even when the store does not answer.
 constexpr Duration kAnswerLimit = Duration::Seconds(5);
@@ -58,7 +53,8 @@
       m_options(std::move(options)),
       m_rows(m_options.queue),
       m_rule(m_options.staleness_bound),
-      m_sender(m_context.table, m_context.scheduler) {}
+      m_sender(m_context.table, m_context.scheduler),
+      m_confirmation(m_context.table, m_context.scheduler, m_options.queue, m_options.remembered_batches) {}
 
 SampleDelivery::~SampleDelivery() = default;
 
@@ -106,98 +102,7 @@
       report_to(DeliveryOutcome::kStoreUnavailable);
     }
   }));
-  ConfirmOnce(batch, report);
-}
-
-void SampleDelivery::ConfirmOnce(int64_t batch, ConfirmCallback callback) {
-  m_context.table->Read({m_rows.CursorKey()},
-                        m_guard.Wrap([this, batch, callback = std::move(callback)](const ReadResult& result) {
-                          if (!result.ok) {
-                            callback(DeliveryOutcome::kStoreUnavailable);
-                            return;
-                          }
-                          const TableRow& row = result.rows.at(0);
-                          std::optional<DeliveryCursor> cursor = ReadCursorRow(row);
-                          if (!cursor.has_value()) {
-                            callback(DeliveryOutcome::kStoreUnavailable);
-                            return;
-                          }
-                          switch (cursor->StateOf(batch)) {
-                            case BatchState::kOpen:
-                              CommitConfirmation(row, std::move(*cursor), callback);
-                              return;
-                            case BatchState::kConfirmed:
-                              callback(DeliveryOutcome::kOk);
-                              return;
-                            case BatchState::kVoid:
-                              callback(DeliveryOutcome::kBatchVoid);
-                              return;
-                            case BatchState::kUnknown:
-                              callback(DeliveryOutcome::kNoSuchBatch);
-                              return;
-                          }
-                        }));
-}
-
-void SampleDelivery::CommitConfirmation(const TableRow& row, DeliveryCursor cursor, ConfirmCallback callback) {
-  const int64_t batch = cursor.open()->number;
-  TableTransaction transaction;
-  transaction.checks = {{row.key, row.version}};
-  for (const FinishedGroup& group : cursor.open()->groups) {
-    transaction.writes.push_back({m_rows.GroupKey(group.id), std::nullopt});
-    transaction.writes.push_back({m_rows.DoneKey(group.id), EncodeDoneRow({group.spec_digest, batch})});
-  }
-  cursor.ConfirmOpen();
-  transaction.writes.push_back({row.key, cursor.Encode()});
-  m_sender.Send(std::move(transaction),
-                m_guard.Wrap([this, batch, callback = std::move(callback)](const TransactResult& result) {
-                  switch (result.outcome) {
-                    case TransactOutcome::kCommitted:
-                      DeleteOldDoneRows(batch);
-                      callback(DeliveryOutcome::kOk);
-                      return;
-                    case TransactOutcome::kConflict:
-                      ConfirmOnce(batch, callback);
-                      return;
-                    case TransactOutcome::kUnavailable:
-                    case TransactOutcome::kUnknown:
-                      callback(DeliveryOutcome::kStoreUnavailable);
-                      return;
-                  }
-                }));
-}
-
-void SampleDelivery::DeleteOldDoneRows(int64_t confirmed) {
-  if (confirmed <= m_options.remembered_batches) {
-    return;
-  }
-  m_context.table->Scan(m_rows.DonePrefix(), m_done_position, kDonePage,
-                        m_guard.Wrap([this, confirmed](const ReadResult& result) {
-                          if (!result.ok) {
-                            return;
-                          }
-                          const bool is_last = result.rows.size() < kDonePage;
-                          m_done_position = is_last ? "" : result.rows.back().key;
-                          CommitDeletion(result.rows, confirmed);
-                        }));
-}
-
-// A deletion that fails is made up for when its page comes again.
-void SampleDelivery::CommitDeletion(const std::vector<TableRow>& rows, int64_t confirmed) {
-  TableTransaction transaction;
-  for (const TableRow& row : rows) {
-    const std::optional<DoneRow> done = ReadDoneRow(row);
-    const bool is_old = done.has_value() && done->batch <= confirmed - m_options.remembered_batches;
-    if (is_old && transaction.checks.size() < kMaxGroupsPerBatch) {
-      transaction.checks.push_back({row.key, row.version});
-      transaction.writes.push_back({row.key, std::nullopt});
-    }
-  }
-  if (transaction.checks.empty()) {
-    return;
-  }
-  transaction.writes.push_back({m_rows.CleanupKey(), std::to_string(confirmed)});
-  m_sender.Send(std::move(transaction), [](const TransactResult&) {});
+  m_confirmation.Confirm(batch, report);
 }
 
 void SampleDelivery::Fetch(const FetchRequest& request, FetchCallback callback) {
@@ -213,7 +118,7 @@
     ReadVersion(id);
     return;
   }
-  ConfirmOnce(request.confirm, [this, id](DeliveryOutcome outcome) {
+  m_confirmation.Confirm(request.confirm, [this, id](DeliveryOutcome outcome) {
     if (outcome == DeliveryOutcome::kOk) {
       ReadVersion(id);
     } else {
--- a/src/coordination/sample_delivery.h
+++ b/src/coordination/sample_delivery.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/batch_confirmation.h"
 #include "coordination/callback_guard.h"
 #include "coordination/object_store.h"
 #include "coordination/platform.h"
@@ -44,20 +45,6 @@
   Duration wait;
 };
 
-enum class DeliveryOutcome {
-  // A batch was handed over, or the confirmation took effect.
-  kOk,
-  kNothingReady,
-  // Nothing is handed over while the newest version cannot be known.
-  kVersionUnknown,
-  // The batch to confirm is void; its samples are regenerated.
-  kBatchVoid,
-  // The batch to confirm was never formed.
-  kNoSuchBatch,
-  // The store did not answer; a confirmation may have taken effect. Asking again is safe.
-  kStoreUnavailable,
-};
-
 struct DeliveryStatus {
   // False when the store did not answer.
   bool known = false;
@@ -78,7 +65,7 @@
 class SampleDelivery {
  public:
   using FetchCallback = std::function<void(const FetchResult&)>;
-  using ConfirmCallback = std::function<void(DeliveryOutcome)>;
+  using ConfirmCallback = BatchConfirmation::ConfirmCallback;
 
   SampleDelivery(DeliveryContext context, DeliveryOptions options);
   ~SampleDelivery();
@@ -98,13 +85,6 @@
  private:
   struct Operation;
 
-  void ConfirmOnce(int64_t batch, ConfirmCallback callback);
-  void CommitConfirmation(const TableRow& row, DeliveryCursor cursor, ConfirmCallback callback);
-
-  // Looks at one page of the rows of delivered groups and deletes the old ones.
-  void DeleteOldDoneRows(int64_t confirmed);
-  void CommitDeletion(const std::vector<TableRow>& rows, int64_t confirmed);
-
   void ReadVersion(uint64_t id);
   void ReadCursor(uint64_t id);
   void OnCursor(uint64_t id, const TableRow& row);
@@ -130,10 +110,9 @@
   RolloutRows m_rows;
   FreshnessRule m_rule;
   TransactionSender m_sender;
+  BatchConfirmation m_confirmation;
   std::map<uint64_t, std::unique_ptr<Operation>> m_operations;
   uint64_t m_next_operation = 0;
-  // Where the next page of done rows begins.
-  std::string m_done_position;
   std::function<void()> m_regenerate_listener;
   CallbackGuard m_guard;
 };
