Add up the burn reports of several instances

The address option can now be repeated; the tool adds up the requests of both windows and works out rates and budget from the sums. Averaged rates would hide an instance with few but bad requests; the test has such a pair (burn 1.00 in place of about 4.6).

scripts/demo.sh asks all three instances, and now installs the packages it needs, as the README says; before, only scripts/test.sh did.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 jobs=${QUETZALRIDGE_JOBS:-$(nproc)}
 
+scripts/install_packages.sh
 cmake --preset default >/dev/null
 cmake --build --preset default -- -j "$jobs" >/dev/null
 bin=$PWD/build
@@ -179,8 +180,8 @@
 [ "$tokens" -eq 100 ] || fail "expected the whole answer of 100 tokens, got $tokens: $(cat "$folder/long")"
 echo "engine$victim was killed; the caller got all $tokens tokens from another endpoint"
 
-step "the burn report of entry1"
-QUETZALRIDGE_ADMIN_ADDRESS=$admin1 "$bin/quetzalridgectl" burn | tee "$folder/burn"
+step "the burn report of all instances"
+"$bin/quetzalridgectl" -a "$admin1" -a "$admin2" -a "$admin3" burn | tee "$folder/burn"
 grep -q chat "$folder/burn" || fail "the report has no row for the service"
 grep -q hides "$folder/burn" || fail "the report has no row for the workspace"
 
--- a/src/ctl/burn_report.cc
+++ b/src/ctl/burn_report.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <vector>
 
 #include "base/error.h"
 #include "ctl/table_printer.h"
+#include "state/burn_rate.h"
 
 namespace quetzalridge {
 
@@ -38,14 +40,39 @@
   return Fixed(fraction * 100, 2) + " %";
 }
 
-std::vector<BurnRow> ReadRows(const std::string& text) {
+Json ReadServices(const std::string& text) {
   const Json json = Json::parse(text, nullptr, false);
   if (!json.is_object() || !json.contains("services") || !json["services"].is_array()) {
     throw Error(ErrorCode::kInvalidRequest,
                 "the burn report is not the expected JSON; use the tool of the same release");
   }
+  return json["services"];
+}
+
+// Adds the counts of one line to those of the same service and workspace.
+void AddCounts(const Json& line, Json* sum) {
+  if (sum->is_null()) {
+    *sum = line;
+    return;
+  }
+  for (const char* member : {"requests", "bad", "requests_5m", "bad_5m"}) {
+    (*sum)[member] = sum->value(member, int64_t{0}) + line.value(member, int64_t{0});
+  }
+  const Json causes = line.value("consumed_by", Json::object());
+  for (const auto& [cause, count] : causes.items()) {
+    Json& total = (*sum)["consumed_by"][cause];
+    total = (total.is_number() ? total.get<int64_t>() : 0) + count.get<int64_t>();
+  }
+}
+
+double RateOf(const Json& line, const char* requests_member, const char* bad_member) {
+  const int64_t bad = line.value(bad_member, int64_t{0});
+  return BurnRate::Rate({line.value(requests_member, int64_t{0}) - bad, bad}, line.value("target", 0.0));
+}
+
+std::vector<BurnRow> ReadRows(const std::string& text) {
   std::vector<BurnRow> rows;
-  for (const Json& item : json["services"]) {
+  for (const Json& item : ReadServices(text)) {
     BurnRow row;
     row.service = item.value("service", "");
     row.workspace = item.value("workspace", "");
@@ -155,6 +182,23 @@
 
 }  // namespace
 
+std::string MergeBurnReports(const std::vector<std::string>& reports) {
+  std::map<std::pair<std::string, std::string>, Json> sums;
+  for (const std::string& report : reports) {
+    for (const Json& line : ReadServices(report)) {
+      AddCounts(line, &sums[{line.value("service", ""), line.value("workspace", "")}]);
+    }
+  }
+  Json services = Json::array();
+  for (auto& [name, line] : sums) {
+    line["burn_5m"] = RateOf(line, "requests_5m", "bad_5m");
+    line["burn_1h"] = RateOf(line, "requests", "bad");
+    line["budget_left"] = 1.0 - line["burn_1h"].get<double>();
+    services.push_back(line);
+  }
+  return Json{{"services", services}}.dump();
+}
+
 std::string FormatBurnTable(const std::string& json) {
   std::vector<std::vector<std::string>> table = {Heading()};
   for (const BurnRow& row : ReadRows(json)) {
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -222,8 +222,7 @@
   }
 }
 
-void RunBurn(Session* session, const Words&) {
-  const std::string json = session->Get("/admin/burn");
+void ShowBurn(Session* session, const std::string& json) {
   if (!session->options().html_file.empty()) {
     std::ofstream file(session->options().html_file);
     file << FormatBurnHtml(json);
@@ -236,6 +235,25 @@
   session->out() << (session->options().json ? json + "\n" : FormatBurnTable(json));
 }
 
+// What some instances reported is shown also when others did not answer; the exit code then says that it is not whole.
+void RunBurn(Session* session, const Words&) {
+  std::vector<std::string> reports = {session->Get("/admin/burn")};
+  size_t missing = 0;
+  for (AdminClient* instance : session->options().other_instances) {
+    const AdminResponse response = instance->Call("GET", "/admin/burn", "");
+    if (response.status == 200) {
+      reports.push_back(response.body);
+    } else {
+      ++missing;
+    }
+  }
+  ShowBurn(session, MergeBurnReports(reports));
+  if (missing > 0) {
+    throw CommandFailure(ExitCode::kUnreachable,
+                         std::to_string(missing) + " of the instances did not answer; the report is without them");
+  }
+}
+
 void RunCheck(Session* session, const Words& words) {
   if (words.size() != 2) {
     FailUsage("check");
@@ -294,7 +312,9 @@
         "the "
         "digest are enough."},
        &RunKey},
-      {{"burn", "[--html FILE]", "Report the service-level burn of each service and workspace.", ""}, &RunBurn},
+      {{"burn", "[--html FILE]", "Report the service-level burn of each service and workspace.",
+        "Repeat --address to add up the reports of several instances."},
+       &RunBurn},
       {{"check", "FILE", "Check a settings file and list all errors.", "Needs no running instance."}, &RunCheck},
       {{"names", "KIND", "List the names of one kind of entry, one a line.", "Used by tab completion."}, &RunNames},
       {{"completion", "", "Print a bash completion script.", "Use: source <(quetzalridgectl completion)"},
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -13,6 +13,8 @@
   bool json = false;
   // For `burn`: write an HTML page to this file.
   std::string html_file;
+  // For `burn`: the instances whose reports are added to that of the first one.
+  std::vector<AdminClient*> other_instances;
 };
 
 struct CommandInfo {
--- a/src/ctl/quetzalridgectl_main.cc
+++ b/src/ctl/quetzalridgectl_main.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <memory>
 
 #include "base/log_event.h"
 #include "ctl/commands.h"
@@ -16,7 +17,8 @@
   std::cout << "usage: quetzalridgectl [OPTIONS] COMMAND [ARGUMENTS]\n\noptions:\n"
                "  -a, --address IP:PORT  admin address of an instance (QUETZALRIDGE_ADMIN_ADDRESS; default "
             << kDefaultAddress
-            << ")\n"
+            << ");\n"
+               "                         repeat it for burn over several instances\n"
                "  -t, --token TOKEN      admin token (QUETZALRIDGE_ADMIN_TOKEN)\n"
                "  -j, --json             print JSON for programs\n"
                "      --html FILE        for burn: write an HTML page\n"
@@ -36,7 +38,7 @@
 int Main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   ConfigureLogging(LogSeverity::kError);
-  std::string address = Environment("QUETZALRIDGE_ADMIN_ADDRESS", kDefaultAddress);
+  std::vector<std::string> addresses;
   std::string token = Environment("QUETZALRIDGE_ADMIN_TOKEN", "");
   CommandOptions options;
   bool help = false;
@@ -49,7 +51,7 @@
   while ((flag = getopt_long(argc, argv, "a:t:jh", long_options, nullptr)) != -1) {
     switch (flag) {
       case 'a':
-        address = optarg;
+        addresses.push_back(optarg);
         break;
       case 't':
         token = optarg;
@@ -77,8 +79,17 @@
     PrintHelp();
     return help ? 0 : static_cast<int>(ExitCode::kUsage);
   }
-  HttpAdminClient client(address, token);
-  return static_cast<int>(RunCommand(words, options, &client, std::cout, std::cerr));
+  if (addresses.empty()) {
+    addresses.push_back(Environment("QUETZALRIDGE_ADMIN_ADDRESS", kDefaultAddress));
+  }
+  std::vector<std::unique_ptr<HttpAdminClient>> clients;
+  for (const std::string& address : addresses) {
+    clients.push_back(std::make_unique<HttpAdminClient>(address, token));
+    if (clients.size() > 1) {
+      options.other_instances.push_back(clients.back().get());
+    }
+  }
+  return static_cast<int>(RunCommand(words, options, clients.front().get(), std::cout, std::cerr));
 }
 
 }  // namespace
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -250,6 +250,8 @@
                         {"target", line.objective_target},
                         {"requests", line.last_hour.good + line.last_hour.bad},
                         {"bad", line.last_hour.bad},
+                        {"requests_5m", line.last_5_minutes.good + line.last_5_minutes.bad},
+                        {"bad_5m", line.last_5_minutes.bad},
                         {"budget_left", 1.0 - line.burn_hour},
                         {"burn_5m", line.burn_5_minutes},
                         {"burn_1h", line.burn_hour},
--- a/tests/ctl/commands_test.cc
+++ b/tests/ctl/commands_test.cc
@@ -20,6 +20,9 @@
     if (target == "/admin/config") {
       return {200, true, config, ""};
     }
+    if (target == "/admin/burn") {
+      return burn_response;
+    }
     return {200, true, R"({"state":"serving","peers":[{"id":"b","zone":"z"}]})", ""};
   }
 
@@ -27,6 +30,7 @@
                        R"("aa22":{"workspace":"w"}}})";
   std::string change;
   AdminResponse change_response = {200, true, R"({"version":5})", ""};
+  AdminResponse burn_response = {200, true, R"({"services":[]})", ""};
 };
 
 struct Fixture {
@@ -111,5 +115,32 @@
   CHECK(page.find("<svg") != std::string::npos);
 }
 
+// Guards against a report over several instances that averages their rates in place of adding up their requests.
+TEST_CASE("burn reports of several instances are added up") {
+  const std::string busy =
+      R"({"services":[{"service":"a","workspace":"w","target":0.9,"requests":900,"bad":9,"requests_5m":90,"bad_5m":0,)"
+      R"("consumed_by":{"slow":9}}]})";
+  const std::string quiet =
+      R"({"services":[{"service":"a","workspace":"w","target":0.9,"requests":100,"bad":91,"requests_5m":10,"bad_5m":10,)"
+      R"("consumed_by":{"slow":1,"errors":90}}]})";
+  const std::string table = FormatBurnTable(MergeBurnReports({busy, quiet}));
+  CHECK(table.find("1000") != std::string::npos);
+  CHECK(table.find("100 ") != std::string::npos);
+  CHECK(table.find("errors 90, slow 10") != std::string::npos);
+  // 100 bad of 1,000 use a budget of a tenth exactly, in both windows.
+  CHECK_THAT(table, Catch::Matchers::Matches(R"([\s\S]*0\.00 % +1\.00 +1\.00 +errors[\s\S]*)"));
+}
+
+// Guards against a report without an instance that passes for a whole one.
+TEST_CASE("a burn report without an answer of one instance is shown with an exit code") {
+  Fixture f;
+  FakeAdminClient silent;
+  silent.burn_response = {0, false, "", "refused"};
+  f.options.other_instances = {&silent};
+  CHECK(f.Run({"burn"}) == ExitCode::kUnreachable);
+  CHECK(f.out.str().find("service") != std::string::npos);
+  CHECK(f.err.str().find("1 of the instances") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace quetzalridge
