Run timers inside h2o's loop, and report how processes ended

A timer that wrote to a pooled connection left the report of the write in h2o's list; when the socket was closed before the next turn, the next h2o_evloop_run freed it first and then ran the report. The process ended by signal 11 or span for ever in h2o_evloop_run. valgrind showed the freed socket to be that of the configuration poll, written by a timer.

Ruled out: a state that roster, configuration reader, permission or lease cannot leave. Every failed instance had either died or span inside h2o_evloop_run, and logged nothing after permission_lapsed. The expiry of pooled connections alone did not fail in a trial program.

The loop now runs due timers as a callback of h2o, which handles such reports directly after each callback. The planned stop is posted to the loop for the same reason.

The harness reports the end (signal or exit code), the state of the kernel and the last log lines of every process when a wait fails, and each judged history counts an instance or a platform that crashed as a violation. Before, a crash after a pause looked like an instance that was not ready, and a crashed process that a fault restarted did not show at all.

"a call can be cancelled in the turn that wrote it" hung before and passes.

--- a/src/daemon/quetzalridged_main.cc
+++ b/src/daemon/quetzalridged_main.cc
@@ -45,7 +45,7 @@
     }
     if (g_stop_requested != 0) {
       g_stop_requested = 0;
-      daemon.BeginDrain();
+      loop.Post([&daemon] { daemon.BeginDrain(); });
     }
   }
   // The loop's sockets refer to objects of the daemon, so the process ends without destroying either.
--- a/src/transport/event_loop.cc
+++ b/src/transport/event_loop.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
+#include <utility>
 #include <vector>
 
 #include "transport/detail_h2o.h"
@@ -30,7 +32,39 @@
   TimerKey m_key;
 };
 
-EventLoop::EventLoop() : m_loop(h2o_evloop_create()), m_alive(std::make_shared<bool>(true)) {
+// Runs the due timers as a callback of h2o. After each of its callbacks, h2o reports the writes that were made in it.
+// A timer that runs outside leaves such reports until after the next poll, and before that h2o frees the sockets that
+// were closed: a timer that closed a socket which another timer had just written to made h2o use a freed socket.
+struct EventLoop::TimerTurn {
+  h2o_timeout_entry_t entry{};
+  h2o_timeout_t timeout{};
+  EventLoop* loop = nullptr;
+  // What a timer threw; it must not pass through the C frames of h2o.
+  std::exception_ptr failure;
+
+  explicit TimerTurn(EventLoop* owner) : loop(owner) {
+    h2o_timeout_init(loop->m_loop, &timeout, 0);
+    entry.cb = &OnTurn;
+  }
+
+  void Link() {
+    h2o_timeout_link(loop->m_loop, &timeout, &entry);
+    // h2o counts from the wall clock. The smallest time keeps the entry due when that clock is set back.
+    entry.registered_at = 1;
+  }
+
+  static void OnTurn(h2o_timeout_entry_t* entry) {
+    auto* self = reinterpret_cast<TimerTurn*>(entry);
+    try {
+      self->loop->RunDueTimers();
+    } catch (...) {
+      self->failure = std::current_exception();
+    }
+  }
+};
+
+EventLoop::EventLoop()
+    : m_loop(h2o_evloop_create()), m_alive(std::make_shared<bool>(true)), m_timer_turn(new TimerTurn(this)) {
   // A write to a connection that is closed must fail with an error, not end the process.
   std::signal(SIGPIPE, SIG_IGN);
 }
@@ -64,7 +98,17 @@
     wait_ms = std::min(wait_ms, std::max<int64_t>(m_timers.begin()->first.first - m_clock.Now().ms(), 0));
   }
   h2o_evloop_run(m_loop, static_cast<int32_t>(wait_ms));
-  RunDueTimers();
+  if (m_timers.empty() || m_timers.begin()->first.first > m_clock.Now().ms()) {
+    return;
+  }
+  // A poll that a signal interrupts runs no callback; the turn is still linked then.
+  if (!h2o_timeout_is_linked(&m_timer_turn->entry)) {
+    m_timer_turn->Link();
+  }
+  h2o_evloop_run(m_loop, 0);
+  if (m_timer_turn->failure) {
+    std::rethrow_exception(std::exchange(m_timer_turn->failure, nullptr));
+  }
 }
 
 // Timers that are added while due timers run wait for the next turn, so that a function which posts itself again does
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -35,6 +35,7 @@
 
  private:
   class LoopTimer;
+  struct TimerTurn;
   using TimerKey = std::pair<int64_t, uint64_t>;
 
   void RunDueTimers();
@@ -46,6 +47,8 @@
   std::shared_ptr<bool> m_alive;
   uint64_t m_next_timer = 0;
   bool m_stopped = false;
+  // Kept for the life of the process: the loop's list of timeouts refers to it.
+  TimerTurn* m_timer_turn;
 };
 
 }  // namespace quetzalridge
--- a/tests/history/child_process.cc
+++ b/tests/history/child_process.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstring>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -16,6 +17,7 @@
 
 constexpr int kSignalStatusBase = 128;
 constexpr int kNoSuchProgram = 127;
+const std::string kStateField = "State:";
 
 }  // namespace
 
@@ -51,6 +53,7 @@
 
 void ChildProcess::Signal(int signal) {
   if (!HasEnded()) {
+    m_sent_signals.insert(signal);
     kill(m_id, signal);
   }
 }
@@ -61,10 +64,47 @@
     return m_ended;
   }
   m_ended = true;
+  m_end_signal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
   m_exit_status = WIFSIGNALED(status) ? kSignalStatusBase + WTERMSIG(status) : WEXITSTATUS(status);
   return true;
 }
 
+bool ChildProcess::HasCrashed() {
+  if (!HasEnded()) {
+    return false;
+  }
+  return m_end_signal != 0 ? m_sent_signals.count(m_end_signal) == 0 : m_exit_status != 0;
+}
+
+std::string ChildProcess::DescribeState() {
+  if (!HasEnded()) {
+    // "T (stopped)" tells a pause of the test from a process that hangs or waits.
+    std::ifstream status("/proc/" + std::to_string(m_id) + "/status");
+    std::string line;
+    while (std::getline(status, line) && line.compare(0, kStateField.size(), kStateField) != 0) {
+    }
+    return "runs, state" + (line.empty() ? " unknown" : line.substr(kStateField.size()));
+  }
+  if (m_end_signal == 0) {
+    return "ended with exit code " + std::to_string(m_exit_status);
+  }
+  return "ended by signal " + std::to_string(m_end_signal) + " (" + strsignal(m_end_signal) + "), " +
+         (m_sent_signals.count(m_end_signal) > 0 ? "which the test sent" : "which the test did not send");
+}
+
+std::string ChildProcess::LastLogLines(int count) const {
+  const std::string log = ReadLog();
+  size_t begin = log.size();
+  for (int line = 0; line <= count && begin > 0; ++line) {
+    const size_t end_of_previous = log.rfind('\n', begin - 1);
+    if (end_of_previous == std::string::npos) {
+      return log;
+    }
+    begin = end_of_previous;
+  }
+  return log.substr(begin + (begin < log.size() ? 1 : 0));
+}
+
 std::string ChildProcess::ReadLog() const {
   std::ifstream file(m_log_file);
   std::ostringstream text;
--- a/tests/history/deployment.cc
+++ b/tests/history/deployment.cc
@@ -22,6 +22,7 @@
 Deployment::Deployment(uint64_t seed, const DeploymentOptions& options)
     : m_options(options), m_harness(seed), m_traffic(&m_harness, &m_history) {
   m_history.staleness_bound = options.staleness_bound;
+  m_harness.SetMechanismOff(options.mechanism_off);
   m_harness.StartPlatform(options.platform_arguments);
   for (int i = 0; i < options.engines; ++i) {
     m_engines.push_back(m_harness.StartEngine("engine" + std::to_string(i + 1), ZoneName(i), options.engine_arguments));
@@ -106,7 +107,7 @@
             << m_history.batches.size() << ", orders " << m_history.orders.size() << ", usage reports "
             << m_history.usage_reports.size() << ", configuration observations " << m_history.config_observations.size()
             << std::endl;
-  Violations all;
+  Violations all = m_harness.Crashes();
   for (const NamedCheck& named : AllChecks()) {
     for (const std::string& violation : named.check(m_history)) {
       all.push_back(std::string(named.name) + ": " + violation);
--- a/tests/history/deployment.h
+++ b/tests/history/deployment.h
@@ -18,6 +18,8 @@
   std::vector<std::string> engine_arguments = {"--token-ms", "5"};
   // Settings section "timing".
   std::string timing = "{}";
+  // A mechanism that the instances run without, see tests/mutants; empty starts quetzalridged.
+  std::string mechanism_off;
 };
 
 // A small region: instances and endpoints over three availability zones, two workspaces with a key each, the inference
--- a/tests/history/process_harness.cc
+++ b/tests/history/process_harness.cc
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 #include "tests/history/record_reader.h"
 
@@ -21,6 +22,7 @@
 constexpr Duration kLoopTurn = Duration::Milliseconds(20);
 constexpr Duration kStartLimit = Duration::Seconds(20);
 constexpr int kMaxChangeAttempts = 20;
+constexpr int kReportedLogLines = 20;
 const std::string kListening = "listening on ";
 
 // h2o keeps state of a loop beyond its destruction; one loop serves all tests of the program.
@@ -57,6 +59,10 @@
 }
 
 ProcessHarness::~ProcessHarness() {
+  // A test that does not judge its history shows a crash as well.
+  for (const std::string& crash : Crashes()) {
+    std::cout << crash << std::endl;
+  }
   m_daemons.clear();
   m_stand_ins.clear();
   // The logs of a failed run are kept on request.
@@ -148,18 +154,32 @@
 }
 
 void ProcessHarness::Restart(DaemonProcess* daemon) {
+  NoteCrash(daemon->id, daemon->process.get());
   daemon->process.reset();
   Launch(daemon);
 }
 
 void ProcessHarness::Launch(DaemonProcess* daemon) {
   ++daemon->incarnation;
-  daemon->process = std::make_unique<ChildProcess>(QUETZALRIDGE_BINARY_DIR "/quetzalridged",
-                                                   std::vector<std::string>{"--settings", daemon->settings_file},
-                                                   m_folder + "/" + daemon->id + ".log");
+  std::string program = QUETZALRIDGE_BINARY_DIR "/quetzalridged";
+  std::vector<std::string> arguments = {"--settings", daemon->settings_file};
+  if (!m_mechanism_off.empty()) {
+    program += "_mutant";
+    arguments.insert(arguments.end(), {"--off", m_mechanism_off});
+  }
+  daemon->process = std::make_unique<ChildProcess>(program, arguments, m_folder + "/" + daemon->id + ".log");
 }
 
 bool ProcessHarness::WaitUntil(const std::function<bool()>& condition, Duration limit) {
+  if (RunUntil(condition, limit)) {
+    return true;
+  }
+  std::cout << "a wait of " << limit.ms() << " ms failed" << std::endl;
+  ReportProcesses();
+  return false;
+}
+
+bool ProcessHarness::RunUntil(const std::function<bool()>& condition, Duration limit) {
   const TimePoint end = m_loop->clock().Now() + limit;
   while (!condition()) {
     if (m_loop->clock().Now() > end) {
@@ -171,7 +191,7 @@
 }
 
 void ProcessHarness::RunFor(Duration duration) {
-  WaitUntil([] { return false; }, duration);
+  RunUntil([] { return false; }, duration);
 }
 
 HttpResponse ProcessHarness::Call(HttpCall call) {
@@ -199,14 +219,50 @@
     if (daemon->process->HasEnded()) {
       continue;
     }
-    if (!WaitUntil([&] { return daemon->process->HasEnded() || IsReady(*daemon); }) || daemon->process->HasEnded()) {
-      std::cout << daemon->id << " is not ready:\n" << daemon->process->ReadLog() << std::endl;
+    const bool waited = WaitUntil([&] { return daemon->process->HasEnded() || IsReady(*daemon); });
+    if (!waited || daemon->process->HasEnded()) {
+      std::cout << daemon->id << " is not ready" << std::endl;
+      Report(daemon->id, daemon->process.get());
       return false;
     }
   }
   return true;
 }
 
+void ProcessHarness::ReportProcesses() {
+  for (const auto& stand_in : m_stand_ins) {
+    Report(stand_in->id, stand_in->process.get());
+  }
+  for (const auto& daemon : m_daemons) {
+    Report(daemon->id, daemon->process.get());
+  }
+}
+
+void ProcessHarness::Report(const std::string& id, ChildProcess* process) {
+  if (process == nullptr) {
+    return;
+  }
+  std::cout << "--- " << id << " " << process->DescribeState() << ", last log lines:\n"
+            << process->LastLogLines(kReportedLogLines) << "--- end of " << id << std::endl;
+}
+
+void ProcessHarness::NoteCrash(const std::string& id, ChildProcess* process) {
+  if (process != nullptr && process->HasCrashed() && m_noted_crashes.insert(process->id()).second) {
+    m_crashes.push_back(id + " " + process->DescribeState());
+    Report(id, process);
+  }
+}
+
+std::vector<std::string> ProcessHarness::Crashes() {
+  for (const auto& daemon : m_daemons) {
+    NoteCrash(daemon->id, daemon->process.get());
+  }
+  if (m_platform != nullptr) {
+    NoteCrash(m_platform->id, m_platform->process.get());
+  }
+  return std::exchange(m_crashes, {});
+}
+
 bool ProcessHarness::WaitEnded(ChildProcess* process, Duration limit) {
   return WaitUntil([process] { return process->HasEnded(); }, limit);
 }
--- a/tests/history/process_harness.h
+++ b/tests/history/process_harness.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,8 +67,10 @@
   // `timing` is the settings section of that name, as JSON. Does not wait.
   DaemonProcess* StartDaemon(const std::string& id, const std::string& zone, const std::string& timing = "{}");
   void Restart(DaemonProcess* daemon);
+  // Daemons that start from now on run without the mechanism, see tests/mutants.
+  void SetMechanismOff(const std::string& mechanism) { m_mechanism_off = mechanism; }
 
-  // Runs the loop until the condition holds; false after a generous limit.
+  // Runs the loop until the condition holds; false after a generous limit, with a report of all processes.
   bool WaitUntil(const std::function<bool()>& condition, Duration limit = Duration::Seconds(60));
   void RunFor(Duration duration);
   HttpResponse Call(HttpCall call);
@@ -75,6 +78,10 @@
   // Waits for /readyz of every daemon that runs.
   bool WaitReady();
   bool WaitEnded(ChildProcess* process, Duration limit = Duration::Seconds(60));
+  // Prints how each process ended, or what it does, and its last log lines.
+  void ReportProcesses();
+  // Instances and the platform that ended although the test neither killed nor stopped them, restarted ones included.
+  std::vector<std::string> Crashes();
 
   void SetFaults(const StandInProcess& stand_in, const std::string& json);
   void SetInstances(const std::string& json);
@@ -94,6 +101,9 @@
                                std::vector<std::string> arguments);
   void WaitForPort(StandInProcess* stand_in);
   void Launch(DaemonProcess* daemon);
+  void Report(const std::string& id, ChildProcess* process);
+  void NoteCrash(const std::string& id, ChildProcess* process);
+  bool RunUntil(const std::function<bool()>& condition, Duration limit);
 
   EventLoop* m_loop;
   HttpClient m_client;
@@ -103,6 +113,9 @@
   std::map<std::string, std::vector<std::string>> m_stand_in_commands;
   std::vector<std::unique_ptr<StandInProcess>> m_stand_ins;
   std::vector<std::unique_ptr<DaemonProcess>> m_daemons;
+  std::string m_mechanism_off;
+  std::vector<std::string> m_crashes;
+  std::set<pid_t> m_noted_crashes;
 };
 
 // A TCP and UDP port of the loopback address that was free a moment ago.
