Run the history checks against a daemon with one mechanism off

tests/mutants builds quetzalridged_mutant, which is not installed. It turns one member of Mechanisms off; quetzalridged keeps the defaults and has no option for them.

No stand-in gave an answer that belongs to another request, so the loss of the check of x-request-id could not be seen.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -24,7 +24,10 @@
 constexpr int64_t kTokensWhenNotNamed = 256;
 constexpr int kStatusOk = 200;
 
-HttpHeaders AllowedHeaders(const HttpHeaders& headers, ServiceKind kind) {
+HttpHeaders AllowedHeaders(const HttpHeaders& headers, ServiceKind kind, const Mechanisms& mechanisms) {
+  if (!mechanisms.key_removal) {
+    return headers;
+  }
   HttpHeaders allowed;
   for (const HttpHeader& header : headers) {
     if (IsRequestHeaderAllowed(header.name, kind) && FindHeader(allowed, header.name) == nullptr) {
@@ -68,7 +71,9 @@
 }  // namespace
 
 CallerApi::CallerApi(Collaborators collaborators, CallerApiOptions options)
-    : m_collaborators(collaborators), m_options(options), m_authenticator(m_collaborators.config) {
+    : m_collaborators(collaborators),
+      m_options(options),
+      m_authenticator(m_collaborators.config, options.mechanisms.key_check) {
   m_collaborators.config->AddListener([this, alive = m_alive](const ConfigChange&) {
     if (*alive) {
       CheckKeys();
@@ -140,14 +145,14 @@
 
 CallerIdentity CallerApi::Admit(const HttpRequest& request, const RouteConfig& route) const {
   CallerIdentity identity = m_authenticator.Identify(request);
-  if (LeaksKey(request, identity.key)) {
+  if (m_options.mechanisms.key_removal && LeaksKey(request, identity.key)) {
     throw Error(ErrorCode::kInvalidRequest,
                 "the request carries its key outside of the authorization headers; remove it there");
   }
   if (route.open) {
     return identity;
   }
-  if (identity.key.empty()) {
+  if (identity.key.empty() && m_authenticator.checks_keys()) {
     throw Error(ErrorCode::kUnauthorized, "the route needs a key; send it as 'authorization: Bearer <key>'");
   }
   if (!m_collaborators.config->MayServeKeyedRoutes(m_collaborators.scheduler->clock().Now())) {
@@ -168,7 +173,7 @@
   DispatchRequest dispatch;
   dispatch.service = route.service;
   dispatch.target = request.path;
-  dispatch.headers = AllowedHeaders(request.headers, ServiceKind::kInference);
+  dispatch.headers = AllowedHeaders(request.headers, ServiceKind::kInference, m_options.mechanisms);
   dispatch.body = completion.body;
   dispatch.idempotent = route.idempotent;
   dispatch.stream = completion.stream;
@@ -194,7 +199,7 @@
   dispatch.service = route.service;
   dispatch.method = request.method;
   dispatch.target = path + (request.query.empty() ? "" : "?" + request.query);
-  dispatch.headers = AllowedHeaders(request.headers, ServiceKind::kPlain);
+  dispatch.headers = AllowedHeaders(request.headers, ServiceKind::kPlain, m_options.mechanisms);
   dispatch.idempotent = route.idempotent;
   dispatch.fingerprint = RequestFingerprint(identity.workspace, request.method + " " + dispatch.target, request.body);
   dispatch.body = request.body;
@@ -203,7 +208,8 @@
 
 void CallerApi::StartRequest(DispatchRequest dispatch, const CallerIdentity& identity, bool keyed,
                              const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-  const std::string once_id = dispatch.idempotent ? "" : OnceIdOf(request);
+  const bool is_recorded = !dispatch.idempotent && m_options.mechanisms.once_record;
+  const std::string once_id = is_recorded ? OnceIdOf(request) : "";
   const uint64_t id = ++m_next_request;
   dispatch.workspace = identity.workspace;
   // The key could be withdrawn while the request waits; this is the last look before the endpoint gets a byte.
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -13,6 +13,7 @@
 #include "coordination/usage_sink.h"
 #include "daemon/dispatcher.h"
 #include "daemon/key_authenticator.h"
+#include "daemon/mechanisms.h"
 #include "daemon/request_metrics.h"
 #include "transport/http_server.h"
 
@@ -23,6 +24,7 @@
   Duration stream_hold = Duration::Milliseconds(1000);
   // A caller that takes no data while this much waits for it is disconnected.
   size_t max_pending_bytes = 4 << 20;
+  Mechanisms mechanisms = {};
 };
 
 // Serves /v1/completions, /v1/chat/completions, /v1/models and /s/<route>/....
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -73,8 +73,9 @@
   return options;
 }
 
-DispatcherOptions DispatchOptions(const Settings& settings) {
+DispatcherOptions DispatchOptions(const Settings& settings, const Mechanisms& mechanisms) {
   DispatcherOptions options;
+  options.mechanisms = mechanisms;
   options.zone = settings.instance.zone;
   options.connect_timeout = settings.limits.connect_timeout;
   options.first_token_timeout = settings.limits.first_token_timeout;
@@ -155,9 +156,10 @@
 
 class Daemon::Impl {
  public:
-  Impl(EventLoop* loop, Settings settings)
+  Impl(EventLoop* loop, Settings settings, const Mechanisms& mechanisms)
       : m_loop(loop),
         m_settings(std::move(settings)),
+        m_mechanisms(mechanisms),
         m_incarnation(RandomHex(kIncarnationBytes)),
         m_client(loop),
         m_engines(&m_client),
@@ -174,9 +176,10 @@
         m_metrics(&loop->clock(), &m_config),
         m_router(Hash64(m_incarnation)),
         m_peer_exchange(&loop->clock(), &m_config, &m_admission, &m_quarantine),
-        m_endpoints(loop, &m_config, &m_platform, &m_engines, &m_router, {m_settings.timing.load_poll}),
+        m_endpoints(loop, &m_config, &m_platform, &m_engines, &m_router,
+                    {m_settings.timing.load_poll, EndpointRegistryOptions().list_poll, mechanisms}),
         m_dispatcher({loop, &m_config, &m_endpoints, &m_engines, &m_router, &m_admission, &m_quarantine},
-                     DispatchOptions(m_settings)),
+                     DispatchOptions(m_settings, mechanisms)),
         m_sample_engine(&m_dispatcher, &m_usage),
         m_once(&m_table, loop, m_settings.instance.id + "/" + m_incarnation),
         m_engine_control(&m_client),
@@ -186,7 +189,8 @@
         m_duty_manager(&m_table, loop, DutyOptions(m_settings, m_incarnation)),
         m_duties({&m_table, loop, &m_platform, &m_endpoints, &m_engine_control, &m_targets, &m_config, &m_duty_manager},
                  OrderOptions(m_settings), UsageOptions(m_settings)),
-        m_caller_api({loop, &m_config, &m_dispatcher, &m_once, &m_usage, &m_metrics}, {m_settings.timing.stream_hold}),
+        m_caller_api({loop, &m_config, &m_dispatcher, &m_once, &m_usage, &m_metrics},
+                     {m_settings.timing.stream_hold, CallerApiOptions().max_pending_bytes, mechanisms}),
         m_rollout_api({&m_table, &m_objects, &m_platform, &m_sample_engine, &m_roster, loop, m_settings.instance.id,
                        m_incarnation},
                       &m_config, m_settings.timing.version_freshness),
@@ -213,6 +217,10 @@
     }
     m_draining = true;
     Log(LogEvent::kDaemonDraining, m_settings.instance.id);
+    if (!m_mechanisms.graceful_shutdown) {
+      m_drained = true;
+      return;
+    }
     m_membership.SetLeaving();
     m_rollout_api.Drain([this] { m_rollouts_drained = true; });
     m_duty_manager.Drain([this] { m_duties_drained = true; });
@@ -354,6 +362,7 @@
 
   EventLoop* m_loop;
   Settings m_settings;
+  const Mechanisms m_mechanisms;
   std::string m_incarnation;
   HttpClient m_client;
   EngineClient m_engines;
@@ -395,7 +404,8 @@
   std::unique_ptr<Timer> m_list_timer;
 };
 
-Daemon::Daemon(EventLoop* loop, Settings settings) : m_impl(std::make_unique<Impl>(loop, std::move(settings))) {}
+Daemon::Daemon(EventLoop* loop, Settings settings, const Mechanisms& mechanisms)
+    : m_impl(std::make_unique<Impl>(loop, std::move(settings), mechanisms)) {}
 
 Daemon::~Daemon() = default;
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "daemon/mechanisms.h"
 #include "daemon/settings.h"
 #include "transport/event_loop.h"
 
@@ -12,7 +13,7 @@
 class Daemon {
  public:
   // Listens on all addresses. Throws Error(kInvalidSettings) when one cannot be used.
-  Daemon(EventLoop* loop, Settings settings);
+  Daemon(EventLoop* loop, Settings settings, const Mechanisms& mechanisms = {});
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -10,6 +10,7 @@
 #include "coordination/scheduler.h"
 #include "daemon/dispatch.h"
 #include "daemon/endpoint_registry.h"
+#include "daemon/mechanisms.h"
 #include "state/admission.h"
 #include "state/quarantine.h"
 #include "state/retry_budget.h"
@@ -29,6 +30,7 @@
   Duration queue_timeout = Duration::Seconds(10);
   // A suspect waits this long for an endpoint that no instance uses; after that, own work alone decides.
   Duration idle_endpoint_wait = Duration::Seconds(2);
+  Mechanisms mechanisms = {};
 };
 
 // Runs requests on endpoints: admission, choice of the endpoint, deadlines, retries, quarantine.
--- a/src/daemon/dispatcher_run.cc
+++ b/src/daemon/dispatcher_run.cc
@@ -253,7 +253,8 @@
 void Dispatcher::Run::OnHead(int status, const HttpHeaders& headers) {
   const std::shared_ptr<Run> self = shared_from_this();
   const std::string* echoed = FindHeader(headers, "x-request-id");
-  if (echoed == nullptr || *echoed != m_request_id) {
+  const bool is_own_answer = echoed != nullptr && *echoed == m_request_id;
+  if (!is_own_answer && m_owner->m_options.mechanisms.request_id_check) {
     Failure failure;
     failure.message = "the endpoint answered with another request's id";
     FailAttempt(failure);
@@ -305,7 +306,7 @@
   Failure failure;
   failure.message = "the endpoint did not answer: " + result.detail;
   failure.code = result.timed_out ? ErrorCode::kEndpointTimeout : ErrorCode::kEndpointFailed;
-  failure.not_run = result.outcome == CallOutcome::kNotSent;
+  failure.not_run = result.outcome == CallOutcome::kNotSent || !m_owner->m_options.mechanisms.not_run_rule;
   failure.connection_lost = !failure.not_run && !result.timed_out;
   if (result.outcome == CallOutcome::kCut) {
     failure.message = "the answer was cut: " + result.detail;
--- a/src/daemon/endpoint_registry.cc
+++ b/src/daemon/endpoint_registry.cc
@@ -204,7 +204,7 @@
     if (inserted) {
       wanted[it->second] = FromPlatform(instance, document);
     }
-    wanted[it->second].leaving |= instance.state == LifecycleState::kLeaving;
+    wanted[it->second].leaving |= m_options.mechanisms.leaving_mark && instance.state == LifecycleState::kLeaving;
   }
   for (auto& [id, state] : wanted) {
     const auto service = document.services().find(state.service);
--- a/src/daemon/endpoint_registry.h
+++ b/src/daemon/endpoint_registry.h
@@ -10,6 +10,7 @@
 #include "coordination/endpoint_view.h"
 #include "coordination/platform.h"
 #include "coordination/scheduler.h"
+#include "daemon/mechanisms.h"
 #include "state/circuit_breaker.h"
 #include "state/router.h"
 #include "transport/engine_client.h"
@@ -19,6 +20,7 @@
 struct EndpointRegistryOptions {
   Duration load_poll = Duration::Milliseconds(500);
   Duration list_poll = Duration::Milliseconds(1000);
+  Mechanisms mechanisms = {};
 };
 
 // What an ended call says about its endpoint.
--- a/src/daemon/key_authenticator.cc
+++ b/src/daemon/key_authenticator.cc
@@ -85,6 +85,9 @@
   identity.key_digest = Sha256Hex(identity.key);
   const auto& keys = m_config->document().keys();
   const auto it = keys.find(identity.key_digest);
+  if (it == keys.end() && !m_checks_keys) {
+    return identity;
+  }
   if (it == keys.end()) {
     throw Error(ErrorCode::kUnauthorized, "the key is not known or was withdrawn; ask an operator for a new one");
   }
@@ -93,7 +96,7 @@
 }
 
 bool KeyAuthenticator::IsValid(const CallerIdentity& identity) const {
-  if (identity.key_digest.empty()) {
+  if (identity.key_digest.empty() || !m_checks_keys) {
     return true;
   }
   const auto& keys = m_config->document().keys();
--- a/src/daemon/key_authenticator.h
+++ b/src/daemon/key_authenticator.h
@@ -19,7 +19,11 @@
 // Finds the workspace of a request's key. Only digests of keys are known.
 class KeyAuthenticator {
  public:
-  explicit KeyAuthenticator(const ConfigView* config) : m_config(config) {}
+  // Without `checks_keys` every request passes, as a caller without a workspace when its key is not known.
+  explicit KeyAuthenticator(const ConfigView* config, bool checks_keys = true)
+      : m_config(config), m_checks_keys(checks_keys) {}
+
+  bool checks_keys() const { return m_checks_keys; }
 
   // The identity is empty when the request carries no key. Throws Error(kUnauthorized) for a key that is not known and
   // for different keys in one request.
@@ -29,6 +33,7 @@
 
  private:
   const ConfigView* m_config;
+  bool m_checks_keys;
 };
 
 // True when the request carries the key outside of the headers that name it: plain, percent-encoded, or with JSON
--- a/standins/plain_service/plain_service_stand_in.cc
+++ b/standins/plain_service/plain_service_stand_in.cc
@@ -39,13 +39,22 @@
 }
 
 void PlainServiceStandIn::Answer(const HttpRequest& request, const Responder& responder) {
-  HttpHeaders headers;
   const std::string* id = FindHeader(request.headers, "x-request-id");
+  std::string answered_id = id == nullptr ? "" : *id;
+  std::string body_hash = PromptHash(request.body);
+  // An answer that is out of step with the requests: both this request and the one before it get the earlier answer.
+  if (m_faults.Take("previous_answer")) {
+    answered_id = m_previous_id;
+    body_hash = m_previous_body_hash;
+  }
+  m_previous_id = id == nullptr ? "" : *id;
+  m_previous_body_hash = PromptHash(request.body);
+  HttpHeaders headers;
   if (id != nullptr) {
-    headers.push_back({"x-request-id", m_faults.Take("wrong_id") ? "wrong-" + *id : *id});
+    headers.push_back({"x-request-id", m_faults.Take("wrong_id") ? "wrong-" + answered_id : answered_id});
   }
   const nlohmann::json body = {
-      {"service", m_id}, {"path", request.path}, {"body_hash", PromptHash(request.body)}, {"effect", m_effects}};
+      {"service", m_id}, {"path", request.path}, {"body_hash", body_hash}, {"effect", m_effects}};
   if (m_faults.Take("cut_answer")) {
     headers.push_back({"content-type", "application/json"});
     const std::string text = body.dump();
--- a/standins/plain_service/plain_service_stand_in.h
+++ b/standins/plain_service/plain_service_stand_in.h
@@ -16,6 +16,7 @@
 //   cut_answer      the next n answers are cut in the middle
 //   work_ms         time from the effect to the answer
 //   wrong_id        the next n answers echo another request identity
+//   previous_answer the next n requests get the answer and the identity of the request before
 //   crash_after_effect  the process ends after the effect when the body contains the text
 class PlainServiceStandIn : public StandIn {
  public:
@@ -30,6 +31,8 @@
 
   const Duration m_work;
   int64_t m_effects = 0;
+  std::string m_previous_id;
+  std::string m_previous_body_hash;
 };
 
 }  // namespace quetzalridge
--- /dev/null
+++ b/tests/mutants/quetzalridged_mutant_main.cc
@@ -0,0 +1,79 @@
+#include <unistd.h>
+
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "base/error.h"
+#include "base/log_event.h"
+#include "daemon/daemon.h"
+#include "daemon/mechanisms.h"
+#include "daemon/settings.h"
+
+// The daemon with one mechanism off, for tests only: quetzalridged_mutant --settings FILE --off MECHANISM
+
+namespace quetzalridge {
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kArgumentCount = 5;
+constexpr Duration kSignalCheck = Duration::Milliseconds(100);
+
+volatile std::sig_atomic_t g_stop_requested = 0;
+
+const std::map<std::string, bool Mechanisms::*>& Switches() {
+  static const std::map<std::string, bool Mechanisms::*> switches = {
+      {"key_check", &Mechanisms::key_check},
+      {"key_removal", &Mechanisms::key_removal},
+      {"request_id_check", &Mechanisms::request_id_check},
+      {"not_run_rule", &Mechanisms::not_run_rule},
+      {"once_record", &Mechanisms::once_record},
+      {"leaving_mark", &Mechanisms::leaving_mark},
+      {"graceful_shutdown", &Mechanisms::graceful_shutdown},
+  };
+  return switches;
+}
+
+void Serve(const Settings& settings, const Mechanisms& mechanisms) {
+  EventLoop loop;
+  Daemon daemon(&loop, settings, mechanisms);
+  while (!daemon.drained()) {
+    loop.RunOnce(kSignalCheck);
+    if (g_stop_requested != 0) {
+      g_stop_requested = 0;
+      loop.Post([&daemon] { daemon.BeginDrain(); });
+    }
+  }
+  // As in quetzalridged: the loop's sockets refer to objects of the daemon.
+  _exit(0);
+}
+
+int Main(int argc, char** argv) {
+  std::signal(SIGTERM, [](int) { g_stop_requested = 1; });
+  const bool is_usage_right =
+      argc == kArgumentCount && std::string(argv[1]) == "--settings" && std::string(argv[3]) == "--off";
+  const auto mechanism = is_usage_right ? Switches().find(argv[4]) : Switches().end();
+  if (mechanism == Switches().end()) {
+    std::cerr << "usage: quetzalridged_mutant --settings FILE --off MECHANISM\n";
+    return kExitUsage;
+  }
+  Mechanisms mechanisms;
+  mechanisms.*(mechanism->second) = false;
+  try {
+    const Settings settings = LoadSettings(argv[2]);
+    ConfigureLogging(settings.log.level);
+    Serve(settings, mechanisms);
+    return 0;
+  } catch (const Error& error) {
+    std::cerr << error.what() << "\n";
+    return 1;
+  }
+}
+
+}  // namespace
+}  // namespace quetzalridge
+
+int main(int argc, char** argv) {
+  return quetzalridge::Main(argc, argv);
+}
