Send each peer only what it reads of a status

Cause: eight statuses of 531 bytes a second were 4.2 KB/s, twice the budget of a node. 320 of the 531 bytes listed 40 members heard, but a status goes to one receiver, and a receiver reads only its own entry. With more than 40 peers that entry could be missing. Admission dropped a peer's demand after 10 s and the order targets after 5 s, while a round over 359 peers takes 45 s, so most of the demand was missing from the sums at target size.

A status now names the receiver alone, by its incarnation and its address. Counts and numbers have a variable length, flags share a byte, and the hash of a service is written once for its workspaces. The format version is 2. Demand lives for two rounds, since the order of peers is drawn anew in each round; with few peers the lives of 5 s and 10 s are unchanged. Reports of incarnations that are gone are dropped, they stayed for ever.

Ruled out: a list of heard members in every third status, since nobody reads it; and demand only when it has changed. At target size a peer hears a node once in 45 s, and counts of requests change within that time, so nearly every status would carry the demand anyway; an idle node sends one byte.

--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -53,8 +53,8 @@
 void Membership::Tick() {
   m_timer = m_scheduler->After(m_options.interval, [this] { Tick(); });
   const bool wants_reply = NeedsFreshKnowledge();
-  for (const std::string& address : NextTargets()) {
-    SendStatus(address, wants_reply);
+  for (const Member& member : NextTargets()) {
+    SendStatus(member.address, member.incarnation, wants_reply);
   }
   m_config->OnPeerProgress();
 }
@@ -67,18 +67,21 @@
 }
 
 // Goes through the members in random order, a bounded number in each interval.
-std::vector<std::string> Membership::NextTargets() {
+std::vector<Membership::Member> Membership::NextTargets() {
   const std::vector<Member> members = Members();
+  m_member_count = members.size();
   const size_t count = std::min(members.size(), static_cast<size_t>(m_options.fan_out));
-  std::vector<std::string> targets;
+  std::vector<Member> targets;
   while (targets.size() < count) {
     if (m_round.empty()) {
       StartRound(members);
     }
-    const std::string address = std::move(m_round.back());
+    Member next = std::move(m_round.back());
     m_round.pop_back();
-    if (std::find(targets.begin(), targets.end(), address) == targets.end()) {
-      targets.push_back(address);
+    const bool is_new = std::none_of(targets.begin(), targets.end(),
+                                     [&](const Member& target) { return target.address == next.address; });
+    if (is_new) {
+      targets.push_back(std::move(next));
     } else if (m_round.empty()) {
       break;
     }
@@ -87,10 +90,7 @@
 }
 
 void Membership::StartRound(const std::vector<Member>& members) {
-  m_round.reserve(members.size());
-  for (const Member& member : members) {
-    m_round.push_back(member.address);
-  }
+  m_round = members;
   for (size_t n = m_round.size(); n > 1; --n) {
     std::swap(m_round[n - 1], m_round[m_random.Below(n)]);
   }
@@ -139,7 +139,13 @@
   m_config->OnPeerProgress();
 }
 
-PeerStatus Membership::MakeStatus(bool wants_reply) {
+Duration Membership::RoundTime() const {
+  const size_t fan_out = static_cast<size_t>(m_options.fan_out);
+  const size_t intervals = std::max<size_t>((m_member_count + fan_out - 1) / fan_out, 1);
+  return m_options.interval * static_cast<int64_t>(intervals);
+}
+
+PeerStatus Membership::MakeStatus(const std::string& to, const std::string& incarnation, bool wants_reply) {
   const TimePoint now = m_scheduler->clock().Now();
   PeerStatus status;
   status.sender = m_options.instance;
@@ -156,16 +162,16 @@
   status.store_reachable = m_config->ReportsStoreReachable();
   status.leaving = m_leaving;
   status.wants_reply = wants_reply;
-  status.heard = m_peers.Heard();
+  status.heard = m_peers.HeardFrom(incarnation, to);
   if (m_digest_source) {
     status.digest = m_digest_source();
   }
   return status;
 }
 
-void Membership::SendStatus(const std::string& to, bool wants_reply) {
+void Membership::SendStatus(const std::string& to, const std::string& incarnation, bool wants_reply) {
   PeerMessage message;
-  message.status = MakeStatus(wants_reply);
+  message.status = MakeStatus(to, incarnation, wants_reply);
   Send(to, message);
 }
 
@@ -206,7 +212,7 @@
     Send(from, request);
   }
   if (status.wants_reply && TakeTurn(&m_replied_at, from, now, kReplyInterval)) {
-    SendStatus(from, false);
+    SendStatus(from, status.incarnation, false);
   }
   if (m_digest_receiver) {
     m_digest_receiver(status.incarnation, status.digest);
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -46,6 +46,8 @@
   void SetLeaving() { m_leaving = true; }
   void Start();
   const PeerTable& peers() const { return m_peers; }
+  // The time in which each peer gets a status once.
+  Duration RoundTime() const;
   // Datagrams that were malformed or of another deployment.
   int64_t malformed() const { return m_malformed; }
 
@@ -71,11 +73,11 @@
   void OnRosterRead();
   void CheckAgreement();
   std::vector<Member> Members() const;
-  std::vector<std::string> NextTargets();
+  std::vector<Member> NextTargets();
   void StartRound(const std::vector<Member>& members);
-  PeerStatus MakeStatus(bool wants_reply);
+  PeerStatus MakeStatus(const std::string& to, const std::string& incarnation, bool wants_reply);
   bool NeedsFreshKnowledge() const;
-  void SendStatus(const std::string& to, bool wants_reply);
+  void SendStatus(const std::string& to, const std::string& incarnation, bool wants_reply);
   void Send(const std::string& to, const PeerMessage& message);
 
   Scheduler* m_scheduler;
@@ -88,8 +90,9 @@
   Random m_random;
   DigestSource m_digest_source;
   DigestReceiver m_digest_receiver;
-  // Addresses still to be sent to in this round.
-  std::vector<std::string> m_round;
+  // Members still to be sent to in this round.
+  std::vector<Member> m_round;
+  size_t m_member_count = 0;
   // When each address last got an immediate reply or changes, to bound what a peer can make this instance send.
   std::map<std::string, TimePoint> m_replied_at;
   std::map<std::string, TimePoint> m_changes_sent_at;
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -51,6 +51,7 @@
   bool leaving = false;
   // The sender needs fresh knowledge now.
   bool wants_reply = false;
+  // Entries of the receiver; a datagram goes to one instance, which reads no others.
   std::vector<PeerHeard> heard;
   PeerDigest digest;
 };
--- a/src/coordination/peer_table.cc
+++ b/src/coordination/peer_table.cc
@@ -8,7 +8,8 @@
 
 // More than an instance sends within the validity of a confirmation.
 constexpr size_t kKeptSends = 512;
-constexpr size_t kMaxHeard = 40;
+// Processes that followed each other at one address within the time in which peers are forgotten.
+constexpr size_t kMaxHeardAtAddress = 4;
 // Bounds the memory when many processes come and go while the roster cannot be read.
 constexpr size_t kMaxPeers = 1024;
 
@@ -64,17 +65,23 @@
   return peer == nullptr ? std::nullopt : std::optional<TimePoint>(peer->received_at);
 }
 
-std::vector<PeerHeard> PeerTable::Heard() const {
-  std::vector<const PeerState*> newest_first;
-  newest_first.reserve(m_peers.size());
+// The roster and the sender's socket may name an instance by different addresses, and a process may have been replaced
+// since the roster was read, so both names count. The named incarnation comes first and is never left out.
+std::vector<PeerHeard> PeerTable::HeardFrom(const std::string& incarnation, const std::string& address) const {
+  std::vector<const PeerState*> matching;
   for (const auto& entry : m_peers) {
-    newest_first.push_back(&entry.second);
+    if (entry.first == incarnation || entry.second.address == address) {
+      matching.push_back(&entry.second);
+    }
   }
-  std::sort(newest_first.begin(), newest_first.end(),
-            [](const PeerState* a, const PeerState* b) { return a->received_at > b->received_at; });
+  std::sort(matching.begin(), matching.end(), [&](const PeerState* a, const PeerState* b) {
+    const bool a_named = a->status.incarnation == incarnation;
+    const bool b_named = b->status.incarnation == incarnation;
+    return a_named != b_named ? a_named : a->received_at > b->received_at;
+  });
   std::vector<PeerHeard> heard;
-  for (size_t i = 0; i < std::min(newest_first.size(), kMaxHeard); ++i) {
-    const PeerStatus& status = newest_first[i]->status;
+  for (size_t i = 0; i < std::min(matching.size(), kMaxHeardAtAddress); ++i) {
+    const PeerStatus& status = matching[i]->status;
     heard.push_back({PeerNameHash(status.incarnation), status.sequence});
   }
   return heard;
--- a/src/coordination/peer_table.h
+++ b/src/coordination/peer_table.h
@@ -39,8 +39,8 @@
   const PeerState* Find(const std::string& incarnation) const;
   void Forget(const std::string& incarnation) { m_peers.erase(incarnation); }
   std::optional<TimePoint> HeardAt(const std::string& incarnation) const;
-  // What to put into the own status: the peers heard last, newest first.
-  std::vector<PeerHeard> Heard() const;
+  // What to put into a status to this incarnation, which may be unknown and then empty, at this address.
+  std::vector<PeerHeard> HeardFrom(const std::string& incarnation, const std::string& address) const;
 
  private:
   struct Sent {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -243,7 +243,7 @@
     m_duty_manager.SetInstanceCount([this] { return m_roster.live_count(); });
     m_membership.SetDigestSource([this] { return m_peer_exchange.MakeDigest(); });
     m_membership.SetDigestReceiver([this](const std::string& incarnation, const PeerDigest& digest) {
-      m_peer_exchange.OnDigest(incarnation, digest);
+      m_peer_exchange.OnDigest(incarnation, digest, m_membership.RoundTime());
     });
     PollInstanceList();
   }
--- a/src/daemon/peer_exchange.cc
+++ b/src/daemon/peer_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <utility>
 
 namespace quetzalridge {
@@ -10,8 +11,12 @@
 
 // A status has room for a few fingerprints; the newest changes matter most.
 constexpr size_t kMaxFingerprints = 16;
-// Peers send a status each second; one that is silent for longer may be gone.
-constexpr Duration kReportLifetime = Duration::Seconds(5);
+// The order of peers is drawn anew in each round, so two reports of one peer may be almost two rounds apart. At 360
+// instances a round takes 45 s; with a fixed life of 10 s most of the demand would be missing from the sums.
+constexpr int kRoundsOfLife = 2;
+// With few peers a round takes 1 s; a few statuses may be lost before a peer counts as gone.
+constexpr Duration kLeastReportLifetime = Duration::Seconds(5);
+constexpr Duration kLeastAdmissionLifetime = Duration::Seconds(10);
 
 uint16_t Clamp(int count) {
   return static_cast<uint16_t>(std::clamp(count, 0, static_cast<int>(UINT16_MAX)));
@@ -38,20 +43,31 @@
   return digest;
 }
 
-void PeerExchange::OnDigest(const std::string& incarnation, const PeerDigest& digest) {
+void PeerExchange::OnDigest(const std::string& incarnation, const PeerDigest& digest, Duration round) {
   const TimePoint now = m_clock->Now();
+  const Duration lifetime = round * kRoundsOfLife;
+  m_report_lifetime = std::max(lifetime, kLeastReportLifetime);
+  m_admission->SetPeerLifetime(std::max(lifetime, kLeastAdmissionLifetime));
+  DropOldReports(now);
   Report report{now, Resolve(digest.demand)};
   m_admission->OnPeerDemand(incarnation, report.demand, now);
   m_quarantine->Merge(digest.quarantine, now);
   m_reports[incarnation] = std::move(report);
 }
 
+// Incarnations that are gone do not come back, so their reports would stay for ever.
+void PeerExchange::DropOldReports(TimePoint now) {
+  for (auto it = m_reports.begin(); it != m_reports.end();) {
+    it = now - it->second.at > m_report_lifetime ? m_reports.erase(it) : std::next(it);
+  }
+}
+
 ServiceDemand PeerExchange::DemandOf(const std::string& service) const {
   ServiceDemand sum;
   AddDemand(service, m_admission->LocalDemand(), &sum);
   const TimePoint now = m_clock->Now();
   for (const auto& [incarnation, report] : m_reports) {
-    if (now - report.at <= kReportLifetime) {
+    if (now - report.at <= m_report_lifetime) {
       AddDemand(service, report.demand, &sum);
     }
   }
--- a/src/daemon/peer_exchange.h
+++ b/src/daemon/peer_exchange.h
@@ -20,7 +20,8 @@
       : m_clock(clock), m_config(config), m_admission(admission), m_quarantine(quarantine) {}
 
   PeerDigest MakeDigest() const;
-  void OnDigest(const std::string& incarnation, const PeerDigest& digest);
+  // `round` is the time in which each peer reports once.
+  void OnDigest(const std::string& incarnation, const PeerDigest& digest, Duration round);
   // Running and waiting requests of the service over all instances that were heard lately.
   ServiceDemand DemandOf(const std::string& service) const;
 
@@ -30,6 +31,7 @@
     std::vector<WorkspaceDemand> demand;
   };
 
+  void DropOldReports(TimePoint now);
   std::vector<WorkspaceDemand> Resolve(const std::vector<PeerDemand>& demand) const;
 
   const Clock* m_clock;
@@ -37,6 +39,7 @@
   AdmissionPolicy* m_admission;
   Quarantine* m_quarantine;
   std::map<std::string, Report> m_reports;
+  Duration m_report_lifetime;
 };
 
 }  // namespace quetzalridge
--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -15,7 +15,7 @@
 using Input = cereal::PortableBinaryInputArchive;
 
 // Raised when the layout changes; datagrams of other versions are dropped.
-constexpr uint16_t kFormatVersion = 1;
+constexpr uint16_t kFormatVersion = 2;
 
 // Bounds of each count. A datagram that fits them all may still be too long; Encode shortens it.
 constexpr size_t kMaxName = 256;
@@ -24,6 +24,18 @@
 constexpr size_t kMaxQuarantine = 16;
 constexpr size_t kMaxChanges = 64;
 
+// Numbers of variable length carry 7 bits in each byte; the highest bit says that another byte follows.
+constexpr int kBitsPerByte = 7;
+constexpr int kBitsOfNumber = 64;
+constexpr uint8_t kMoreBytes = 0x80;
+
+// The flags of a status share one byte.
+constexpr uint8_t kHasReadStore = 1;
+constexpr uint8_t kStoreReachable = 2;
+constexpr uint8_t kLeaving = 4;
+constexpr uint8_t kWantsReply = 8;
+constexpr uint8_t kAllFlags = kHasReadStore | kStoreReachable | kLeaving | kWantsReply;
+
 enum class MessageType : uint8_t {
   kStatus = 1,
   kChangesRequest = 2,
@@ -35,18 +47,53 @@
   MalformedDatagram() : std::runtime_error("malformed peer datagram; it is dropped") {}
 };
 
+// Most numbers of a status are far below the range of their type.
+void SaveNumber(Output* out, uint64_t number) {
+  while (number >= kMoreBytes) {
+    (*out)(static_cast<uint8_t>(number | kMoreBytes));
+    number >>= kBitsPerByte;
+  }
+  (*out)(static_cast<uint8_t>(number));
+}
+
+uint64_t LoadNumber(Input* in, uint64_t bound) {
+  uint64_t number = 0;
+  for (int shift = 0; shift < kBitsOfNumber; shift += kBitsPerByte) {
+    uint8_t byte = 0;
+    (*in)(byte);
+    const auto bits = static_cast<uint64_t>(byte & ~kMoreBytes);
+    if ((bits << shift) >> shift != bits) {
+      throw MalformedDatagram();
+    }
+    number |= bits << shift;
+    if ((byte & kMoreBytes) == 0) {
+      if (number > bound) {
+        throw MalformedDatagram();
+      }
+      return number;
+    }
+  }
+  throw MalformedDatagram();
+}
+
+// Numbers from -1 up, which stands for "none".
+void SaveSigned(Output* out, int64_t number) {
+  SaveNumber(out, static_cast<uint64_t>(number + 1));
+}
+
+int64_t LoadSigned(Input* in) {
+  return static_cast<int64_t>(LoadNumber(in, static_cast<uint64_t>(std::numeric_limits<int64_t>::max()))) - 1;
+}
+
 // cereal's own loaders allocate whatever size the input names, so counts are written and checked here.
 void Save(Output* out, const std::string& text) {
-  const auto size = static_cast<uint16_t>(std::min(text.size(), kMaxPeerDatagramBytes));
-  (*out)(size, cereal::binary_data(text.data(), size));
+  const size_t size = std::min(text.size(), kMaxPeerDatagramBytes);
+  SaveNumber(out, size);
+  (*out)(cereal::binary_data(text.data(), size));
 }
 
 std::string LoadString(Input* in, size_t bound) {
-  uint16_t size = 0;
-  (*in)(size);
-  if (size > bound) {
-    throw MalformedDatagram();
-  }
+  const size_t size = LoadNumber(in, bound);
   std::string text(size, '\0');
   (*in)(cereal::binary_data(text.data(), size));
   return text;
@@ -63,21 +110,17 @@
 
 template <typename Item, typename SaveItem>
 void SaveList(Output* out, const std::vector<Item>& items, size_t bound, SaveItem save) {
-  const auto count = static_cast<uint16_t>(std::min(items.size(), bound));
-  (*out)(count);
-  for (uint16_t i = 0; i < count; ++i) {
+  const size_t count = std::min(items.size(), bound);
+  SaveNumber(out, count);
+  for (size_t i = 0; i < count; ++i) {
     save(out, items[i]);
   }
 }
 
 template <typename Item, typename LoadItem>
 void LoadList(Input* in, std::vector<Item>* items, size_t bound, LoadItem load) {
-  uint16_t count = 0;
-  (*in)(count);
-  if (count > bound) {
-    throw MalformedDatagram();
-  }
-  for (uint16_t i = 0; i < count; ++i) {
+  const size_t count = LoadNumber(in, bound);
+  for (size_t i = 0; i < count; ++i) {
     items->push_back(load(in));
   }
 }
@@ -92,19 +135,52 @@
   return heard;
 }
 
-void SaveDemand(Output* out, const PeerDemand& demand) {
-  (*out)(demand.service_hash, demand.workspace_hash, demand.work_class, demand.running, demand.waiting);
+// The class shares a number with the running requests.
+void SaveDemandEntry(Output* out, const PeerDemand& demand) {
+  (*out)(demand.workspace_hash);
+  SaveNumber(out, static_cast<uint64_t>(demand.running) * 2 + demand.work_class);
+  SaveNumber(out, demand.waiting);
 }
 
-PeerDemand LoadDemand(Input* in) {
+PeerDemand LoadDemandEntry(Input* in) {
+  constexpr uint64_t kMaxCount = std::numeric_limits<uint16_t>::max();
   PeerDemand demand;
-  (*in)(demand.service_hash, demand.workspace_hash, demand.work_class, demand.running, demand.waiting);
-  if (demand.work_class > 1) {
-    throw MalformedDatagram();
-  }
+  (*in)(demand.workspace_hash);
+  const uint64_t running_and_class = LoadNumber(in, kMaxCount * 2 + 1);
+  demand.running = static_cast<uint16_t>(running_and_class / 2);
+  demand.work_class = static_cast<uint8_t>(running_and_class % 2);
+  demand.waiting = static_cast<uint16_t>(LoadNumber(in, kMaxCount));
   return demand;
 }
 
+// Entries of one service follow each other, so its hash is written once for all of them.
+void SaveDemand(Output* out, const std::vector<PeerDemand>& demand) {
+  std::vector<std::vector<PeerDemand>> services;
+  for (size_t i = 0; i < std::min(demand.size(), kMaxDemand); ++i) {
+    if (services.empty() || services.back().front().service_hash != demand[i].service_hash) {
+      services.emplace_back();
+    }
+    services.back().push_back(demand[i]);
+  }
+  SaveList(out, services, kMaxDemand, [](Output* each, const std::vector<PeerDemand>& entries) {
+    (*each)(entries.front().service_hash);
+    SaveList(each, entries, kMaxDemand, SaveDemandEntry);
+  });
+}
+
+void LoadDemand(Input* in, std::vector<PeerDemand>* demand) {
+  const size_t services = LoadNumber(in, kMaxDemand);
+  for (size_t i = 0; i < services; ++i) {
+    uint32_t service_hash = 0;
+    (*in)(service_hash);
+    const size_t first = demand->size();
+    LoadList(in, demand, kMaxDemand - first, LoadDemandEntry);
+    for (size_t entry = first; entry < demand->size(); ++entry) {
+      (*demand)[entry].service_hash = service_hash;
+    }
+  }
+}
+
 void SaveFingerprint(Output* out, const FingerprintCount& count) {
   constexpr int kMaxCount = std::numeric_limits<uint8_t>::max();
   (*out)(count.fingerprint, static_cast<uint8_t>(std::min(std::max(count.crashes, 0), kMaxCount)));
@@ -146,28 +222,40 @@
 void SaveStatus(Output* out, const PeerStatus& status) {
   Save(out, status.sender);
   Save(out, status.incarnation);
-  (*out)(status.sequence, status.applied_version, status.newest_known, status.confirmed_version,
-         status.confirmation_age_ms);
-  (*out)(static_cast<uint8_t>(status.has_read_store), static_cast<uint8_t>(status.store_reachable),
-         static_cast<uint8_t>(status.leaving), static_cast<uint8_t>(status.wants_reply));
+  SaveNumber(out, status.sequence);
+  SaveSigned(out, status.applied_version);
+  SaveSigned(out, status.newest_known);
+  SaveSigned(out, status.confirmed_version);
+  SaveSigned(out, status.confirmation_age_ms);
+  (*out)(static_cast<uint8_t>((status.has_read_store ? kHasReadStore : 0) |
+                              (status.store_reachable ? kStoreReachable : 0) | (status.leaving ? kLeaving : 0) |
+                              (status.wants_reply ? kWantsReply : 0)));
   SaveList(out, status.heard, kMaxHeard, SaveHeard);
   SaveList(out, status.digest.quarantine, kMaxQuarantine, SaveFingerprint);
-  SaveList(out, status.digest.demand, kMaxDemand, SaveDemand);
+  SaveDemand(out, status.digest.demand);
 }
 
 PeerStatus LoadStatus(Input* in) {
   PeerStatus status;
   status.sender = LoadString(in, kMaxName);
   status.incarnation = LoadString(in, kMaxName);
-  (*in)(status.sequence, status.applied_version, status.newest_known, status.confirmed_version,
-        status.confirmation_age_ms);
-  status.has_read_store = LoadBool(in);
-  status.store_reachable = LoadBool(in);
-  status.leaving = LoadBool(in);
-  status.wants_reply = LoadBool(in);
+  status.sequence = static_cast<uint32_t>(LoadNumber(in, std::numeric_limits<uint32_t>::max()));
+  status.applied_version = LoadSigned(in);
+  status.newest_known = LoadSigned(in);
+  status.confirmed_version = LoadSigned(in);
+  status.confirmation_age_ms = LoadSigned(in);
+  uint8_t flags = 0;
+  (*in)(flags);
+  if (flags > kAllFlags) {
+    throw MalformedDatagram();
+  }
+  status.has_read_store = (flags & kHasReadStore) != 0;
+  status.store_reachable = (flags & kStoreReachable) != 0;
+  status.leaving = (flags & kLeaving) != 0;
+  status.wants_reply = (flags & kWantsReply) != 0;
   LoadList(in, &status.heard, kMaxHeard, LoadHeard);
   LoadList(in, &status.digest.quarantine, kMaxQuarantine, LoadFingerprint);
-  LoadList(in, &status.digest.demand, kMaxDemand, LoadDemand);
+  LoadDemand(in, &status.digest.demand);
   const bool is_valid = !status.sender.empty() && !status.incarnation.empty() && status.applied_version >= 0 &&
                         status.newest_known >= status.applied_version && status.confirmed_version >= 0 &&
                         status.confirmation_age_ms >= -1;
--- a/src/protocol/peer_codec.h
+++ b/src/protocol/peer_codec.h
@@ -9,8 +9,8 @@
 // Larger datagrams may be fragmented, and a lost fragment loses all of it.
 constexpr size_t kMaxPeerDatagramBytes = 1200;
 
-// Peer messages in cereal's portable binary format. Lists and strings have a 16-bit count, which is checked against a
-// bound before anything is allocated.
+// Peer messages in cereal's portable binary format. Counts and most numbers have a variable length: 7 bits a byte, the
+// lowest first. Each count is checked against a bound before anything is allocated.
 class CerealPeerCodec : public PeerCodec {
  public:
   explicit CerealPeerCodec(std::string cluster) : m_cluster(std::move(cluster)) {}
--- a/src/state/admission.h
+++ b/src/state/admission.h
@@ -79,6 +79,8 @@
   // This instance's demand, to send to its peers, and the demand received from one of them.
   virtual std::vector<WorkspaceDemand> LocalDemand() const { return {}; }
   virtual void OnPeerDemand(const std::string& peer, const std::vector<WorkspaceDemand>& demand, TimePoint now) {}
+  // How long the demand of a peer counts after its last report.
+  virtual void SetPeerLifetime(Duration lifetime) {}
 };
 
 }  // namespace quetzalridge
--- a/src/state/fair_share_policy.cc
+++ b/src/state/fair_share_policy.cc
@@ -7,8 +7,6 @@
 
 namespace {
 
-// A peer whose reports stop has lost its callers to other instances within seconds.
-constexpr Duration kPeerLifetime = Duration::Seconds(10);
 // A workspace keeps its claim on the reserve for this long after its last request.
 constexpr Duration kActiveWindow = Duration::Seconds(60);
 // Callers are better served by another instance or a later retry than by a longer wait.
@@ -204,7 +202,7 @@
 
 void FairSharePolicy::DropSilentPeers(TimePoint now) {
   for (auto it = m_peers.begin(); it != m_peers.end();) {
-    if (now - it->second.at <= kPeerLifetime) {
+    if (now - it->second.at <= m_peer_lifetime) {
       ++it;
       continue;
     }
--- a/src/state/fair_share_policy.h
+++ b/src/state/fair_share_policy.h
@@ -24,6 +24,7 @@
   std::vector<uint64_t> TakePreemptions(TimePoint now) override;
   std::vector<WorkspaceDemand> LocalDemand() const override;
   void OnPeerDemand(const std::string& peer, const std::vector<WorkspaceDemand>& demand, TimePoint now) override;
+  void SetPeerLifetime(Duration lifetime) override { m_peer_lifetime = lifetime; }
 
  private:
   static constexpr size_t kClasses = 2;
@@ -90,6 +91,8 @@
 
   std::map<std::string, Service> m_services;
   std::map<std::string, PeerReport> m_peers;
+  // A peer whose reports stop has lost its callers to other instances within seconds.
+  Duration m_peer_lifetime = Duration::Seconds(10);
 };
 
 }  // namespace quetzalridge
--- a/tests/coordination/membership_test.cc
+++ b/tests/coordination/membership_test.cc
@@ -178,6 +178,25 @@
   }
 }
 
+// Guards against a round time that hides how seldom a peer is heard: lives of reports follow it.
+TEST_CASE("each peer is heard within two rounds") {
+  Fixture f;
+  f.Start(20);
+  const Duration round = f.instances[0]->membership.RoundTime();
+  CHECK(round == Duration::Seconds(3));
+  for (int i = 0; i < 20; ++i) {
+    f.Advance(Duration::Seconds(1));
+    const TimePoint now = f.instances[0]->process.clock().Now();
+    for (size_t other = 1; other < f.instances.size(); ++other) {
+      const std::string id = "i" + std::to_string(other);
+      const auto heard_at = f.instances[0]->membership.peers().HeardAt(id + "-first");
+      REQUIRE(heard_at.has_value());
+      // The datagram takes a few milliseconds.
+      CHECK(now - *heard_at <= round * 2 + Duration::Milliseconds(10));
+    }
+  }
+}
+
 // Guards against a planned stop that leaves the others waiting for a process that has ended.
 TEST_CASE("an instance that leaves removes its row") {
   Fixture f;
--- /dev/null
+++ b/tests/coordination/peer_table_test.cc
@@ -0,0 +1,53 @@
+#include "coordination/peer_table.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace quetzalridge {
+namespace {
+
+const TimePoint kStart = TimePoint::FromMilliseconds(1'000'000);
+
+PeerStatus StatusOf(const std::string& incarnation, uint32_t sequence) {
+  PeerStatus status;
+  status.sender = "instance-" + incarnation;
+  status.incarnation = incarnation;
+  status.sequence = sequence;
+  return status;
+}
+
+// Guards against a receiver that is left out because many others were heard later: without its entry it cannot date the
+// status and loses the serving permission.
+TEST_CASE("a status names its receiver among any number of peers") {
+  PeerTable table("own");
+  constexpr int kPeers = 360;
+  for (int i = 0; i < kPeers; ++i) {
+    const std::string id = std::to_string(i);
+    REQUIRE(
+        table.Update(StatusOf(id, static_cast<uint32_t>(i + 1)), "address-" + id, kStart + Duration::Milliseconds(i)));
+  }
+  const std::vector<PeerHeard> heard = table.HeardFrom("0", "address-0");
+  REQUIRE(heard.size() == 1);
+  CHECK(heard[0].incarnation_hash == PeerNameHash("0"));
+  CHECK(heard[0].sequence == 1);
+}
+
+// Guards against a receiver that is missed because the roster names another address than its datagrams come from, or
+// another incarnation than the one that runs, and against lists that grow with each restart at one address.
+TEST_CASE("a receiver is named by its incarnation and by its address") {
+  PeerTable table("own");
+  table.Update(StatusOf("named", 5), "address-of-its-socket", kStart);
+  CHECK(table.HeardFrom("named", "address-in-the-roster").size() == 1);
+  CHECK(table.HeardFrom("gone", "address-of-its-socket").size() == 1);
+  CHECK(table.HeardFrom("gone", "address-in-the-roster").empty());
+  for (int i = 0; i < 10; ++i) {
+    table.Update(StatusOf("next-" + std::to_string(i), 1), "address-of-its-socket", kStart + Duration::Seconds(i + 1));
+  }
+  const std::vector<PeerHeard> heard = table.HeardFrom("named", "address-of-its-socket");
+  REQUIRE(heard.size() == 4);
+  CHECK(heard[0].incarnation_hash == PeerNameHash("named"));
+  CHECK(heard[1].incarnation_hash == PeerNameHash("next-9"));
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- /dev/null
+++ b/tests/daemon/peer_exchange_test.cc
@@ -0,0 +1,74 @@
+#include "daemon/peer_exchange.h"
+
+#include <catch2/catch.hpp>
+
+#include "state/fair_share_policy.h"
+#include "tests/daemon/caller_fixture.h"
+
+namespace quetzalridge {
+namespace {
+
+constexpr int kPeerRunning = 8;
+
+struct Fixture {
+  Fixture() {
+    config.Change(ConfigKind::kWorkspace, "a", "{}");
+    config.Change(ConfigKind::kProfile, "p", "{}");
+    config.Change(ConfigKind::kService, "sort", R"({"profile":"p"})");
+  }
+  void Report(const std::string& peer, Duration round) {
+    PeerDigest digest;
+    digest.demand.push_back({PeerNameHash("sort"), PeerNameHash("a"), 0, kPeerRunning, 0});
+    exchange.OnDigest(peer, digest, round);
+  }
+  int Demand() const { return static_cast<int>(exchange.DemandOf("sort").interactive); }
+  // Whether admission still counts the peer's requests against the workspace's limit.
+  bool IsCounted() {
+    AdmissionRequest request;
+    request.id = ++last_id;
+    request.service = "sort";
+    request.workspace = "a";
+    request.capacity = 1000;
+    request.max_concurrent = kPeerRunning;
+    const bool counted = admission.Decide(request, clock.Now()).verdict != AdmissionVerdict::kAdmit;
+    if (counted) {
+      admission.CancelQueued(request.id);
+    } else {
+      admission.OnFinished(request, clock.Now());
+    }
+    return counted;
+  }
+
+  ManualClock clock;
+  FakeConfigView config;
+  FairSharePolicy admission;
+  Quarantine quarantine;
+  PeerExchange exchange{&clock, &config, &admission, &quarantine};
+  uint64_t last_id = 0;
+};
+
+// Guards against sums that lack most peers because a round over all of them takes longer than a report lives.
+TEST_CASE("the demand of a peer lives until its report of the next round") {
+  Fixture f;
+  f.Report("peer", Duration::Seconds(45));
+  f.clock.Advance(Duration::Seconds(89));
+  CHECK(f.Demand() == kPeerRunning);
+  CHECK(f.IsCounted());
+  f.clock.Advance(Duration::Seconds(2));
+  CHECK(f.Demand() == 0);
+  CHECK_FALSE(f.IsCounted());
+}
+
+// Guards against slots that stay assigned to a peer that is gone while rounds are short.
+TEST_CASE("with few peers the demand of a silent one expires within seconds") {
+  Fixture f;
+  f.Report("peer", Duration::Seconds(1));
+  f.clock.Advance(Duration::Seconds(6));
+  CHECK(f.Demand() == 0);
+  CHECK(f.IsCounted());
+  f.clock.Advance(Duration::Seconds(5));
+  CHECK_FALSE(f.IsCounted());
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- a/tests/protocol/peer_codec_test.cc
+++ b/tests/protocol/peer_codec_test.cc
@@ -1,6 +1,7 @@
 #include "protocol/peer_codec.h"
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 
 #include "base/random.h"
 #include "tests/fakes/property.h"
@@ -63,6 +64,59 @@
   CHECK(decoded->status->digest.demand.size() >= 20);
 }
 
+// Guards against entries that change their service when the services share a datagram, and against numbers that do not
+// fit into the bytes they get.
+TEST_CASE("demand of several services and numbers of every length survive") {
+  const CerealPeerCodec codec("prod");
+  PeerMessage message = FullStatus(0);
+  PeerStatus& sent = *message.status;
+  sent.sequence = UINT32_MAX;
+  sent.applied_version = INT64_MAX / 2;
+  sent.newest_known = INT64_MAX / 2 + 1;
+  sent.confirmed_version = 127;
+  sent.confirmation_age_ms = -1;
+  sent.leaving = true;
+  sent.store_reachable = false;
+  sent.digest.demand = {{1, 10, 0, UINT16_MAX, 0}, {1, 10, 1, 127, UINT16_MAX}, {2, 10, 0, 63, 128}, {1, 11, 1, 0, 1}};
+  const std::optional<PeerMessage> decoded = codec.Decode(codec.Encode(message));
+  REQUIRE(decoded.has_value());
+  const PeerStatus& got = *decoded->status;
+  CHECK(got.sequence == sent.sequence);
+  CHECK(got.applied_version == sent.applied_version);
+  CHECK(got.newest_known == sent.newest_known);
+  CHECK(got.confirmed_version == sent.confirmed_version);
+  CHECK(got.confirmation_age_ms == sent.confirmation_age_ms);
+  CHECK(got.has_read_store);
+  CHECK(got.leaving);
+  CHECK(got.wants_reply);
+  CHECK_FALSE(got.store_reachable);
+  REQUIRE(got.digest.demand.size() == sent.digest.demand.size());
+  for (size_t i = 0; i < sent.digest.demand.size(); ++i) {
+    CHECK(got.digest.demand[i].service_hash == sent.digest.demand[i].service_hash);
+    CHECK(got.digest.demand[i].workspace_hash == sent.digest.demand[i].workspace_hash);
+    CHECK(got.digest.demand[i].work_class == sent.digest.demand[i].work_class);
+    CHECK(got.digest.demand[i].running == sent.digest.demand[i].running);
+    CHECK(got.digest.demand[i].waiting == sent.digest.demand[i].waiting);
+  }
+}
+
+// Guards against statuses that use up the control traffic of a node: eight of them a second, beside its other messages.
+TEST_CASE("eight statuses with demand of eight workspaces fit into half of 2 KB") {
+  const CerealPeerCodec codec("cluster");
+  PeerMessage message = FullStatus(0);
+  PeerStatus& status = *message.status;
+  status.sender = "instance-359";
+  status.sequence = 1'000'000;
+  status.applied_version = 1'000'000;
+  status.newest_known = 1'000'000;
+  status.confirmed_version = 1'000'000;
+  status.heard = {{PeerNameHash("receiver"), 1'000'000}};
+  for (uint32_t workspace = 0; workspace < 8; ++workspace) {
+    status.digest.demand.push_back({PeerNameHash("service"), workspace, 0, 3, 1});
+  }
+  CHECK(codec.Encode(message).size() * 8 <= 1024);
+}
+
 // Guards against instances of two deployments that hear each other.
 TEST_CASE("datagrams of another cluster are dropped") {
   const CerealPeerCodec one("one");
--- a/tools/experiment/slopes_experiment.cc
+++ b/tools/experiment/slopes_experiment.cc
@@ -25,6 +25,9 @@
 constexpr int kRounds = 2000;
 constexpr int kPromptBlocks = 32;
 constexpr int kWorkspaces = 8;
+constexpr int kIncarnationDigits = 16;
+// Configuration changes of a year at 1,900 a day.
+constexpr int64_t kVersions = 700'000;
 const TimePoint kNow = TimePoint::FromMilliseconds(1'000'000);
 
 size_t AllocatedBytes() {
@@ -97,11 +100,13 @@
 PeerStatus MakeStatus(int peer, Random* random) {
   PeerStatus status;
   status.sender = "instance-" + std::to_string(peer);
-  status.incarnation = Sha256Hex(status.sender).substr(0, 32);
+  status.incarnation = Sha256Hex(status.sender).substr(0, kIncarnationDigits);
   status.sequence = static_cast<uint32_t>(random->Below(1000) + 1);
-  for (int h = 0; h < 40; ++h) {
-    status.heard.push_back({static_cast<uint32_t>(random->Next()), 1});
-  }
+  status.applied_version = kVersions;
+  status.newest_known = kVersions;
+  status.confirmed_version = kVersions;
+  status.confirmation_age_ms = 500;
+  status.heard.push_back({static_cast<uint32_t>(random->Next()), static_cast<uint32_t>(random->Next())});
   for (int w = 0; w < kWorkspaces; ++w) {
     status.digest.demand.push_back({1, static_cast<uint32_t>(w), 0, 3, 1});
   }
