Measure the duties, the instance list and open streams

Cause: docs/CAPACITY.md is to give state, messages, processor time and memory for each role, but the slopes covered entry nodes only, and the bytes of an open stream were unknown.

The slopes now run the daemon's own duties on a manual clock over an in-memory table and platform: one order round, one usage window of 8 workspaces, and one weight roll-out. They also measure the body of the platform's instance list. scripts/measure_daemon.sh opens 200 streams with one curl process and divides the growth of resident memory by them.

Ruled out: a stream object without connections in the slopes; it would leave out the buffers of both connections.

--- a/scripts/measure_daemon.sh
+++ b/scripts/measure_daemon.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures one daemon in front of one engine stand-in: the latency that it adds at a fixed rate against the stand-in
-# directly, its memory and processor share at rest, and its control traffic with two peers. Build first with
-# scripts/test.sh. Uses ports 19600 to 19640 of the loopback address.
+# directly, its memory and processor share at rest, its control traffic with two peers, and the memory of an open
+# stream. Build first with scripts/test.sh. Uses ports 19600 to 19640 of the loopback address.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$PWD/build
@@ -68,3 +68,20 @@
   "$bin/quetzalridge_load" --mode latency --addresses 127.0.0.1:19611 --keys "w=$key" --rate "$rate" --seconds "$seconds" --model chat --tokens 1
 done
 echo "after the load: resident $(awk '/VmRSS/ {print $2}' "/proc/$daemon/status") kB"
+
+# Open streams: one process holds them, each on its own connection, with a token each 500 ms.
+streams=200
+start "$bin/standin_engine" --port 19602 --id slow1 --service slow --slots 256 --token-ms 500
+ctl service set slow profile=normal slots_per_replica=256
+ctl endpoint set slow1 service=slow address=127.0.0.1:19602 zone=a
+ctl route set slow service=slow
+sleep 3
+resident() { awk '/VmRSS/ {print $2}' "/proc/$daemon/status"; }
+before=$(resident)
+curl -sN -Z --parallel-immediate --parallel-max "$streams" -o /dev/null -H "authorization: Bearer $key" \
+  -H 'content-type: application/json' -d '{"model":"slow","prompt":"p","max_tokens":40,"stream":true}' \
+  "http://127.0.0.1:19611/v1/completions?n=[1-$streams]" >/dev/null 2>&1 &
+pids+=($!)
+sleep 10
+open=$(curl -sf http://127.0.0.1:19621/admin/status | grep -o '"requests_in_progress":[0-9]*' | cut -d: -f2)
+echo "with $open open streams: resident $(resident) kB, $((($(resident) - before) * 1024 / (open > 0 ? open : 1))) B each"
--- a/tools/experiment/slopes_experiment.cc
+++ b/tools/experiment/slopes_experiment.cc
@@ -5,15 +5,18 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <vector>
 
 #include "base/hash.h"
 #include "base/random.h"
 #include "coordination/peer_table.h"
 #include "protocol/peer_codec.h"
+#include "protocol/platform_message.h"
 #include "state/config_document.h"
 #include "state/fair_share_policy.h"
 #include "state/prefix_affinity_router.h"
+#include "tools/experiment/duty_slopes.h"
 
 namespace quetzalridge {
 
@@ -22,6 +25,8 @@
 constexpr int kEndpointSizes[] = {10, 100, 1000};
 constexpr int kPeerSizes[] = {3, 36, 360};
 constexpr int kKeySizes[] = {100, 1000, 10'000};
+// 360 entry instances and 1,000 endpoints at the target size.
+constexpr int kListSizes[] = {20, 200, 1360};
 constexpr int kRounds = 2000;
 constexpr int kPromptBlocks = 32;
 constexpr int kWorkspaces = 8;
@@ -193,6 +198,29 @@
   }
 }
 
+// The platform's list as each instance reads it.
+void MeasureInstanceList(Recorder* recorder) {
+  for (const int size : kListSizes) {
+    nlohmann::json instances = nlohmann::json::array();
+    for (int i = 0; i < size; ++i) {
+      instances.push_back({{"id", "instance-" + std::to_string(i)},
+                           {"role", "endpoint"},
+                           {"service", "hide-sorting-model"},
+                           {"zone", "zone-" + std::to_string(i % 17)},
+                           {"address", "10.20.30." + std::to_string(i % 250) + ":8080"},
+                           {"kind", "steady"},
+                           {"state", "live"}});
+    }
+    const std::string body = nlohmann::json{{"revision", 1}, {"instances", instances}}.dump();
+    constexpr int kDecodings = 20;
+    size_t decoded = 0;
+    const double decode_us =
+        MicrosecondsEach(kDecodings, [&] { decoded += DecodeInstanceList(200, body).instances.size(); });
+    recorder->Add("instance list", size, "bytes of the body", "B", static_cast<double>(body.size()));
+    recorder->Add("instance list", size, "decoding the body", "us", decoded > 0 ? decode_us : 0);
+  }
+}
+
 }  // namespace
 
 void SlopesExperiment::Run(const ExperimentOptions& options, ResultTable* results) {
@@ -202,6 +230,9 @@
     MeasurePeers(&recorder, seed);
     MeasureAdmission(&recorder);
     MeasureConfiguration(&recorder);
+    MeasureInstanceList(&recorder);
+    MeasureDuties([&](const std::string& object, int size, const std::string& measure, const std::string& unit,
+                      double value) { recorder.Add(object, size, measure, unit, value); });
   }
 }
 
