--- a/tools/experiment/slopes_experiment.cc
+++ b/tools/experiment/slopes_experiment.cc
@@ -5,15 +5,18 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <vector>
 
 #include "base/hash.h"
 #include "base/random.h"
 #include "coordination/peer_table.h"
 #include "protocol/peer_codec.h"
+#include "protocol/platform_message.h"
 #include "state/config_document.h"
 #include "state/fair_share_policy.h"
 #include "state/prefix_affinity_router.h"
+#include "tools/experiment/duty_slopes.h"
 
 namespace quetzalridge {
 
@@ -22,9 +25,14 @@
 constexpr int kEndpointSizes[] = {10, 100, 1000};
 constexpr int kPeerSizes[] = {3, 36, 360};
 constexpr int kKeySizes[] = {100, 1000, 10'000};
+// 360 entry instances and 1,000 endpoints at the target size.
+constexpr int kListSizes[] = {20, 200, 1360};
 constexpr int kRounds = 2000;
 constexpr int kPromptBlocks = 32;
 constexpr int kWorkspaces = 8;
+constexpr int kIncarnationDigits = 16;
+// Configuration changes of a year at 1,900 a day.
+constexpr int64_t kVersions = 700'000;
 const TimePoint kNow = TimePoint::FromMilliseconds(1'000'000);
 
 size_t AllocatedBytes() {
@@ -97,11 +105,13 @@
 PeerStatus MakeStatus(int peer, Random* random) {
   PeerStatus status;
   status.sender = "instance-" + std::to_string(peer);
-  status.incarnation = Sha256Hex(status.sender).substr(0, 32);
+  status.incarnation = Sha256Hex(status.sender).substr(0, kIncarnationDigits);
   status.sequence = static_cast<uint32_t>(random->Below(1000) + 1);
-  for (int h = 0; h < 40; ++h) {
-    status.heard.push_back({static_cast<uint32_t>(random->Next()), 1});
-  }
+  status.applied_version = kVersions;
+  status.newest_known = kVersions;
+  status.confirmed_version = kVersions;
+  status.confirmation_age_ms = 500;
+  status.heard.push_back({static_cast<uint32_t>(random->Next()), static_cast<uint32_t>(random->Next())});
   for (int w = 0; w < kWorkspaces; ++w) {
     status.digest.demand.push_back({1, static_cast<uint32_t>(w), 0, 3, 1});
   }
@@ -188,6 +198,29 @@
   }
 }
 
+// The platform's list as each instance reads it.
+void MeasureInstanceList(Recorder* recorder) {
+  for (const int size : kListSizes) {
+    nlohmann::json instances = nlohmann::json::array();
+    for (int i = 0; i < size; ++i) {
+      instances.push_back({{"id", "instance-" + std::to_string(i)},
+                           {"role", "endpoint"},
+                           {"service", "hide-sorting-model"},
+                           {"zone", "zone-" + std::to_string(i % 17)},
+                           {"address", "10.20.30." + std::to_string(i % 250) + ":8080"},
+                           {"kind", "steady"},
+                           {"state", "live"}});
+    }
+    const std::string body = nlohmann::json{{"revision", 1}, {"instances", instances}}.dump();
+    constexpr int kDecodings = 20;
+    size_t decoded = 0;
+    const double decode_us =
+        MicrosecondsEach(kDecodings, [&] { decoded += DecodeInstanceList(200, body).instances.size(); });
+    recorder->Add("instance list", size, "bytes of the body", "B", static_cast<double>(body.size()));
+    recorder->Add("instance list", size, "decoding the body", "us", decoded > 0 ? decode_us : 0);
+  }
+}
+
 }  // namespace
 
 void SlopesExperiment::Run(const ExperimentOptions& options, ResultTable* results) {
@@ -197,6 +230,9 @@
     MeasurePeers(&recorder, seed);
     MeasureAdmission(&recorder);
     MeasureConfiguration(&recorder);
+    MeasureInstanceList(&recorder);
+    MeasureDuties([&](const std::string& object, int size, const std::string& measure, const std::string& unit,
+                      double value) { recorder.Add(object, size, measure, unit, value); });
   }
 }
 
