Delete old state by a cleanup duty

Rows of calls, of usage and of the configuration log and the objects of abandoned attempts were never deleted. A duty under a lease now deletes them 24 h after their last write or report, at most 10 rows/s, in transactions that write a row of their own and check the version of each row they delete.

Age comes from marks of the table revision that a holder spaces by its boot clock. The time written inside a row was ruled out, because wall clocks of instances differ and the design compares none.

A return holds 25 groups instead of 32, so that its transaction stays within 128 checks and writes.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -59,6 +59,10 @@
        "The platform refused an order as stale; a newer holder or sequence was seen. The intents are read again."},
       {LogEvent::kNoEndpointsToOrder, LogSeverity::kWarning, "no_endpoints_to_order",
        "The platform has no endpoints of an ordered kind in the availability zone."},
+      {LogEvent::kOldStateRemoved, LogSeverity::kInfo, "old_state_removed",
+       "Rows whose retention period is over were deleted since the last such event."},
+      {LogEvent::kCleanupDamaged, LogSeverity::kError, "cleanup_damaged",
+       "A row of the cleanup duty is malformed; nothing is deleted. Delete the row."},
   };
   return kCatalogue;
 }
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -44,6 +44,8 @@
   kUsageDamaged = 6004,
   kOrderStale = 6005,
   kNoEndpointsToOrder = 6006,
+  kOldStateRemoved = 6007,
+  kCleanupDamaged = 6008,
 };
 
 struct LogEventInfo {
--- a/src/coordination/config_reader.cc
+++ b/src/coordination/config_reader.cc
@@ -23,6 +23,10 @@
 void ConfigReader::Refresh(Callback callback) {
   auto refresh = std::make_shared<Refreshing>();
   refresh->callback = std::move(callback);
+  ReadHead(refresh);
+}
+
+void ConfigReader::ReadHead(const std::shared_ptr<Refreshing>& refresh) {
   // The head was current at some time after the request left; the earlier time is the safe one.
   const TimePoint asked_at = m_scheduler->clock().Now();
   m_store->Read({kConfigHeadKey}, [this, refresh, asked_at, alive = std::weak_ptr<bool>(m_alive)](const ReadResult& r) {
@@ -68,19 +72,18 @@
   for (int64_t v = version + 1; v <= std::min(head, version + kChangesPerRead); ++v) {
     keys.push_back(ConfigChangeKey(v));
   }
-  m_store->Read(std::move(keys), [this, refresh, alive = std::weak_ptr<bool>(m_alive)](const ReadResult& r) {
+  m_store->Read(std::move(keys), [this, refresh, version, alive = std::weak_ptr<bool>(m_alive)](const ReadResult& r) {
     if (!alive.expired()) {
-      OnChanges(refresh, r);
+      OnChanges(refresh, version, r);
     }
   });
 }
 
-void ConfigReader::OnChanges(const std::shared_ptr<Refreshing>& refresh, const ReadResult& read) {
+void ConfigReader::OnChanges(const std::shared_ptr<Refreshing>& refresh, int64_t version, const ReadResult& read) {
   if (!read.ok) {
     Finish(refresh, true);
     return;
   }
-  const int64_t before = m_replica->version();
   for (const TableRow& row : read.rows) {
     const std::optional<ConfigChange> change = row.version == 0 ? std::nullopt : DecodeConfigChange(row.value);
     if (!change.has_value()) {
@@ -91,7 +94,8 @@
       break;
     }
   }
-  if (m_replica->version() > before || m_replica->version() >= refresh->result.head) {
+  // An overlapping refresh may have passed the rows that were asked for, some of which may be deleted.
+  if (m_replica->version() > version || m_replica->version() >= refresh->result.head) {
     ReadMissing(refresh);
     return;
   }
@@ -100,8 +104,20 @@
     ReadSnapshot(refresh, refresh->result.head - refresh->result.head % kConfigSnapshotInterval);
     return;
   }
+  // Since the head was read, the change and the snapshots up to that head may have been deleted as old. The snapshots
+  // of the present head are kept.
+  if (!refresh->head_read_again && !refresh->snapshot_unanswered) {
+    refresh->head_read_again = true;
+    refresh->snapshot_tried = false;
+    ReadHead(refresh);
+    return;
+  }
+  if (refresh->snapshot_unanswered) {
+    Finish(refresh, true);
+    return;
+  }
   Log(LogEvent::kConfigStoreDamaged,
-      "change " + std::to_string(before + 1) + " is missing and no snapshot replaces it; restore the row");
+      "change " + std::to_string(version + 1) + " is missing and no snapshot replaces it; restore the row");
   Finish(refresh, true);
 }
 
@@ -125,14 +141,18 @@
     ReadSnapshot(refresh, version - kConfigSnapshotInterval);
     return;
   }
-  refresh->snapshot_tried = true;
   if (object.outcome == ObjectOutcome::kOk) {
     try {
       m_replica->Replace(ConfigDocument::FromJson(object.data));
     } catch (const Error& error) {
+      // The changes since the snapshot before are kept.
       Log(LogEvent::kConfigStoreDamaged, ConfigSnapshotName(version) + ": " + error.what());
+      ReadSnapshot(refresh, version - kConfigSnapshotInterval);
+      return;
     }
   }
+  refresh->snapshot_tried = true;
+  refresh->snapshot_unanswered = object.outcome != ObjectOutcome::kOk;
   // Without a snapshot, the changes are read one by one.
   ReadMissing(refresh);
 }
--- a/src/coordination/config_reader.h
+++ b/src/coordination/config_reader.h
@@ -35,11 +35,16 @@
     Result result;
     Callback callback;
     bool snapshot_tried = false;
+    // The object store did not answer, so a missing change does not show damage.
+    bool snapshot_unanswered = false;
+    bool head_read_again = false;
   };
 
+  void ReadHead(const std::shared_ptr<Refreshing>& refresh);
   void OnHead(const std::shared_ptr<Refreshing>& refresh, TimePoint asked_at, const ReadResult& read);
   void ReadMissing(const std::shared_ptr<Refreshing>& refresh);
-  void OnChanges(const std::shared_ptr<Refreshing>& refresh, const ReadResult& read);
+  // `version` is the one after which changes were asked for.
+  void OnChanges(const std::shared_ptr<Refreshing>& refresh, int64_t version, const ReadResult& read);
   void ReadSnapshot(const std::shared_ptr<Refreshing>& refresh, int64_t version);
   void OnSnapshot(const std::shared_ptr<Refreshing>& refresh, int64_t version, const ObjectResult& object);
   static void Finish(const std::shared_ptr<Refreshing>& refresh, bool ok);
--- a/src/coordination/rollout_queue.cc
+++ b/src/coordination/rollout_queue.cc
@@ -420,6 +420,10 @@
   std::vector<GroupRow> claimed;
   for (const TableRow& row : rows) {
     GroupRow group = DecodeGroupRow(row.value);
+    if (!group.incarnation.empty()) {
+      const std::string object = m_rows.ObjectName(group.spec.id, group.attempt, group.incarnation);
+      transaction.writes.push_back({AbandonedObjectKey(object), ""});
+    }
     group.owner = m_context.instance;
     group.incarnation = m_context.incarnation;
     ++group.attempt;
--- a/src/coordination/rollout_rows.cc
+++ b/src/coordination/rollout_rows.cc
@@ -40,6 +40,12 @@
 
 }  // namespace
 
+const char kAbandonedObjectPrefix[] = "abandoned/";
+
+std::string AbandonedObjectKey(const std::string& object) {
+  return kAbandonedObjectPrefix + object;
+}
+
 std::string EncodeGroupRow(const GroupRow& row) {
   return Dump({{"step", row.spec.step},
                {"id", row.spec.id},
--- a/src/coordination/rollout_rows.h
+++ b/src/coordination/rollout_rows.h
@@ -51,6 +51,11 @@
   std::string m_prefix;
 };
 
+// A row with this key names an object that no other row refers to any more; the transaction that drops the last
+// reference writes it, and the cleanup duty deletes both.
+extern const char kAbandonedObjectPrefix[];
+std::string AbandonedObjectKey(const std::string& object);
+
 struct DoneRow {
   std::string spec_digest;
   // The batch that delivered the group.
--- a/src/coordination/sample_delivery.cc
+++ b/src/coordination/sample_delivery.cc
@@ -10,8 +10,8 @@
 // A transaction has at most 128 checks and writes; forming and confirming need two for each group, and two for the
 // cursor.
 constexpr size_t kMaxGroupsPerBatch = 63;
-// Two checks and two writes for each group.
-constexpr size_t kMaxGroupsPerReturn = 32;
+// Two checks and three writes for each group.
+constexpr size_t kMaxGroupsPerReturn = 25;
 constexpr int kReadyPage = 128;
 // More than a confirmation adds, so that the deletion keeps up.
 constexpr int kDonePage = 100;
@@ -487,6 +487,7 @@
         return;
       }
       transaction.writes.push_back({group_rows[i].key, unowned});
+      transaction.writes.push_back({AbandonedObjectKey(groups[i].object), ""});
     }
   }
   DeliveryCursor cursor = operation->cursor;
@@ -528,6 +529,7 @@
     transaction.checks.push_back({group_rows[i].key, group_rows[i].version});
     transaction.writes.push_back({ready_rows[i].key, std::nullopt});
     transaction.writes.push_back({group_rows[i].key, unowned});
+    transaction.writes.push_back({AbandonedObjectKey(DecodeReadyRow(ready_rows[i].value).object), ""});
   }
   CommitAndReread(id, std::move(transaction), true);
 }
--- a/src/coordination/usage_duty.cc
+++ b/src/coordination/usage_duty.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr char kProgressKey[] = "usage-reported";
 constexpr char kUsagePrefix[] = "usage/";
 constexpr int kRowsPerScan = 128;
 constexpr int kTransactionIdBytes = 8;
@@ -39,7 +38,7 @@
 }
 
 void UsageDuty::ReadProgress() {
-  m_store->Read({kProgressKey, kFirstUsageWindowKey}, m_guard.Wrap([this](const ReadResult& read) {
+  m_store->Read({kReportedUsageWindowKey, kFirstUsageWindowKey}, m_guard.Wrap([this](const ReadResult& read) {
     if (!read.ok) {
       EndStep();
       return;
@@ -212,9 +211,9 @@
 void UsageDuty::RecordProgress() {
   TableTransaction transaction;
   transaction.id = RandomHex(kTransactionIdBytes);
-  transaction.checks = {{kProgressKey, m_progress_version}};
-  transaction.writes = {{kProgressKey, std::to_string(m_next_window)}};
-  m_resolving_store.Transact(std::move(transaction), kProgressKey, [this](const TransactResult&) {
+  transaction.checks = {{kReportedUsageWindowKey, m_progress_version}};
+  transaction.writes = {{kReportedUsageWindowKey, std::to_string(m_next_window)}};
+  m_resolving_store.Transact(std::move(transaction), kReportedUsageWindowKey, [this](const TransactResult&) {
     // Read back, so that a conflict with another holder needs no case of its own.
     m_next_known = false;
     EndStep();
--- a/src/coordination/usage_record.cc
+++ b/src/coordination/usage_record.cc
@@ -42,6 +42,7 @@
 }  // namespace
 
 const char kFirstUsageWindowKey[] = "usage-first";
+const char kReportedUsageWindowKey[] = "usage-reported";
 
 int64_t ParseWindow(const std::string& text) {
   return std::strtoll(text.c_str(), nullptr, 10);
--- a/src/coordination/usage_record.h
+++ b/src/coordination/usage_record.h
@@ -31,9 +31,11 @@
   UsageByWorkspace usage;
 };
 
-// Names the window at which the first report began. It is written once; usage of earlier windows counts as late, since
-// nobody would report them.
+// Names the first window that still takes usage: at first the one at which reports began, later the one after those
+// whose rows may be deleted. Usage of earlier windows counts as late, since nobody would report them.
 extern const char kFirstUsageWindowKey[];
+// Names the last window whose figures were all reported.
+extern const char kReportedUsageWindowKey[];
 
 std::string UsagePrefix(int64_t window);
 std::string FrozenUsageKey(int64_t window);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -147,6 +147,14 @@
   return options;
 }
 
+CleanupOptions CleanupOptionsOf(const Settings& settings) {
+  CleanupOptions options;
+  options.retention = settings.cleanup.retention;
+  options.rows_per_second = settings.cleanup.rows_per_second;
+  options.request_timeout = settings.timing.platform_request_timeout;
+  return options;
+}
+
 UsageRecorderOptions RecorderOptions(const Settings& settings, const std::string& incarnation) {
   return {settings.instance.id + "-" + incarnation, settings.timing.usage_window, settings.timing.usage_flush};
 }
@@ -184,8 +192,9 @@
             &m_config, [this] { return std::make_unique<SunsetPlanner>(LocationOf(m_settings)); },
             [this](const std::string& service) { return m_peer_exchange.DemandOf(service); }, &WallClockMilliseconds),
         m_duty_manager(&m_table, loop, DutyOptions(m_settings, m_incarnation)),
-        m_duties({&m_table, loop, &m_platform, &m_endpoints, &m_engine_control, &m_targets, &m_config, &m_duty_manager},
-                 OrderOptions(m_settings), UsageOptions(m_settings)),
+        m_duties({&m_table, &m_objects, loop, &m_platform, &m_endpoints, &m_engine_control, &m_targets, &m_config,
+                  &m_duty_manager},
+                 OrderOptions(m_settings), UsageOptions(m_settings), CleanupOptionsOf(m_settings)),
         m_caller_api({loop, &m_config, &m_dispatcher, &m_once, &m_usage, &m_metrics}, {m_settings.timing.stream_hold}),
         m_rollout_api({&m_table, &m_objects, &m_platform, &m_sample_engine, &m_roster, loop, m_settings.instance.id,
                        m_incarnation},
--- a/src/daemon/duty_set.cc
+++ b/src/daemon/duty_set.cc
@@ -23,14 +23,17 @@
 
 }  // namespace
 
-DutySet::DutySet(Collaborators collaborators, OrderDutyOptions order_options, UsageDutyOptions usage_options)
+DutySet::DutySet(Collaborators collaborators, OrderDutyOptions order_options, UsageDutyOptions usage_options,
+                 CleanupOptions cleanup_options)
     : m_collaborators(collaborators),
       m_order_options(order_options),
       m_usage(collaborators.table, collaborators.scheduler, collaborators.platform, &WallClockMilliseconds,
-              usage_options) {}
+              usage_options),
+      m_cleanup(collaborators.table, collaborators.objects, collaborators.scheduler, cleanup_options) {}
 
 void DutySet::Start() {
   m_collaborators.manager->AddDuty("usage", &m_usage);
+  m_collaborators.manager->AddDuty("cleanup", &m_cleanup);
   m_collaborators.config->AddListener([this](const ConfigChange& change) {
     if (change.kind == ConfigKind::kZone || change.kind == ConfigKind::kService) {
       Update();
--- a/src/daemon/duty_set.h
+++ b/src/daemon/duty_set.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "coordination/cleanup_duty.h"
 #include "coordination/config_view.h"
 #include "coordination/duty_manager.h"
 #include "coordination/order_duty.h"
@@ -14,11 +15,13 @@
 
 namespace quetzalridge {
 
-// Keeps one duty per availability zone, one per model service, and the usage duty, as the configuration changes.
+// Keeps one duty per availability zone, one per model service, the usage duty and the cleanup duty, as the
+// configuration changes.
 class DutySet {
  public:
   struct Collaborators {
     TableStore* table = nullptr;
+    ObjectStore* objects = nullptr;
     Scheduler* scheduler = nullptr;
     Platform* platform = nullptr;
     EndpointView* endpoints = nullptr;
@@ -28,7 +31,8 @@
     DutyManager* manager = nullptr;
   };
 
-  DutySet(Collaborators collaborators, OrderDutyOptions order_options, UsageDutyOptions usage_options);
+  DutySet(Collaborators collaborators, OrderDutyOptions order_options, UsageDutyOptions usage_options,
+          CleanupOptions cleanup_options);
 
   void Start();
 
@@ -40,6 +44,7 @@
   Collaborators m_collaborators;
   OrderDutyOptions m_order_options;
   UsageDuty m_usage;
+  CleanupDuty m_cleanup;
   std::map<std::string, std::unique_ptr<OrderDuty>> m_orders;
   std::map<std::string, std::unique_ptr<WeightRollout>> m_weights;
 };
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -117,6 +117,7 @@
 }
 
 constexpr int64_t kHourMs = 3'600'000;
+constexpr int64_t kLongestRetentionMs = 31 * 24 * kHourMs;
 
 std::vector<Field> FieldsOf(Settings* s) {
   return {
@@ -152,6 +153,8 @@
       DurationField("timing.usage_grace_ms", &s->timing.usage_grace, 10, kHourMs),
       DurationField("timing.load_poll_ms", &s->timing.load_poll, 10, 60000),
       DurationField("timing.version_freshness_ms", &s->timing.version_freshness, 10, 5000),
+      DurationField("cleanup.retention_ms", &s->cleanup.retention, 1000, kLongestRetentionMs),
+      IntField("cleanup.rows_per_second", &s->cleanup.rows_per_second, 1, 10),
       LogLevelField("log.level", &s->log.level),
   };
 }
@@ -169,6 +172,11 @@
         "timing.accept_wait_ms must be at least timing.permission_ms plus timing.stream_hold_ms, or a change would be "
         "acknowledged before every instance obeys it; raise it");
   }
+  if (s.cleanup.retention <= s.limits.total_timeout) {
+    errors->push_back(
+        "cleanup.retention_ms must exceed limits.total_timeout_ms, or the record of a call that still runs would be "
+        "deleted and a repeated call would run twice; raise it");
+  }
   if (s.timing.lease_ttl <= s.timing.platform_request_timeout) {
     errors->push_back(
         "timing.lease_ttl_ms must exceed timing.platform_request_timeout_ms, or no order could be sent; raise it");
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -66,6 +66,12 @@
     Duration version_freshness = Duration::Milliseconds(500);
   } timing;
 
+  // Deletion of state that is no longer needed.
+  struct Cleanup {
+    Duration retention = Duration::Seconds(86'400);
+    int rows_per_second = 10;
+  } cleanup;
+
   struct Logging {
     LogSeverity level = LogSeverity::kInfo;
   } log;
--- /dev/null
+++ b/tests/coordination/cleanup_test.cc
@@ -0,0 +1,528 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/cleanup_duty.h"
+#include "coordination/config_reader.h"
+#include "coordination/config_record.h"
+#include "coordination/duty_manager.h"
+#include "coordination/once_ledger.h"
+#include "coordination/once_record.h"
+#include "coordination/retention_marks.h"
+#include "coordination/rollout_rows.h"
+#include "coordination/usage_record.h"
+#include "tests/fakes/fake_table_store.h"
+#include "tests/fakes/in_memory_object_store.h"
+#include "tests/fakes/property.h"
+
+namespace quetzalridge {
+namespace {
+
+constexpr int kInstances = 3;
+constexpr Duration kRetention = Duration::Seconds(60);
+constexpr Duration kReadInterval = Duration::Seconds(1);
+
+struct CleanupMechanisms {
+  bool checks_age = true;
+  bool checks_versions = true;
+};
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.rfind(prefix, 0) == 0;
+}
+
+// Leaves out the checks on the rows that a transaction deletes, to switch them off.
+class UncheckedDeletions : public TableStore {
+ public:
+  UncheckedDeletions(TableStore* store, bool drops_checks) : m_store(store), m_drops_checks(drops_checks) {}
+
+  void Transact(TableTransaction transaction, TransactCallback callback) override {
+    if (m_drops_checks) {
+      std::vector<TableCheck> kept;
+      for (const TableCheck& check : transaction.checks) {
+        const bool is_deleted =
+            std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                        [&](const TableWrite& write) { return write.key == check.key && !write.value.has_value(); });
+        if (!is_deleted) {
+          kept.push_back(check);
+        }
+      }
+      transaction.checks = kept;
+    }
+    m_store->Transact(std::move(transaction), std::move(callback));
+  }
+  void Read(std::vector<std::string> keys, ReadCallback callback) override {
+    m_store->Read(std::move(keys), std::move(callback));
+  }
+  void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
+    m_store->Scan(std::move(prefix), std::move(after), limit, std::move(callback));
+  }
+
+ private:
+  TableStore* m_store;
+  bool m_drops_checks;
+};
+
+// One simulated process: it bids for the duty, reads the configuration, and keeps records of calls.
+struct CleanupInstance {
+  CleanupInstance(ManualScheduler* world, FakeTable* table, ObjectStore* objects, const std::string& name,
+                  CleanupMechanisms mechanisms)
+      : process(world),
+        store(table, &process),
+        deletions(&store, !mechanisms.checks_versions),
+        reader(&store, objects, &process, &replica),
+        once(&store, &process, name),
+        duty(&deletions, objects, &process, DutyOptions(mechanisms)),
+        manager(&store, &process, ManagerOptions(name)) {
+    manager.SetInstanceCount([] { return kInstances; });
+    manager.AddDuty("cleanup", &duty);
+    manager.Start();
+    Poll();
+  }
+
+  static CleanupOptions DutyOptions(CleanupMechanisms mechanisms) {
+    CleanupOptions options;
+    options.retention = mechanisms.checks_age ? kRetention : Duration();
+    return options;
+  }
+  static DutyManagerOptions ManagerOptions(const std::string& name) {
+    DutyManagerOptions options;
+    options.lease.holder = name;
+    return options;
+  }
+
+  void Poll() {
+    reader.Refresh([](const ConfigReader::Result&) {});
+    timer = process.After(kReadInterval, [this] { Poll(); });
+  }
+
+  PausableScheduler process;
+  FakeTableStore store;
+  UncheckedDeletions deletions;
+  ConfigReplica replica;
+  ConfigReader reader;
+  OnceLedger once;
+  CleanupDuty duty;
+  DutyManager manager;
+  std::unique_ptr<Timer> timer;
+};
+
+// Instances over one table, driven by calls, changes, usage windows, abandoned objects, pauses, restarts, outages, slow
+// and lost answers. The oracle keeps the time of each write: no row is deleted within its period, a call that is
+// repeated within the period runs once, and every reader ends at the head without going back.
+class CleanupModel {
+ public:
+  CleanupModel(uint64_t seed, CleanupMechanisms mechanisms)
+      : m_table(&m_scheduler, seed), m_objects(&m_scheduler), m_mechanisms(mechanisms), m_random(seed) {
+    m_table.late_chance = 0.3;
+    m_table.never_chance = 0.2;
+    m_table.on_commit = [this](const TableTransaction& transaction, int64_t) { OnCommit(transaction); };
+    Write({{kFirstUsageWindowKey, "1"}});
+    for (int i = 0; i < kInstances; ++i) {
+      m_instances.push_back(nullptr);
+      m_versions.push_back(0);
+      Restart(i);
+    }
+  }
+
+  std::optional<std::string> Run(const CommandSequence& commands) {
+    for (const uint32_t command : commands) {
+      Execute(command % 16, static_cast<int>(command / 16 % kInstances), command / (16 * kInstances));
+      if (m_violation.has_value()) {
+        return m_violation;
+      }
+    }
+    m_table.unavailable = false;
+    m_table.latency = Duration::Milliseconds(1);
+    m_table.lost_answer_chance = 0;
+    m_objects.unavailable = false;
+    for (const auto& instance : m_instances) {
+      instance->store.partitioned = false;
+      instance->process.Resume();
+    }
+    Advance(Duration::Seconds(30));
+    for (const auto& instance : m_instances) {
+      if (instance->replica.document().ToJson() != m_log.document().ToJson()) {
+        m_violation = "a reader ended at version " + std::to_string(instance->replica.version()) + " of " +
+                      std::to_string(m_log.version());
+      }
+    }
+    return m_violation;
+  }
+  int deleted(const std::string& prefix) const {
+    const auto it = m_deleted.find(prefix);
+    return it == m_deleted.end() ? 0 : it->second;
+  }
+
+ private:
+  void Execute(uint32_t kind, int index, uint32_t amount) {
+    CleanupInstance* instance = m_instances[index].get();
+    switch (kind) {
+      case 0:
+        instance->process.Pause();
+        break;
+      case 1:
+        instance->process.Resume();
+        break;
+      case 2:
+        instance->store.partitioned = amount % 4 == 0;
+        break;
+      case 3:
+        m_table.unavailable = amount % 5 == 0;
+        m_objects.unavailable = amount % 7 == 0;
+        break;
+      case 4:
+        m_table.lost_answer_chance = (amount % 3) * 0.2;
+        break;
+      case 5:
+        m_table.latency = Duration::Milliseconds(1 + (amount % 4) * 400);
+        m_objects.latency = Duration::Milliseconds(1 + (amount / 4 % 4) * 400);
+        break;
+      case 6:
+        if (amount % 4 == 0) {
+          Restart(index);
+        }
+        break;
+      case 7:
+        AddChanges(static_cast<int>(amount % 80));
+        break;
+      case 8:
+        AddUsageWindow(amount % 3 > 0);
+        break;
+      case 9:
+        AddAbandonedObject();
+        break;
+      case 10:
+      case 11:
+        Call(index, "c" + std::to_string(amount % 24), amount / 24 % 4);
+        break;
+      case 12:
+        RepeatWhenDue(index, Duration::Milliseconds(amount % 6000), amount / 6000 % 4);
+        break;
+      default:
+        Advance(Duration::Milliseconds(amount % 16000));
+    }
+  }
+
+  void Write(std::vector<TableWrite> writes) {
+    TableTransaction transaction;
+    transaction.id = "world";
+    transaction.writes = std::move(writes);
+    m_table.Apply(transaction);
+  }
+
+  void Restart(int index) {
+    m_instances[index] = nullptr;
+    m_instances[index] = std::make_unique<CleanupInstance>(
+        &m_scheduler, &m_table, &m_objects, "i" + std::to_string(index) + "/" + std::to_string(m_next++), m_mechanisms);
+    m_versions[index] = 0;
+  }
+
+  void AddChanges(int count) {
+    for (int i = 0; i < count; ++i) {
+      const int64_t version = m_log.version() + 1;
+      const ConfigChange change{version, ConfigKind::kWorkspace, "w" + std::to_string(m_random.Below(20)), "{}"};
+      m_log.Apply(change);
+      Write({{kConfigHeadKey, EncodeConfigHead(version)}, {ConfigChangeKey(version), EncodeConfigChange(change)}});
+      // The instance that should write the snapshot may have died, or may write it late.
+      if (version % kConfigSnapshotInterval == 0 && !m_random.Chance(0.3)) {
+        const Duration delay = Duration::Milliseconds(m_random.Chance(0.3) ? 20'000 : 0);
+        m_scheduler.Post(delay, [this, version, text = m_log.document().ToJson()] {
+          m_objects.Put(ConfigSnapshotName(version), text, [](const ObjectResult&) {});
+        });
+      }
+    }
+  }
+
+  // Windows may wait for their report, as in an outage of the platform.
+  void AddUsageWindow(bool is_reported) {
+    ++m_window;
+    for (const char* member : {"a", "b"}) {
+      Write({{UsagePrefix(m_window) + member, "{}"}});
+    }
+    Write({{FrozenUsageKey(m_window), EncodeWindowRecord({WindowState::kFrozen, {}})}});
+    if (is_reported) {
+      Write({{kReportedUsageWindowKey, std::to_string(m_window)}});
+    }
+  }
+
+  void AddAbandonedObject() {
+    const std::string name = "rollout/q/g/" + std::to_string(m_next++);
+    m_objects.Put(name, "samples", [](const ObjectResult&) {});
+    Write({{AbandonedObjectKey(name), ""}});
+  }
+
+  // Repeats the oldest call that was not run at about the time when its record is deleted.
+  void RepeatWhenDue(int index, Duration delay, uint32_t end) {
+    const std::string prefix = "once/w/";
+    std::optional<TableRow> oldest;
+    for (const auto& [key, row] : m_table.rows()) {
+      const std::optional<OnceRecord> record =
+          StartsWith(key, prefix) ? ParseOnceRecord(row.value) : std::optional<OnceRecord>();
+      if (record.has_value() && record->state == OnceState::kNotRun &&
+          (!oldest.has_value() || row.version < oldest->version)) {
+        oldest = row;
+      }
+    }
+    if (oldest.has_value()) {
+      const Duration until_due = m_written_at.at(oldest->key) + kRetention + delay - m_scheduler.Now();
+      m_scheduler.Post(std::max(until_due, Duration()),
+                       [this, index, id = oldest->key.substr(prefix.size()), end] { Call(index, id, end); });
+    }
+  }
+
+  void Call(int index, const std::string& id, uint32_t end) {
+    CleanupInstance* instance = m_instances[index].get();
+    if (instance->process.paused()) {
+      return;
+    }
+    instance->once.Begin("w", id, 7, [this, instance, id, end](const OnceBegin& begin) {
+      if (begin.verdict != OnceVerdict::kRun) {
+        return;
+      }
+      if (end <= 1) {
+        instance->once.Abandon(begin.row_key, [] {});
+        return;
+      }
+      const TimePoint started_at = m_written_at[begin.row_key];
+      const auto [run, is_first] = m_runs.emplace(id, started_at);
+      if (!is_first && started_at - run->second < kRetention) {
+        m_violation = "call " + id + " ran twice within the period";
+      }
+      run->second = started_at;
+      if (end == 2) {
+        instance->once.Finish(begin.row_key, std::nullopt);
+      } else {
+        instance->once.Forget(begin.row_key);
+      }
+    });
+  }
+
+  void OnCommit(const TableTransaction& transaction) {
+    for (const TableWrite& write : transaction.writes) {
+      if (!write.value.has_value()) {
+        OnDeleted(write.key);
+        continue;
+      }
+      m_written_at[write.key] = m_scheduler.Now();
+      if (write.key == kReportedUsageWindowKey) {
+        const int64_t reported = ParseWindow(*write.value);
+        for (int64_t window = m_reported_to + 1; window <= reported; ++window) {
+          m_reported_at[window] = m_scheduler.Now();
+        }
+        m_reported_to = reported;
+      }
+    }
+  }
+
+  void OnDeleted(const std::string& key) {
+    const auto written = m_written_at.find(key);
+    if (written == m_written_at.end()) {
+      return;
+    }
+    if (m_scheduler.Now() - written->second < kRetention) {
+      m_violation = key + " was deleted within its period";
+    }
+    m_written_at.erase(written);
+    ++m_deleted[key.substr(0, key.find('/') + 1)];
+    for (const std::string prefix : {"usage/", "usage-frozen/"}) {
+      if (StartsWith(key, prefix)) {
+        CheckWindow(ParseWindow(key.substr(prefix.size())));
+      }
+    }
+    if (StartsWith(key, "config/change/")) {
+      CheckChange(std::stoll(key.substr(std::string("config/change/").size())));
+    }
+  }
+
+  void CheckWindow(int64_t window) {
+    const auto reported = m_reported_at.find(window);
+    if (reported == m_reported_at.end() || m_scheduler.Now() - reported->second < kRetention) {
+      m_violation = "window " + std::to_string(window) + " was deleted within its period";
+    }
+    if (ParseWindow(m_table.Row(kFirstUsageWindowKey).value) <= window) {
+      m_violation = "window " + std::to_string(window) + " was deleted while it still takes usage";
+    }
+  }
+
+  void CheckChange(int64_t version) {
+    int newer = 0;
+    for (int64_t snapshot = m_log.version() - m_log.version() % kConfigSnapshotInterval; snapshot > version;
+         snapshot -= kConfigSnapshotInterval) {
+      newer += static_cast<int>(m_objects.objects().count(ConfigSnapshotName(snapshot)));
+    }
+    if (newer < 2) {
+      m_violation = "change " + std::to_string(version) + " was deleted without two newer snapshots";
+    }
+  }
+
+  void Advance(Duration duration) {
+    constexpr Duration kStep = Duration::Milliseconds(100);
+    for (Duration done; done < duration && !m_violation.has_value(); done = done + kStep) {
+      m_scheduler.Advance(kStep);
+      for (int i = 0; i < kInstances; ++i) {
+        const int64_t version = m_instances[i]->replica.version();
+        if (version < m_versions[i]) {
+          m_violation = "instance " + std::to_string(i) + " went back to version " + std::to_string(version);
+        }
+        m_versions[i] = version;
+      }
+    }
+  }
+
+  ManualScheduler m_scheduler;
+  FakeTable m_table;
+  InMemoryObjectStore m_objects;
+  CleanupMechanisms m_mechanisms;
+  Random m_random;
+  std::vector<std::unique_ptr<CleanupInstance>> m_instances;
+  // Last seen version of each instance.
+  std::vector<int64_t> m_versions;
+  ConfigReplica m_log;
+  std::map<std::string, TimePoint> m_written_at;
+  std::map<int64_t, TimePoint> m_reported_at;
+  // When the record of the last run of each call was written.
+  std::map<std::string, TimePoint> m_runs;
+  std::map<std::string, int> m_deleted;
+  std::optional<std::string> m_violation;
+  int64_t m_window = 0;
+  int64_t m_reported_to = 0;
+  int m_next = 0;
+};
+
+PropertyOutcome CheckCleanup(CleanupMechanisms mechanisms, Shrinking shrinking, std::map<std::string, int>* deleted) {
+  constexpr uint64_t kSeed = 31;
+  constexpr int kCases = 300;
+  constexpr int kLength = 400;
+  return CheckSequences(kSeed, kCases, kLength, shrinking, [&](const CommandSequence& commands) {
+    CleanupModel model(commands.size(), mechanisms);
+    std::optional<std::string> violation = model.Run(commands);
+    for (const char* prefix : {"once/", "usage/", "usage-frozen/", "config/", "abandoned/"}) {
+      (*deleted)[prefix] += model.deleted(prefix);
+    }
+    return violation;
+  });
+}
+
+// Guards against rows that are deleted too early, calls that run twice because their record is gone, and readers that
+// lag behind deleted changes.
+TEST_CASE("cleanup deletes only what nobody needs") {
+  std::map<std::string, int> deleted;
+  const PropertyOutcome outcome = CheckCleanup({}, Shrinking::kOn, &deleted);
+  INFO(outcome.message);
+  CHECK(outcome.holds);
+  for (const auto& [prefix, count] : deleted) {
+    INFO(prefix << " " << count);
+    CHECK(count > 100);
+  }
+}
+
+// Guards against a check that cannot fail.
+TEST_CASE("the cleanup check finds violations when a mechanism is off") {
+  std::map<std::string, int> deleted;
+  const PropertyOutcome without_age = CheckCleanup({false, true}, Shrinking::kOff, &deleted);
+  CHECK_FALSE(without_age.holds);
+  const PropertyOutcome without_versions = CheckCleanup({true, false}, Shrinking::kOff, &deleted);
+  INFO("once rows deleted: " << deleted["once/"]);
+  CHECK_FALSE(without_versions.holds);
+}
+
+// Guards against bursts of deletions that load the store.
+TEST_CASE("cleanup deletes at most ten rows a second and ends with none left") {
+  ManualScheduler scheduler;
+  FakeTable table(&scheduler, 1);
+  InMemoryObjectStore objects(&scheduler);
+  constexpr int kRows = 95;
+  for (int i = 0; i < kRows; ++i) {
+    TableTransaction transaction;
+    transaction.writes = {{"once/w/" + std::to_string(i), "{}"}};
+    table.Apply(transaction);
+  }
+  CleanupInstance instance(&scheduler, &table, &objects, "i", {});
+  const auto rows_left = [&] {
+    return std::count_if(table.rows().begin(), table.rows().end(),
+                         [](const auto& entry) { return StartsWith(entry.first, "once/"); });
+  };
+  scheduler.Advance(kRetention - Duration::Seconds(1));
+  CHECK(rows_left() == kRows);
+  int64_t before = rows_left();
+  for (int second = 0; second < 60; ++second) {
+    scheduler.Advance(Duration::Seconds(1));
+    CHECK(before - rows_left() <= 10);
+    before = rows_left();
+  }
+  CHECK(before == 0);
+}
+
+// Guards against marks that count time which did not pass for sure.
+TEST_CASE("retention marks give the newest state that is old enough") {
+  RetentionMarks marks;
+  const Duration retention = Duration::Seconds(10);
+  CHECK_FALSE(marks.Aged(retention).has_value());
+  for (int64_t i = 1; i <= 6; ++i) {
+    marks.Add({i * 100, i, Duration::Seconds(4)}, retention);
+    const std::optional<RetentionMark> aged = marks.Aged(retention);
+    REQUIRE(aged.has_value() == (i > 3));
+    if (aged.has_value()) {
+      CHECK(aged->revision == (i - 3) * 100);
+      CHECK(aged->reported_window == i - 3);
+    }
+    const std::optional<RetentionMarks> decoded = RetentionMarks::Decode(marks.Encode());
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->Encode() == marks.Encode());
+  }
+  CHECK_FALSE(RetentionMarks::Decode("{").has_value());
+  CHECK_FALSE(RetentionMarks::Decode("{\"marks\":[{}]}").has_value());
+}
+
+// Guards against a damaged row that is taken for an empty one.
+TEST_CASE("nothing is deleted while a row of the cleanup duty is malformed") {
+  const std::string key = GENERATE(std::string("cleanup/marks"), std::string("cleanup/progress"));
+  ManualScheduler scheduler;
+  FakeTable table(&scheduler, 1);
+  InMemoryObjectStore objects(&scheduler);
+  TableTransaction transaction;
+  transaction.writes = {{"once/w/1", "{}"}, {key, "damaged"}};
+  table.Apply(transaction);
+  CleanupInstance instance(&scheduler, &table, &objects, "i", {});
+  scheduler.Advance(kRetention * 3);
+  CHECK(table.Row("once/w/1").version != 0);
+}
+
+// Guards against a reader that stops at a snapshot it cannot read after the changes before it were deleted.
+TEST_CASE("a reader passes over a damaged snapshot to the one before it") {
+  ManualScheduler scheduler;
+  FakeTable table(&scheduler, 1);
+  FakeTableStore store(&table, &scheduler);
+  InMemoryObjectStore objects(&scheduler);
+  ConfigReplica log;
+  for (int64_t version = 1; version <= 3 * kConfigSnapshotInterval; ++version) {
+    const ConfigChange change{version, ConfigKind::kWorkspace, "w" + std::to_string(version % 9), "{}"};
+    log.Apply(change);
+    TableTransaction transaction;
+    transaction.writes = {{kConfigHeadKey, EncodeConfigHead(version)}};
+    if (version >= 2 * kConfigSnapshotInterval) {
+      transaction.writes.push_back({ConfigChangeKey(version), EncodeConfigChange(change)});
+    }
+    table.Apply(transaction);
+    if (version == 2 * kConfigSnapshotInterval) {
+      objects.Put(ConfigSnapshotName(version), log.document().ToJson(), [](const ObjectResult&) {});
+    }
+  }
+  objects.Put(ConfigSnapshotName(3 * kConfigSnapshotInterval), "damaged", [](const ObjectResult&) {});
+  ConfigReplica replica;
+  ConfigReader reader(&store, &objects, &scheduler, &replica);
+  bool is_complete = false;
+  reader.Refresh([&](const ConfigReader::Result& result) { is_complete = result.complete; });
+  scheduler.Advance(Duration::Seconds(5));
+  CHECK(is_complete);
+  CHECK(replica.document().ToJson() == log.document().ToJson());
+}
+
+}  // namespace
+}  // namespace quetzalridge
