--- a/src/coordination/sample_delivery.cc
+++ b/src/coordination/sample_delivery.cc
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Two checks and two writes for each group.
-constexpr size_t kMaxGroupsPerReturn = 32;
+// Two checks and three writes for each group.
+constexpr size_t kMaxGroupsPerReturn = 25;
 constexpr int kReadyPage = 128;
 constexpr Duration kPollInterval = Duration::Milliseconds(250);
 // A request is answered at most this long after its `wait`, even when the store does not answer.
@@ -392,6 +392,7 @@
         return;
       }
       transaction.writes.push_back({group_rows[i].key, unowned});
+      transaction.writes.push_back({AbandonedObjectKey(groups[i].object), ""});
     }
   }
   DeliveryCursor cursor = operation->cursor;
@@ -433,6 +434,7 @@
     transaction.checks.push_back({group_rows[i].key, group_rows[i].version});
     transaction.writes.push_back({ready_rows[i].key, std::nullopt});
     transaction.writes.push_back({group_rows[i].key, unowned});
+    transaction.writes.push_back({AbandonedObjectKey(DecodeReadyRow(ready_rows[i].value).object), ""});
   }
   CommitAndReread(id, std::move(transaction), true);
 }
