Find slow samples by token time, and let profiles choose how stragglers are handled

Cause: a straggler was found when it ran longer than twice the median of its group, which needs half of the group to be finished, and which copies long samples on fast endpoints without use.

Changes: token times of all streams of a service tell which sample is slow; it is resumed elsewhere. Samples beyond the needed ones start when another one is overdue or failed. A profile field `stragglers` selects `resume` (default), `second_copy` or `surplus`; the default of `straggler_factor` is 3.

--- a/src/coordination/group_runner.cc
+++ b/src/coordination/group_runner.cc
@@ -4,6 +4,13 @@
 
 namespace quetzalridge {
 
+void GroupRunOptions::SetHandling(StragglerHandling handling) {
+  strategy =
+      handling == StragglerHandling::kSecondCopy ? StragglerStrategy::kSecondCopyFromText : StragglerStrategy::kResume;
+  rule = StragglerRule::kTokenTime;
+  surplus = handling == StragglerHandling::kSurplus ? SurplusRule::kAtOnce : SurplusRule::kWhenOverdue;
+}
+
 // Receives what the engine produces for one copy.
 class GroupRunner::Copy : public SampleObserver {
  public:
@@ -11,8 +18,9 @@
 
   void OnSampleStarted(const std::string& endpoint_id) override { m_runner->m_group.OnStarted(m_id, endpoint_id); }
   void OnSampleToken(std::string_view text, int64_t weight_version) override {
-    m_runner->m_forecast->Observe(weight_version, m_runner->m_scheduler->clock().Now());
-    m_runner->m_group.OnToken(m_id, text, weight_version);
+    const TimePoint now = m_runner->m_scheduler->clock().Now();
+    m_runner->m_forecast->Observe(weight_version, now);
+    m_runner->m_group.OnToken(m_id, text, weight_version, now);
   }
   void OnSampleEnd(SampleEnd end) override { m_runner->OnCopyEnd(m_id, end); }
 
@@ -24,11 +32,12 @@
   SampleGroup::CopyId m_id;
 };
 
-GroupRunner::GroupRunner(SampleEngine* engine, Scheduler* scheduler, VersionForecast* forecast, SampleGroupSpec spec,
-                         GroupRunOptions options, std::function<void()> on_complete)
+GroupRunner::GroupRunner(SampleEngine* engine, Scheduler* scheduler, VersionForecast* forecast, TokenSpeed* speed,
+                         SampleGroupSpec spec, GroupRunOptions options, std::function<void()> on_complete)
     : m_engine(engine),
       m_scheduler(scheduler),
       m_forecast(forecast),
+      m_speed(speed),
       m_options(std::move(options)),
       m_freshness(m_options.staleness_bound),
       m_group(std::move(spec), m_options.straggler_factor),
@@ -37,10 +46,17 @@
 GroupRunner::~GroupRunner() = default;
 
 void GroupRunner::Start() {
+  StartMembers(m_options.surplus == SurplusRule::kAtOnce ? m_group.spec().samples : m_group.spec().needed);
+  CheckStragglers();
+}
+
+void GroupRunner::StartMembers(int count) {
   for (const int member : m_group.UnstartedMembers()) {
+    if (count-- <= 0) {
+      return;
+    }
     RunMember(member);
   }
-  CheckStragglers();
 }
 
 void GroupRunner::RunMember(int member) {
@@ -105,6 +121,7 @@
       break;
     case SampleEnd::kQuarantined:
       m_group.OnMemberFailed(id);
+      StartMembers(1);
       break;
   }
   const bool run_again = end == SampleEnd::kInterrupted || end == SampleEnd::kNotStarted;
@@ -118,12 +135,31 @@
   if (m_options.strategy == StragglerStrategy::kNone || m_group.complete()) {
     return;
   }
-  for (const SampleGroup::CopyId id : m_group.Stragglers(m_scheduler->clock().Now())) {
+  for (const SampleGroup::CopyId id : FindStragglers()) {
     HandleStraggler(id);
   }
+  if (m_options.surplus == SurplusRule::kWhenOverdue) {
+    const int overdue = m_group.OverdueMembers(m_scheduler->clock().Now());
+    StartMembers(overdue - m_late_members);
+    m_late_members = std::max(m_late_members, overdue);
+  }
   m_straggler_timer = m_scheduler->After(kStragglerCheckInterval, [this] { CheckStragglers(); });
 }
 
+// Every group contributes its token times, because one group does not see enough endpoints to know the typical time.
+std::vector<SampleGroup::CopyId> GroupRunner::FindStragglers() {
+  const TimePoint now = m_scheduler->clock().Now();
+  for (const EndpointTokenTime& time : m_group.TakeTokenTimes(now)) {
+    m_speed->Observe(time.endpoint, time.token_ms, now);
+  }
+  if (m_options.rule == StragglerRule::kRunTime) {
+    return m_group.Stragglers(now);
+  }
+  const std::optional<double> typical = m_speed->TypicalMs(now);
+  return typical.has_value() ? m_group.SlowCopies(m_options.straggler_factor * *typical)
+                             : std::vector<SampleGroup::CopyId>();
+}
+
 void GroupRunner::HandleStraggler(SampleGroup::CopyId id) {
   const TimePoint now = m_scheduler->clock().Now();
   const SampleGroup::CopyId next = m_options.strategy == StragglerStrategy::kSecondCopy
--- a/src/coordination/group_runner.h
+++ b/src/coordination/group_runner.h
@@ -8,8 +8,10 @@
 #include "coordination/callback_guard.h"
 #include "coordination/sample_engine.h"
 #include "coordination/scheduler.h"
+#include "state/config_document.h"
 #include "state/freshness_rule.h"
 #include "state/sample_group.h"
+#include "state/token_speed.h"
 
 namespace quetzalridge {
 
@@ -23,25 +25,45 @@
   kSecondCopyFromText,
 };
 
+// How a straggler is found.
+enum class StragglerRule {
+  // It runs longer than a multiple of the median of its group. A long sample on a fast endpoint is one, too.
+  kRunTime,
+  // Its tokens take longer than a multiple of the typical token time of the service.
+  kTokenTime,
+};
+
+// When the samples beyond `needed` start.
+enum class SurplusRule {
+  kAtOnce,
+  // One for each member that failed or that runs longer than a multiple of the median of its group.
+  kWhenOverdue,
+};
+
 struct GroupRunOptions {
   std::string service;
   std::string workspace;
   int64_t staleness_bound = 2;
-  double straggler_factor = 2.0;
-  StragglerStrategy strategy = StragglerStrategy::kSecondCopyFromText;
+  double straggler_factor = 3.0;
+  StragglerStrategy strategy = StragglerStrategy::kResume;
+  StragglerRule rule = StragglerRule::kTokenTime;
+  SurplusRule surplus = SurplusRule::kWhenOverdue;
   // Interrupted samples go on from their text in place of starting again.
   bool resume_interrupted = true;
   // Reckons with the versions that are expected until the hand-over, not only with the newest one.
   bool forecast_freshness = true;
+
+  // What a profile selects.
+  void SetHandling(StragglerHandling handling);
 };
 
 // Runs the samples of one group until the group is complete. Destroying it cancels them.
 class GroupRunner {
  public:
-  // `forecast` belongs to the service and is shared by its groups. `on_complete` runs once; it must not destroy the
-  // runner, because it runs in a callback of the engine.
-  GroupRunner(SampleEngine* engine, Scheduler* scheduler, VersionForecast* forecast, SampleGroupSpec spec,
-              GroupRunOptions options, std::function<void()> on_complete);
+  // `forecast` and `speed` belong to the service and are shared by its groups. `on_complete` runs once; it must not
+  // destroy the runner, because it runs in a callback of the engine.
+  GroupRunner(SampleEngine* engine, Scheduler* scheduler, VersionForecast* forecast, TokenSpeed* speed,
+              SampleGroupSpec spec, GroupRunOptions options, std::function<void()> on_complete);
   ~GroupRunner();
   GroupRunner(const GroupRunner&) = delete;
   GroupRunner& operator=(const GroupRunner&) = delete;
@@ -63,12 +85,16 @@
   void OnCopyEnd(SampleGroup::CopyId id, SampleEnd end);
   void CheckStragglers();
   void HandleStraggler(SampleGroup::CopyId id);
+  std::vector<SampleGroup::CopyId> FindStragglers();
+  // Starts up to `count` members that have not run yet.
+  void StartMembers(int count);
   // Cancels surplus copies and reports completion.
   void Settle();
 
   SampleEngine* m_engine;
   Scheduler* m_scheduler;
   VersionForecast* m_forecast;
+  TokenSpeed* m_speed;
   GroupRunOptions m_options;
   FreshnessRule m_freshness;
   SampleGroup m_group;
@@ -76,6 +102,8 @@
   // By copy identity. An ended copy keeps its observer, because it may be running in it.
   std::vector<std::unique_ptr<Copy>> m_copies;
   std::unique_ptr<Timer> m_straggler_timer;
+  // Surplus members that were started because others are overdue.
+  int m_late_members = 0;
   bool m_reported = false;
 };
 
--- a/src/coordination/rollout_queue.cc
+++ b/src/coordination/rollout_queue.cc
@@ -202,8 +202,9 @@
   const std::string id = group->row.spec.id;
   const int64_t version = group->version;
   m_samples_in_flight += group->row.spec.samples;
-  group->runner = std::make_unique<GroupRunner>(m_context.engine, m_context.scheduler, &m_forecast, group->row.spec,
-                                                m_options.run, [this, id, version] { OnGroupComplete(id, version); });
+  group->runner =
+      std::make_unique<GroupRunner>(m_context.engine, m_context.scheduler, &m_forecast, &m_speed, group->row.spec,
+                                    m_options.run, [this, id, version] { OnGroupComplete(id, version); });
   group->runner->Start();
 }
 
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -281,7 +281,7 @@
       EntryCommand("workspace", "share, max_concurrent"),
       EntryCommand("profile",
                    "staleness_bound, rollout_share_max, cheap_share_max, spend_limit_per_hour, objective_latency_ms, "
-                   "objective_target, straggler_factor"),
+                   "objective_target, stragglers (resume, second_copy, surplus), straggler_factor"),
       EntryCommand("service",
                    "kind (inference, plain), profile, min_replicas, max_replicas, slots_per_replica, "
                    "weight_loads_per_second"),
--- a/src/daemon/rollout_api.cc
+++ b/src/daemon/rollout_api.cc
@@ -174,6 +174,7 @@
     if (profile != document.profiles().end()) {
       run.staleness_bound = profile->second.staleness_bound;
       run.straggler_factor = profile->second.straggler_factor;
+      run.SetHandling(profile->second.stragglers);
     }
     if (m_queues.count(name) == 0) {
       AddQueue(name);
--- a/src/state/config_document.cc
+++ b/src/state/config_document.cc
@@ -18,6 +18,12 @@
     {ConfigKind::kZone, "zone"},           {ConfigKind::kKey, "key"},
 };
 
+constexpr std::pair<StragglerHandling, std::string_view> kStragglerHandlingNames[] = {
+    {StragglerHandling::kResume, "resume"},
+    {StragglerHandling::kSecondCopy, "second_copy"},
+    {StragglerHandling::kSurplus, "surplus"},
+};
+
 // Reads the members of one entry and reports unknown keys, wrong types and bad ranges with the entry's path.
 class EntryReader {
  public:
@@ -107,6 +113,18 @@
   reader->Number("spend_limit_per_hour", &config.spend_limit_per_hour, 0, kMaxMoney);
   reader->Number("objective_latency_ms", &config.objective_latency_ms, 1, 3'600'000);
   reader->Number("objective_target", &config.objective_target, 0.5, 0.99999);
+  std::string stragglers(StragglerHandlingName(config.stragglers));
+  reader->String("stragglers", &stragglers, false);
+  bool known = false;
+  for (const auto& [value, name] : kStragglerHandlingNames) {
+    if (name == stragglers) {
+      config.stragglers = value;
+      known = true;
+    }
+  }
+  if (!known) {
+    reader->Fail("stragglers", "must be \"resume\", \"second_copy\" or \"surplus\"");
+  }
   reader->Number("straggler_factor", &config.straggler_factor, 1, 100);
   return config;
 }
@@ -172,9 +190,13 @@
 }
 
 Json ToJsonValue(const ProfileConfig& c) {
-  return {{"staleness_bound", c.staleness_bound},           {"rollout_share_max", c.rollout_share_max},
-          {"cheap_share_max", c.cheap_share_max},           {"spend_limit_per_hour", c.spend_limit_per_hour},
-          {"objective_latency_ms", c.objective_latency_ms}, {"objective_target", c.objective_target},
+  return {{"staleness_bound", c.staleness_bound},
+          {"rollout_share_max", c.rollout_share_max},
+          {"cheap_share_max", c.cheap_share_max},
+          {"spend_limit_per_hour", c.spend_limit_per_hour},
+          {"objective_latency_ms", c.objective_latency_ms},
+          {"objective_target", c.objective_target},
+          {"stragglers", StragglerHandlingName(c.stragglers)},
           {"straggler_factor", c.straggler_factor}};
 }
 
@@ -261,6 +283,15 @@
   throw std::logic_error("unknown value of ConfigKind; add it to kKindNames");
 }
 
+std::string_view StragglerHandlingName(StragglerHandling handling) {
+  for (const auto& [value, name] : kStragglerHandlingNames) {
+    if (value == handling) {
+      return name;
+    }
+  }
+  throw std::logic_error("unknown value of StragglerHandling; add it to kStragglerHandlingNames");
+}
+
 std::optional<ConfigKind> ParseConfigKind(std::string_view name) {
   for (const auto& [value, known_name] : kKindNames) {
     if (known_name == name) {
--- a/src/state/config_document.h
+++ b/src/state/config_document.h
@@ -29,6 +29,18 @@
   int max_concurrent = 256;
 };
 
+// How the samples that hold up a group are handled.
+enum class StragglerHandling {
+  // A slow sample is cancelled and goes on elsewhere.
+  kResume,
+  // A slow sample runs on beside a copy that goes on elsewhere from its text; the first to finish is used.
+  kSecondCopy,
+  // As kResume, and all samples of a group start at once, also those beyond the needed ones.
+  kSurplus,
+};
+
+std::string_view StragglerHandlingName(StragglerHandling handling);
+
 struct ProfileConfig {
   // A sample's oldest weight version may be at most this many versions behind the newest.
   int64_t staleness_bound = 2;
@@ -40,8 +52,10 @@
   int64_t objective_latency_ms = 1000;
   // Fraction of requests that meet the latency and succeed.
   double objective_target = 0.99;
-  // A sample that runs longer than this multiple of its group's median is a straggler.
-  double straggler_factor = 2.0;
+  StragglerHandling stragglers = StragglerHandling::kResume;
+  // A sample is slow when its tokens take longer than this multiple of the service's typical token time, and overdue
+  // when it runs longer than this multiple of its group's median.
+  double straggler_factor = 3.0;
 };
 
 enum class ServiceKind {
--- a/src/state/sample_group.cc
+++ b/src/state/sample_group.cc
@@ -67,12 +67,23 @@
 }
 
 void SampleGroup::OnStarted(CopyId id, const std::string& endpoint) {
-  m_copies.at(id).endpoint = endpoint;
-  m_copies[id].running = true;
+  SampleCopy& copy = m_copies.at(id);
+  copy.endpoint = endpoint;
+  copy.running = true;
+  copy.window_open = false;
+  copy.token_ms.reset();
+  copy.token_ms_before.reset();
 }
 
-void SampleGroup::OnToken(CopyId id, std::string_view text, int64_t version) {
+void SampleGroup::OnToken(CopyId id, std::string_view text, int64_t version, TimePoint now) {
   SampleCopy& copy = m_copies.at(id);
+  if (!copy.window_open) {
+    copy.window_open = true;
+    copy.window_started = now;
+    copy.window_tokens = 0;
+  } else {
+    ++copy.window_tokens;
+  }
   copy.text.append(text);
   AppendToken(&copy.runs, version);
 }
@@ -127,37 +138,93 @@
 
 std::vector<SampleGroup::CopyId> SampleGroup::Stragglers(TimePoint now) const {
   std::vector<CopyId> stragglers;
-  const std::optional<Duration> median = MedianRunTime();
-  if (!median.has_value() || complete()) {
+  const std::optional<Duration> limit = StragglerLimit();
+  if (!limit.has_value() || complete()) {
     return stragglers;
   }
-  const auto limit = Duration::Milliseconds(static_cast<int64_t>(m_straggler_factor * median->ms()));
-  std::vector<int> copies(m_members.size(), 0);
-  for (size_t i = 0; i < m_copies.size(); ++i) {
-    copies[static_cast<size_t>(m_copies[i].member)] += m_abandoned[i] ? 0 : 1;
-  }
+  const std::vector<int> copies = CopiesByMember();
   for (size_t i = 0; i < m_copies.size(); ++i) {
     const auto member = static_cast<size_t>(m_copies[i].member);
-    if (m_copies[i].running && copies[member] == 1 && !IsSurplus(i) && now - m_copies[i].started > limit) {
+    if (m_copies[i].running && copies[member] == 1 && !IsSurplus(i) && now - m_copies[i].started > *limit) {
       stragglers.push_back(i);
     }
   }
   return stragglers;
 }
 
+std::vector<EndpointTokenTime> SampleGroup::TakeTokenTimes(TimePoint now) {
+  std::vector<EndpointTokenTime> times;
+  for (SampleCopy& copy : m_copies) {
+    const Duration elapsed = now - copy.window_started;
+    if (!copy.running || !copy.window_open || elapsed < kTokenWindow) {
+      continue;
+    }
+    // A stream that stalls has no token in the window and counts as one token that takes at least this long.
+    const double token_ms =
+        static_cast<double>(elapsed.ms()) / static_cast<double>(std::max<int64_t>(copy.window_tokens, 1));
+    copy.token_ms_before = copy.token_ms;
+    copy.token_ms = token_ms;
+    copy.window_started = now;
+    copy.window_tokens = 0;
+    times.push_back({copy.endpoint, token_ms});
+  }
+  return times;
+}
+
+std::vector<SampleGroup::CopyId> SampleGroup::SlowCopies(double limit_ms) const {
+  std::vector<CopyId> slow;
+  const std::vector<int> copies = CopiesByMember();
+  for (size_t i = 0; i < m_copies.size(); ++i) {
+    const SampleCopy& copy = m_copies[i];
+    if (copy.running && copies[static_cast<size_t>(copy.member)] == 1 && !IsSurplus(i) &&
+        copy.token_ms.value_or(0.0) > limit_ms && copy.token_ms_before.value_or(0.0) > limit_ms) {
+      slow.push_back(i);
+    }
+  }
+  return slow;
+}
+
+int SampleGroup::OverdueMembers(TimePoint now) const {
+  const std::optional<Duration> limit = StragglerLimit();
+  if (!limit.has_value()) {
+    return 0;
+  }
+  return static_cast<int>(std::count_if(m_members.begin(), m_members.end(), [&](const Member& member) {
+    return member.started && !member.failed && !member.result.has_value() && now - member.first_started > *limit;
+  }));
+}
+
+std::vector<int> SampleGroup::CopiesByMember() const {
+  std::vector<int> copies(m_members.size(), 0);
+  for (size_t i = 0; i < m_copies.size(); ++i) {
+    copies[static_cast<size_t>(m_copies[i].member)] += m_abandoned[i] ? 0 : 1;
+  }
+  return copies;
+}
+
+std::optional<Duration> SampleGroup::StragglerLimit() const {
+  const std::optional<Duration> median = MedianRunTime();
+  if (!median.has_value()) {
+    return std::nullopt;
+  }
+  return Duration::Milliseconds(static_cast<int64_t>(m_straggler_factor * static_cast<double>(median->ms())));
+}
+
 std::optional<Duration> SampleGroup::MedianRunTime() const {
   std::vector<int64_t> times;
+  size_t started = 0;
   for (const Member& member : m_members) {
+    started += member.started ? 1 : 0;
     if (member.result.has_value()) {
       times.push_back(member.run_time.ms());
     }
   }
-  if (times.empty() || times.size() * 2 < m_members.size()) {
+  if (times.empty() || times.size() * 2 < started) {
     return std::nullopt;
   }
   std::sort(times.begin(), times.end());
   // The members that still run are longer than all finished ones, so the median of the group is at this position.
-  return Duration::Milliseconds(times[(m_members.size() - 1) / 2]);
+  return Duration::Milliseconds(times[(started - 1) / 2]);
 }
 
 bool SampleGroup::complete() const {
--- a/src/state/sample_group.h
+++ b/src/state/sample_group.h
@@ -42,16 +42,31 @@
   // The endpoint that it failed on last, and those of other copies of the member.
   std::vector<std::string> avoided_endpoints;
   TimePoint started;
+  // The window over which the token time is measured; it begins with the first token at the endpoint.
+  TimePoint window_started;
+  int64_t window_tokens = 0;
+  bool window_open = false;
+  // The token time in the last windows; a pause of one window, such as a weight swap, does not make a copy slow.
+  std::optional<double> token_ms;
+  std::optional<double> token_ms_before;
   // Tokens that another copy produced.
   int64_t inherited_tokens = 0;
   bool running = false;
 };
 
+// The time that an endpoint took for a token of one stream.
+struct EndpointTokenTime {
+  std::string endpoint;
+  double token_ms = 0.0;
+};
+
 // The samples of one prompt: which of them run, are finished, are stragglers or are surplus. It decides, and the
 // caller starts and cancels.
 class SampleGroup {
  public:
   using CopyId = size_t;
+  // Shorter windows hold too few tokens of a stream that arrives in bursts.
+  static constexpr Duration kTokenWindow = Duration::Milliseconds(500);
 
   // A member that runs longer than `straggler_factor` times the median of its group is a straggler.
   SampleGroup(SampleGroupSpec spec, double straggler_factor);
@@ -67,7 +82,7 @@
   CopyId AddCopyFrom(CopyId source, TimePoint now);
 
   void OnStarted(CopyId id, const std::string& endpoint);
-  void OnToken(CopyId id, std::string_view text, int64_t version);
+  void OnToken(CopyId id, std::string_view text, int64_t version, TimePoint now);
   // The first copy of a member that finishes is its result.
   void OnFinished(CopyId id, TimePoint now);
   void OnInterrupted(CopyId id);
@@ -84,7 +99,13 @@
   bool IsSurplus(CopyId id) const;
   // Running copies of members that are stragglers at `now`, one copy for each member.
   std::vector<CopyId> Stragglers(TimePoint now) const;
-  // The median run time, once at least half of the members have finished.
+  // Closes the windows that are over and returns their token times.
+  std::vector<EndpointTokenTime> TakeTokenTimes(TimePoint now);
+  // Running copies that were slower than `limit_ms` a token in the last two windows, one copy for each member.
+  std::vector<CopyId> SlowCopies(double limit_ms) const;
+  // Members without a result that began longer ago than the limit for stragglers.
+  int OverdueMembers(TimePoint now) const;
+  // The median run time, once at least half of the members that were started have finished.
   std::optional<Duration> MedianRunTime() const;
 
   // Complete when `needed` samples are finished, or when no further one can finish.
@@ -107,6 +128,9 @@
   };
 
   int FinishedCount() const;
+  // Live copies of each member, by member.
+  std::vector<int> CopiesByMember() const;
+  std::optional<Duration> StragglerLimit() const;
 
   SampleGroupSpec m_spec;
   double m_straggler_factor;
--- /dev/null
+++ b/src/state/token_speed.cc
@@ -0,0 +1,37 @@
+#include "state/token_speed.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <vector>
+
+namespace quetzalridge {
+
+void TokenSpeed::Observe(const std::string& endpoint, double token_ms, TimePoint now) {
+  // Endpoints that are gone must not stay in the map for ever.
+  for (auto it = m_estimates.begin(); it != m_estimates.end();) {
+    it = now - it->second.observed > kMaxAge ? m_estimates.erase(it) : std::next(it);
+  }
+  const auto [it, inserted] = m_estimates.emplace(endpoint, Estimate{token_ms, now});
+  if (!inserted) {
+    it->second.token_ms += kLatestWeight * (token_ms - it->second.token_ms);
+    it->second.observed = now;
+  }
+}
+
+std::optional<double> TokenSpeed::TypicalMs(TimePoint now) const {
+  std::vector<double> times;
+  for (const auto& [endpoint, estimate] : m_estimates) {
+    if (now - estimate.observed <= kMaxAge) {
+      times.push_back(estimate.token_ms);
+    }
+  }
+  if (times.size() < kMinEndpoints) {
+    return std::nullopt;
+  }
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>((times.size() - 1) / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle;
+}
+
+}  // namespace quetzalridge
--- a/tests/fakes/fake_rollout_world.h
+++ b/tests/fakes/fake_rollout_world.h
@@ -139,6 +139,8 @@
   double not_started_chance = 0.0;
   // False stamps tokens with the version that was ordered last in place of the one that produced them.
   bool true_stamps = true;
+  // Runs that end as quarantined, counted down.
+  int quarantined_starts = 0;
   // Runs whose token times are multiplied by `slow_factor`, counted down.
   int slow_starts = 0;
   int64_t slow_factor = 100;
@@ -164,6 +166,11 @@
 
    private:
     void Begin() {
+      if (m_engine->quarantined_starts > 0) {
+        --m_engine->quarantined_starts;
+        m_observer->OnSampleEnd(SampleEnd::kQuarantined);
+        return;
+      }
       if (m_engine->m_random.Chance(m_engine->not_started_chance)) {
         m_observer->OnSampleEnd(SampleEnd::kNotStarted);
         return;
--- a/tests/state/config_document_test.cc
+++ b/tests/state/config_document_test.cc
@@ -31,6 +31,19 @@
   CHECK_FALSE(copy.routes().at("r").idempotent);
 }
 
+// Guards against a profile whose handling of stragglers is lost in a snapshot, or falls back in silence.
+TEST_CASE("a profile names how stragglers are handled") {
+  ConfigDocument document = Sample();
+  CHECK(document.profiles().at("p").stragglers == StragglerHandling::kResume);
+  for (const char* name : {"second_copy", "surplus", "resume"}) {
+    Put(&document, ConfigKind::kProfile, "p", std::string(R"({"stragglers": ")") + name + "\"}");
+    const ConfigDocument copy = ConfigDocument::FromJson(document.ToJson());
+    CHECK(StragglerHandlingName(copy.profiles().at("p").stragglers) == name);
+  }
+  CHECK_THROWS_AS(Put(&document, ConfigKind::kProfile, "p", R"({"stragglers": "none"})"), Error);
+  CHECK_THROWS_AS(Put(&document, ConfigKind::kProfile, "p", R"({"stragglers": 1})"), Error);
+}
+
 // Guards against changes that apply twice, out of order, or in part.
 TEST_CASE("refused changes leave the document as it was") {
   ConfigDocument document = Sample();
