Estimate load from peers' counts and hold requests for a free slot

Cause: reports of engines are 1 s to 2 s old. With counts of peers and a wait at the instance, 79 % of the late ones missed the prefix cache and 97 % stood behind another prompt: borrowed requests filled the holders of prefixes, prompts moved to other endpoints, and their copies evicted prefixes of others.

Changes in the pure code: peers' in-flight counts in the load estimate, with the report as the lower bound while a peer is silent; a queue of held requests; slots that borrowed requests (a tenth) and rollouts (a quarter) leave free; borrowed requests wait up to 300 ms and rollouts up to 2 s for the holder of their prefix; a prompt without a known prefix goes where the fewest prompts are being processed, for which the counts carry requests without a first token.

--- a/src/state/endpoint_state.h
+++ b/src/state/endpoint_state.h
@@ -7,7 +7,8 @@
 
 namespace quetzalridge {
 
-// What an instance knows of one endpoint. Reports lag; `own_in_flight` is exact.
+// What an instance knows of one endpoint. Reports lag; `own_in_flight` is exact, and the counts of peers are about
+// 100 ms old.
 struct EndpointState {
   std::string id;
   std::string service;
@@ -31,6 +32,12 @@
   int own_in_flight = 0;
   // Of own_in_flight, those sent after the load that the last report describes.
   int own_since_report = 0;
+  // Requests of peers in flight, by the counts of those that were heard lately.
+  int peer_in_flight = 0;
+  // No peer is silent, so the counts cover all instances and are newer than the report.
+  bool all_peers_counted = false;
+  // Of the requests of all instances in flight, those without a first token, whose prompts the engine processes.
+  int starting = 0;
   TimePoint first_seen;
 };
 
--- a/src/state/prefix_affinity_router.cc
+++ b/src/state/prefix_affinity_router.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "state/admission.h"
+
 namespace quetzalridge {
 
 namespace {
@@ -16,6 +18,10 @@
 constexpr size_t kMaxIndexedPrefixes = 100'000;
 // In load per slot: a neighbouring zone adds about 1 ms to a request, so zones decide only between similar loads.
 constexpr double kZonePreference = 0.05;
+// Requests outside their share wait this long for a slot where their prefix is, because a copy of it elsewhere evicts
+// others' prefixes. An interactive one waits no longer than its prompt takes from the start.
+constexpr Duration kBorrowedHolderWait = Duration::Milliseconds(300);
+constexpr Duration kRolloutHolderWait = Duration::Seconds(2);
 
 double SlowStartFactor(const EndpointState& endpoint, TimePoint now) {
   const Duration age = now - endpoint.first_seen;
@@ -40,7 +46,7 @@
 int PrefixAffinityRouter::Choose(const RouteRequest& request, const std::vector<EndpointState>& endpoints,
                                  TimePoint now) {
   CollectCandidates(request, endpoints, now);
-  if (m_candidates.empty()) {
+  if (m_candidates.empty() || ShouldWaitForHolder(request)) {
     return -1;
   }
   if (!request.prefix_hashes.empty()) {
@@ -48,6 +54,7 @@
     if (holder >= 0) {
       return holder;
     }
+    KeepLeastStarting();
     const int home = ChooseHome(request.prefix_hashes.back());
     if (home >= 0) {
       return home;
@@ -59,15 +66,22 @@
 void PrefixAffinityRouter::CollectCandidates(const RouteRequest& request, const std::vector<EndpointState>& endpoints,
                                              TimePoint now) {
   m_candidates.clear();
+  m_full.clear();
+  RouteRequest any_load = request;
+  any_load.needs_free_slot = false;
   double total_load = 0;
   double total_slots = 0;
   for (size_t i = 0; i < endpoints.size(); ++i) {
     if (!IsEligible(request, endpoints[i])) {
+      if (request.needs_free_slot && IsEligible(any_load, endpoints[i])) {
+        m_full.push_back(m_index.NumberOf(endpoints[i].id));
+      }
       continue;
     }
     Candidate candidate;
     candidate.index = static_cast<int>(i);
     candidate.number = m_index.NumberOf(endpoints[i].id);
+    candidate.starting = endpoints[i].starting;
     candidate.load = EstimatedLoad(endpoints[i]);
     candidate.slots = std::max(endpoints[i].slots, 1) * SlowStartFactor(endpoints[i], now);
     total_load += candidate.load;
@@ -87,6 +101,41 @@
   }
 }
 
+// Only a prefix of at least half of the prompt is worth the wait.
+bool PrefixAffinityRouter::ShouldWaitForHolder(const RouteRequest& request) const {
+  const Duration longest = request.engine_priority == kEnginePriorityRollout ? kRolloutHolderWait : kBorrowedHolderWait;
+  if (m_full.empty() || request.engine_priority == kEnginePriorityWithinShare || request.held >= longest) {
+    return false;
+  }
+  for (size_t i = 0; i * 2 < request.prefix_hashes.size(); ++i) {
+    bool is_full = false;
+    for (const PrefixIndex::Holder& holder : m_index.Holders(request.prefix_hashes[i])) {
+      if (!m_index.IsUsable(holder)) {
+        continue;
+      }
+      if (holder.endpoint < m_candidate_of_number.size() && m_candidate_of_number[holder.endpoint] >= 0) {
+        return false;
+      }
+      is_full |= std::find(m_full.begin(), m_full.end(), holder.endpoint) != m_full.end();
+    }
+    if (is_full) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// A prompt without a known prefix takes long to process, and a second one at the same engine waits for the first.
+void PrefixAffinityRouter::KeepLeastStarting() {
+  int least = m_candidates.front().starting;
+  for (const Candidate& candidate : m_candidates) {
+    least = std::min(least, candidate.starting);
+  }
+  m_candidates.erase(std::remove_if(m_candidates.begin(), m_candidates.end(),
+                                    [least](const Candidate& candidate) { return candidate.starting > least; }),
+                     m_candidates.end());
+}
+
 // Among holders of the longest known prefix, entries without lost events come before others, then the lower load.
 int PrefixAffinityRouter::ChooseHolder(const RouteRequest& request, const std::vector<EndpointState>& endpoints) const {
   for (const uint64_t hash : request.prefix_hashes) {
--- a/src/state/prefix_affinity_router.h
+++ b/src/state/prefix_affinity_router.h
@@ -31,9 +31,13 @@
     double load = 0;
     double slots = 0;
     bool below_bound = false;
+    // In flight without a first token.
+    int starting = 0;
   };
 
   void CollectCandidates(const RouteRequest& request, const std::vector<EndpointState>& endpoints, TimePoint now);
+  bool ShouldWaitForHolder(const RouteRequest& request) const;
+  void KeepLeastStarting();
   int ChooseHolder(const RouteRequest& request, const std::vector<EndpointState>& endpoints) const;
   int ChooseHome(uint64_t prefix_hash) const;
   int ChooseOfTwo(const RouteRequest& request, const std::vector<EndpointState>& endpoints);
@@ -43,6 +47,8 @@
   // Scratch space of one choice.
   std::vector<Candidate> m_candidates;
   std::vector<int> m_candidate_of_number;
+  // Numbers of endpoints that only lack a free slot.
+  std::vector<uint32_t> m_full;
 };
 
 }  // namespace quetzalridge
--- a/src/state/router.h
+++ b/src/state/router.h
@@ -30,6 +30,11 @@
   int64_t min_weight_version = 0;
   // A suspect runs alone: only endpoints without other work are eligible.
   bool alone = false;
+  // Only endpoints with a free slot for this engine priority are eligible; the request can wait for one.
+  bool needs_free_slot = false;
+  int engine_priority = 0;
+  // How long it has waited for a slot.
+  Duration held;
 };
 
 // Chooses an endpoint for each request.
@@ -49,10 +54,18 @@
 // True when the endpoint may serve the request at all, whatever its load.
 bool IsEligible(const RouteRequest& request, const EndpointState& endpoint);
 
-// Requests that the endpoint is expected to hold: those of its last report and this instance's own since then.
+// Requests that the endpoint is expected to hold: those in flight from this instance and its peers. Where a peer is
+// silent, at least those of the endpoint's last report and this instance's own since then.
 int EstimatedLoad(const EndpointState& endpoint);
 
 // The estimated load per slot; 1 means that all slots are taken.
 double LoadPerSlot(const EndpointState& endpoint);
 
+// True when a request with this engine priority may take a slot of the endpoint by the estimated load. Requests that
+// are not within their workspace's share leave a reserve of slots free.
+bool HasFreeSlot(const EndpointState& endpoint, int engine_priority);
+
+// True when a router found no endpoint only because the request needs a free slot, so that it should wait for one.
+bool IsWorthHolding(RouteRequest request, const std::vector<EndpointState>& endpoints);
+
 }  // namespace quetzalridge
--- a/tests/state/router_test.cc
+++ b/tests/state/router_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <vector>
 
+#include "state/admission.h"
 #include "state/least_load_router.h"
 #include "state/prefix_affinity_router.h"
 #include "state/prefix_hash.h"
@@ -177,5 +178,107 @@
   CHECK(router.indexed_prefixes() <= 100'000);
 }
 
+// Guards against requests that are sent by an old report to endpoints that peers have filled since.
+TEST_CASE("the counts of peers replace a report unless a peer is silent") {
+  EndpointState endpoint = MakeEndpoints(1)[0];
+  endpoint.reported_running = 10;
+  endpoint.reported_queued = 2;
+  endpoint.own_in_flight = 3;
+  endpoint.own_since_report = 1;
+  CHECK(EstimatedLoad(endpoint) == 13);
+  endpoint.peer_in_flight = 12;
+  CHECK(EstimatedLoad(endpoint) == 15);
+  endpoint.peer_in_flight = 4;
+  CHECK(EstimatedLoad(endpoint) == 13);
+  endpoint.all_peers_counted = true;
+  CHECK(EstimatedLoad(endpoint) == 7);
+}
+
+// Guards against borrowed requests and rollouts that take the last slots, so that requests within the share wait.
+TEST_CASE("requests outside the share leave slots of each endpoint free") {
+  std::vector<EndpointState> endpoints = MakeEndpoints(1);
+  endpoints[0].all_peers_counted = true;
+  const auto most = [&](int priority) {
+    int load = 0;
+    for (endpoints[0].own_in_flight = 0; HasFreeSlot(endpoints[0], priority); ++endpoints[0].own_in_flight) {
+      ++load;
+    }
+    return load;
+  };
+  CHECK(most(kEnginePriorityWithinShare) == 16);
+  CHECK(most(kEnginePriorityBorrowed) == 14);
+  CHECK(most(kEnginePriorityRollout) == 12);
+  endpoints[0].slots = 1;
+  CHECK(most(kEnginePriorityRollout) == 1);
+}
+
+// Guards against routers that fill an endpoint's queue while the request could wait at the instance, and against a
+// request that is held although no endpoint could ever take it.
+TEST_CASE("no router sends a request that needs a free slot to a full endpoint") {
+  RandomRouter random(kSeed);
+  TwoChoiceRouter two_choice(kSeed);
+  LeastLoadRouter least_load(kSeed);
+  PrefixAffinityRouter affinity(kSeed);
+  affinity.OnDispatched("e0", {7});
+  std::vector<EndpointState> endpoints = MakeEndpoints(3);
+  endpoints[0].own_in_flight = 16;
+  endpoints[1].own_in_flight = 16;
+  RouteRequest request = MakeRequest();
+  request.needs_free_slot = true;
+  request.prefix_hashes = {7};
+  for (Router* router : std::vector<Router*>{&random, &two_choice, &least_load, &affinity}) {
+    for (int i = 0; i < 20; ++i) {
+      CHECK(router->Choose(request, endpoints, kNow) == 2);
+    }
+  }
+  endpoints[2].own_in_flight = 16;
+  for (Router* router : std::vector<Router*>{&random, &two_choice, &least_load, &affinity}) {
+    CHECK(router->Choose(request, endpoints, kNow) == -1);
+  }
+  CHECK(IsWorthHolding(request, endpoints));
+  for (EndpointState& endpoint : endpoints) {
+    endpoint.leaving = true;
+  }
+  CHECK_FALSE(IsWorthHolding(request, endpoints));
+}
+
+// Guards against borrowed requests that copy their prefix to further endpoints, where it evicts those of others, and
+// against requests within the share that wait for it.
+TEST_CASE("requests outside the share wait a while for the endpoint that holds their prefix") {
+  PrefixAffinityRouter router(kSeed);
+  router.OnDispatched("e0", {7});
+  std::vector<EndpointState> endpoints = MakeEndpoints(2);
+  endpoints[0].own_in_flight = 16;
+  RouteRequest request = MakeRequest();
+  request.needs_free_slot = true;
+  request.prefix_hashes = {7};
+  CHECK(router.Choose(request, endpoints, kNow) == 1);
+  request.engine_priority = kEnginePriorityBorrowed;
+  CHECK(router.Choose(request, endpoints, kNow) == -1);
+  CHECK(IsWorthHolding(request, endpoints));
+  request.held = Duration::Milliseconds(300);
+  CHECK(router.Choose(request, endpoints, kNow) == 1);
+  request.engine_priority = kEnginePriorityRollout;
+  CHECK(router.Choose(request, endpoints, kNow) == -1);
+  request.held = Duration::Seconds(2);
+  CHECK(router.Choose(request, endpoints, kNow) == 1);
+}
+
+// Guards against two long prompts that are processed one after the other while another engine processes none.
+TEST_CASE("a prompt without a known prefix goes where the fewest prompts are being processed") {
+  PrefixAffinityRouter router(kSeed);
+  std::vector<EndpointState> endpoints = MakeEndpoints(4);
+  for (EndpointState& endpoint : endpoints) {
+    endpoint.own_in_flight = 2;
+    endpoint.starting = 1;
+  }
+  endpoints[3].starting = 0;
+  RouteRequest request = MakeRequest();
+  for (uint64_t prefix = 1; prefix <= 30; ++prefix) {
+    request.prefix_hashes = {prefix};
+    CHECK(router.Choose(request, endpoints, kNow) == 3);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tools/experiment/fake_instance.cc
+++ b/tools/experiment/fake_instance.cc
@@ -12,6 +12,8 @@
 constexpr double kMinLagMs = 100;
 constexpr double kMaxLagMs = 800;
 constexpr double kTickMs = 100;
+constexpr double kLoadIntervalMs = 100;
+constexpr double kLoadRepeatMs = 1000;
 // Engines keep this many cache events; an instance that falls behind sees a gap.
 constexpr size_t kKeptEvents = 1024;
 constexpr double kGapChance = 0.02;
@@ -35,7 +37,8 @@
       m_last_id(seed % 1000 * kIdsPerInstance),
       m_breakers(m_view.size()),
       m_sent_at_ms(m_view.size()),
-      m_next_event(m_view.size(), 0) {
+      m_next_event(m_view.size(), 0),
+      m_own_starting(m_view.size(), 0) {
   for (size_t i = 0; i < m_view.size(); ++i) {
     m_queue->After(m_random.Uniform() * kPollMs, [this, i] { PollEngine(i); });
   }
@@ -98,8 +101,65 @@
   m_next_event[endpoint] = std::max(next, m_next_event[endpoint]);
 }
 
+void FakeInstance::OnPeerLoad(const std::string& peer, uint32_t sequence, const std::vector<EndpointCount>& counts) {
+  m_peer_load.OnReport(peer, sequence, counts, m_queue->Now());
+  SendHeld();
+}
+
+void FakeInstance::ReportLoad(std::function<void(uint32_t, const std::vector<EndpointCount>&)> send,
+                              std::vector<std::string> peers) {
+  m_send_load = std::move(send);
+  m_peers = std::move(peers);
+}
+
+void FakeInstance::UpdatePeerCounts() {
+  if (!m_rules.peer_load) {
+    return;
+  }
+  const bool all = m_peer_load.Covers(m_peers, m_queue->Now());
+  for (size_t i = 0; i < m_view.size(); ++i) {
+    const EndpointCount sum = m_peer_load.Sum(static_cast<uint32_t>(i), m_queue->Now());
+    m_view[i].peer_in_flight = sum.in_flight;
+    m_view[i].all_peers_counted = all;
+    m_view[i].starting = m_own_starting[i] + sum.starting;
+  }
+}
+
+void FakeInstance::OnLoadChanged() {
+  if (!m_send_load || m_load_due) {
+    return;
+  }
+  m_load_due = true;
+  m_queue->After(std::max(0.0, m_load_sent_ms + kLoadIntervalMs - m_queue->now_ms()), [this] {
+    m_load_due = false;
+    SendLoad();
+  });
+}
+
+void FakeInstance::SendLoad() {
+  std::vector<EndpointCount> counts;
+  for (size_t i = 0; i < m_view.size(); ++i) {
+    if (m_view[i].own_in_flight > 0) {
+      counts.push_back({static_cast<uint32_t>(i), m_view[i].own_in_flight, m_own_starting[i]});
+    }
+  }
+  m_load_sent_ms = m_queue->now_ms();
+  m_send_load(++m_load_sequence, counts);
+}
+
+// A request that finds no slot stays where it is in the queue. Later ones may still find one, since retries leave out
+// endpoints that they tried.
+void FakeInstance::SendHeld() {
+  for (const uint64_t id : m_held.InOrder()) {
+    Send(id);
+  }
+}
+
 void FakeInstance::Tick() {
   Settle();
+  if (m_send_load && m_queue->now_ms() - m_load_sent_ms >= kLoadRepeatMs) {
+    SendLoad();
+  }
   m_queue->After(kTickMs, [this] { Tick(); });
 }
 
@@ -157,8 +217,14 @@
   route.zone = m_zone;
   route.prefix_hashes = request.prefix_hashes;
   route.excluded = active.excluded;
+  UpdatePeerCounts();
   std::vector<EndpointState> usable;
   std::vector<int> index;
+  route.needs_free_slot = m_rules.hold;
+  route.engine_priority = active.priority;
+  if (active.held_since_ms >= 0) {
+    route.held = Duration::Milliseconds(static_cast<int64_t>(m_queue->now_ms() - active.held_since_ms));
+  }
   for (size_t i = 0; i < m_view.size(); ++i) {
     if (!m_rules.breakers || m_breakers[i].Allows(m_queue->Now())) {
       usable.push_back(m_view[i]);
@@ -166,6 +232,15 @@
     }
   }
   const int chosen = m_router->Choose(route, usable, m_queue->Now());
+  if (chosen < 0 && IsWorthHolding(route, usable)) {
+    if (active.held_since_ms < 0) {
+      active.held_since_ms = m_queue->now_ms();
+    }
+    m_held.Add(id, active.priority);
+    return;
+  }
+  m_held.Remove(id);
+  active.held_since_ms = -1;
   ++active.record->attempts;
   if (chosen < 0) {
     active.endpoint = -1;
@@ -179,6 +254,8 @@
   EndpointState& state = m_view[active.endpoint];
   ++state.own_in_flight;
   ++state.own_since_report;
+  ++m_own_starting[active.endpoint];
+  active.starting = true;
   m_sent_at_ms[active.endpoint].push_back(m_queue->now_ms());
   active.trial = m_breakers[active.endpoint].OnStart(m_queue->Now());
   m_router->OnDispatched(state.id, request.prefix_hashes);
@@ -188,20 +265,33 @@
   call.prefix_hashes = request.prefix_hashes;
   call.prompt_tokens = request.prompt_tokens + request.output_tokens - active.tokens_left;
   call.output_tokens = active.tokens_left;
-  call.on_first_token = [this, record = active.record](int cached) {
+  call.on_first_token = [this, id, record = active.record](int cached) {
+    OnStarted(id);
     if (record->first_token_ms < 0) {
       record->first_token_ms = m_queue->now_ms();
       record->cached_tokens = cached;
     }
   };
   call.on_ended = [this, id](bool ok, int tokens) { OnEnded(id, ok, tokens); };
+  OnLoadChanged();
   (*m_engines)[active.endpoint]->Submit(std::move(call));
 }
 
+void FakeInstance::OnStarted(uint64_t id) {
+  Active& active = m_active[id];
+  if (active.starting) {
+    active.starting = false;
+    --m_own_starting[active.endpoint];
+    OnLoadChanged();
+  }
+}
+
 void FakeInstance::OnEnded(uint64_t id, bool ok, int tokens) {
+  OnStarted(id);
   Active active = m_active[id];
   if (active.endpoint >= 0) {
     --m_view[active.endpoint].own_in_flight;
+    OnLoadChanged();
     if (ok) {
       m_breakers[active.endpoint].OnSuccess(active.trial);
     } else {
@@ -235,6 +325,7 @@
 }
 
 void FakeInstance::Settle() {
+  SendHeld();
   for (const QueueOutcome& outcome : m_policy->NextQueued(m_queue->Now())) {
     if (outcome.result.verdict == AdmissionVerdict::kAdmit) {
       m_active[outcome.id].priority = outcome.result.engine_priority;
@@ -256,7 +347,15 @@
     m_active[id].preempted = true;
     m_queue->After(0, [this, id] {
       const auto it = m_active.find(id);
-      if (it != m_active.end() && it->second.endpoint >= 0) {
+      if (it == m_active.end()) {
+        return;
+      }
+      if (it->second.held_since_ms >= 0) {
+        m_held.Remove(id);
+        it->second.held_since_ms = -1;
+        it->second.endpoint = -1;
+        OnEnded(id, true, 0);
+      } else if (it->second.endpoint >= 0) {
         (*m_engines)[it->second.endpoint]->Cancel(id);
       }
     });
--- a/tools/experiment/fake_instance.h
+++ b/tools/experiment/fake_instance.h
@@ -10,6 +10,8 @@
 #include "base/random.h"
 #include "state/admission.h"
 #include "state/circuit_breaker.h"
+#include "state/held_queue.h"
+#include "state/peer_load_table.h"
 #include "state/router.h"
 #include "tools/experiment/event_queue.h"
 #include "tools/experiment/fake_engine.h"
@@ -37,6 +39,13 @@
   // Engines serve first what admission ranks first.
   bool engine_priority = true;
   bool preempt = true;
+  // Peers tell each other their requests in flight on each endpoint.
+  bool peer_load = false;
+  // Admitted requests wait at the instance while no endpoint has a free slot by the estimate.
+  bool hold = false;
+  // How long a peer's counts take to arrive, and the part of them that is lost.
+  double peer_load_delay_ms = 1;
+  double peer_load_loss = 0;
 };
 
 // An entry instance: admission, routing on lagged reports and late cache events with gaps, retries and preemption.
@@ -50,6 +59,10 @@
   // Leaves an endpoint out, as after the platform's list changed.
   void MarkLeaving(size_t endpoint) { m_view[endpoint].leaving = true; }
   AdmissionPolicy* policy() { return m_policy.get(); }
+  void OnPeerLoad(const std::string& peer, uint32_t sequence, const std::vector<EndpointCount>& counts);
+  // Calls `send` when a count has changed, at most every 100 ms, and at least each second.
+  void ReportLoad(std::function<void(uint32_t sequence, const std::vector<EndpointCount>& counts)> send,
+                  std::vector<std::string> peers);
 
  private:
   struct Active {
@@ -60,6 +73,9 @@
     // The trial call of an open breaker.
     bool trial = false;
     bool preempted = false;
+    // Sent and without a first token.
+    bool starting = false;
+    double held_since_ms = -1;
     std::vector<std::string> excluded;
   };
 
@@ -69,8 +85,13 @@
   void Tick();
   void Admit(uint64_t id);
   void Send(uint64_t id);
+  void OnStarted(uint64_t id);
   void OnEnded(uint64_t id, bool ok, int tokens);
   void Settle();
+  void SendHeld();
+  void OnLoadChanged();
+  void SendLoad();
+  void UpdatePeerCounts();
   AdmissionRequest MakeAdmissionRequest(uint64_t id) const;
   int KnownSlots() const;
 
@@ -87,6 +108,14 @@
   std::vector<CircuitBreaker> m_breakers;
   std::vector<std::vector<double>> m_sent_at_ms;
   std::vector<size_t> m_next_event;
+  std::vector<int> m_own_starting;
+  HeldQueue m_held;
+  PeerLoadTable m_peer_load;
+  std::function<void(uint32_t, const std::vector<EndpointCount>&)> m_send_load;
+  std::vector<std::string> m_peers;
+  uint32_t m_load_sequence = 0;
+  double m_load_sent_ms = 0;
+  bool m_load_due = false;
 };
 
 }  // namespace quetzalridge
--- a/tools/experiment/routing_experiment.cc
+++ b/tools/experiment/routing_experiment.cc
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "state/admit_all_policy.h"
+#include "tools/experiment/load_variants.h"
 #include "tools/experiment/router_factory.h"
 #include "tools/experiment/serving_world.h"
 #include "tools/experiment/svg_plot.h"
@@ -16,13 +17,30 @@
 constexpr double kMissingMs = 60'000;
 // The caches are cold before this time.
 constexpr double kWarmUpMs = 30'000;
-const char* const kRouters[] = {"random", "least_load", "two_choices", "prefix_affinity"};
 
-ServingOptions MakeOptions(const Deployment& deployment, const std::string& router, uint64_t seed) {
+struct Variant {
+  std::string name;
+  std::string router;
+  LoadVariant load;
+};
+
+std::vector<Variant> Variants() {
+  std::vector<Variant> variants;
+  for (const char* router : {"random", "least_load", "two_choices", "prefix_affinity"}) {
+    variants.push_back({router, router, {}});
+  }
+  for (const LoadVariant& load : LoadVariants()) {
+    variants.push_back({std::string("prefix_affinity_") + load.name, "prefix_affinity", load});
+  }
+  return variants;
+}
+
+ServingOptions MakeOptions(const Deployment& deployment, const Variant& variant, uint64_t seed) {
   ServingOptions options;
   options.deployment = deployment;
   options.seed = seed;
-  options.make_router = RouterFactory(router);
+  options.make_router = RouterFactory(variant.router);
+  variant.load.ApplyTo(&options.rules);
   options.make_policy = [] { return std::make_unique<AdmitAllPolicy>(); };
   options.sources = InteractiveTraffic(deployment.workspaces, [](double) { return kRequestsPerSecond; });
   return options;
@@ -48,10 +66,10 @@
 void RoutingExperiment::Run(const ExperimentOptions& options, ResultTable* results) {
   for (const Deployment& deployment : Deployments()) {
     SvgPlot plot("Time to first token, " + deployment.name, "percentile", "ms");
-    for (const std::string router : kRouters) {
+    for (const Variant& variant : Variants()) {
       std::vector<double> all;
       for (const uint64_t seed : options.seeds) {
-        ServingWorld world(MakeOptions(deployment, router, seed));
+        ServingWorld world(MakeOptions(deployment, variant, seed));
         std::vector<double> latencies;
         double cached = 0;
         double prompt = 0;
@@ -66,7 +84,7 @@
           ++by_second[static_cast<int>(record.request->at_ms / 1000)][record.endpoint];
         }
         const auto add = [&](const char* measure, const char* unit, Better better, double value) {
-          results->Add({deployment.name, router, measure, unit, better, seed, value});
+          results->Add({deployment.name, variant.name, measure, unit, better, seed, value});
         };
         add("first token p50", "ms", Better::kLower, Percentile(latencies, 0.5));
         add("first token p99", "ms", Better::kLower, Percentile(latencies, 0.99));
@@ -78,7 +96,7 @@
       for (int p = 1; p <= 99; ++p) {
         points.push_back({p, Percentile(all, p / 100.0)});
       }
-      plot.AddLine(router, points);
+      plot.AddLine(variant.name, points);
     }
     if (!options.out.empty()) {
       plot.Write(options.out + "/routing_" + deployment.name + ".svg");
--- a/tools/experiment/serving_world.cc
+++ b/tools/experiment/serving_world.cc
@@ -15,7 +15,7 @@
   return record.first_token_ms < 0 ? missing_ms : record.first_token_ms - record.request->at_ms;
 }
 
-ServingWorld::ServingWorld(ServingOptions options) : m_options(std::move(options)) {
+ServingWorld::ServingWorld(ServingOptions options) : m_options(std::move(options)), m_random(m_options.seed) {
   const Deployment& deployment = m_options.deployment;
   std::vector<EndpointState> view;
   for (int i = 0; i < deployment.replicas; ++i) {
@@ -33,6 +33,9 @@
         std::make_unique<FakeInstance>(&m_queue, &m_engines, view, "zone-" + std::to_string(i % deployment.zones),
                                        m_options.make_router(seed), m_options.make_policy(), m_options.rules, seed));
   }
+  if (m_options.rules.peer_load) {
+    ConnectPeers();
+  }
   m_traffic = MakeTraffic(m_options.sources, deployment.instances, m_options.end_ms, m_options.seed);
   m_records.resize(m_traffic.size());
 }
@@ -50,6 +53,27 @@
   return m_records;
 }
 
+void ServingWorld::ConnectPeers() {
+  for (size_t from = 0; from < m_instances.size(); ++from) {
+    std::vector<std::string> peers;
+    for (size_t to = 0; to < m_instances.size(); ++to) {
+      if (to != from) {
+        peers.push_back(std::to_string(to));
+      }
+    }
+    const auto send = [this, from](uint32_t sequence, const std::vector<EndpointCount>& counts) {
+      for (size_t to = 0; to < m_instances.size(); ++to) {
+        if (to != from && !m_random.Chance(m_options.rules.peer_load_loss)) {
+          m_queue.After(m_options.rules.peer_load_delay_ms, [this, from, to, sequence, counts] {
+            m_instances[to]->OnPeerLoad(std::to_string(from), sequence, counts);
+          });
+        }
+      }
+    };
+    m_instances[from]->ReportLoad(send, peers);
+  }
+}
+
 void ServingWorld::ExchangeDemand() {
   for (size_t from = 0; from < m_instances.size(); ++from) {
     const std::vector<WorkspaceDemand> demand = m_instances[from]->policy()->LocalDemand();
--- a/tools/experiment/serving_world.h
+++ b/tools/experiment/serving_world.h
@@ -32,10 +32,12 @@
   const std::vector<RequestRecord>& Run();
 
  private:
+  void ConnectPeers();
   void ExchangeDemand();
   void LoseZone();
 
   ServingOptions m_options;
+  Random m_random;
   EventQueue m_queue;
   std::vector<std::unique_ptr<FakeEngine>> m_engines;
   std::vector<std::unique_ptr<FakeInstance>> m_instances;
--- a/tools/experiment/shares_experiment.cc
+++ b/tools/experiment/shares_experiment.cc
@@ -6,6 +6,7 @@
 
 #include "state/admit_all_policy.h"
 #include "state/fair_share_policy.h"
+#include "tools/experiment/load_variants.h"
 #include "tools/experiment/router_factory.h"
 #include "tools/experiment/serving_world.h"
 #include "tools/experiment/svg_plot.h"
@@ -41,13 +42,30 @@
   std::map<std::string, int> served;
 };
 
-Outcome RunSources(const Deployment& deployment, bool fair, std::vector<TrafficSource> sources, uint64_t seed) {
+struct Variant {
+  const char* name;
+  bool fair = false;
+  InstanceRules rules;
+};
+
+std::vector<Variant> Variants() {
+  std::vector<Variant> variants = {{"admit_all", false, {}}, {"fair_share", true, {}}};
+  for (const LoadVariant& load : LoadVariants()) {
+    variants.push_back({load.name, true, {}});
+    load.ApplyTo(&variants.back().rules);
+  }
+  return variants;
+}
+
+Outcome RunSources(const Deployment& deployment, const Variant& variant, std::vector<TrafficSource> sources,
+                   uint64_t seed) {
   ServingOptions options;
   options.deployment = deployment;
   options.seed = seed;
   options.sources = std::move(sources);
+  options.rules = variant.rules;
   options.make_router = RouterFactory("prefix_affinity");
-  options.make_policy = [fair]() -> std::unique_ptr<AdmissionPolicy> {
+  options.make_policy = [fair = variant.fair]() -> std::unique_ptr<AdmissionPolicy> {
     if (fair) {
       return std::make_unique<FairSharePolicy>();
     }
@@ -77,16 +95,15 @@
       for (int m = 0; m < modest_count; ++m) {
         all.push_back(MakeSource(ModestName(m), kModestRate));
       }
-      for (const bool fair : {false, true}) {
-        const std::string variant = fair ? "fair_share" : "admit_all";
-        Outcome beside = RunSources(deployment, fair, all, seed);
+      for (const Variant& variant : Variants()) {
+        Outcome beside = RunSources(deployment, variant, all, seed);
         double worst_alone = 0;
         double worst_beside = 0;
         double worst_ratio = 0;
         int shed = 0;
         for (int m = 0; m < modest_count; ++m) {
           const std::string name = ModestName(m);
-          Outcome alone = RunSources(deployment, fair, {MakeSource(name, kModestRate)}, seed);
+          Outcome alone = RunSources(deployment, variant, {MakeSource(name, kModestRate)}, seed);
           const double p99_alone = Percentile(alone.latencies[name], 0.99);
           const double p99_beside = Percentile(beside.latencies[name], 0.99);
           worst_alone = std::max(worst_alone, p99_alone);
@@ -95,7 +112,7 @@
           shed += beside.shed[name];
         }
         const auto add = [&](const char* measure, const char* unit, Better better, double value) {
-          results->Add({deployment.name, variant, measure, unit, better, seed, value});
+          results->Add({deployment.name, variant.name, measure, unit, better, seed, value});
         };
         add("worst workspace's first token p99 alone", "ms", Better::kLower, worst_alone);
         add("worst workspace's first token p99 beside", "ms", Better::kLower, worst_beside);
--- a/tools/experiment/sunset_experiment.cc
+++ b/tools/experiment/sunset_experiment.cc
@@ -5,6 +5,7 @@
 
 #include "state/admit_all_policy.h"
 #include "state/fair_share_policy.h"
+#include "tools/experiment/load_variants.h"
 #include "tools/experiment/router_factory.h"
 #include "tools/experiment/serving_world.h"
 #include "tools/experiment/svg_plot.h"
@@ -29,14 +30,21 @@
   bool fair_shares;
   bool engine_priority;
   bool preempt;
+  LoadVariant load;
 };
 
-constexpr Variant kVariants[] = {
-    {"no_priority", false, false, false},
-    {"engine_priority", false, true, false},
-    {"shares_without_preemption", true, true, false},
-    {"shares_and_preemption", true, true, true},
-};
+std::vector<Variant> Variants() {
+  std::vector<Variant> variants = {
+      {"no_priority", false, false, false, {}},
+      {"engine_priority", false, true, false, {}},
+      {"shares_without_preemption", true, true, false, {}},
+      {"shares_and_preemption", true, true, true, {}},
+  };
+  for (const LoadVariant& load : LoadVariants()) {
+    variants.push_back({load.name, true, true, true, load});
+  }
+  return variants;
+}
 
 double RateAt(double at_ms) {
   if (at_ms < kQuietEndMs) {
@@ -55,6 +63,7 @@
   options.sources.push_back(TrainerTraffic("workspace-0", kRolloutRate));
   options.sources.push_back(TrainerTraffic("workspace-1", kRolloutRate));
   options.make_router = RouterFactory("prefix_affinity");
+  variant.load.ApplyTo(&options.rules);
   options.rules.engine_priority = variant.engine_priority;
   options.rules.preempt = variant.preempt;
   options.make_policy = [fair = variant.fair_shares]() -> std::unique_ptr<AdmissionPolicy> {
@@ -70,7 +79,7 @@
 
 void SunsetExperiment::Run(const ExperimentOptions& options, ResultTable* results) {
   for (const Deployment& deployment : Deployments()) {
-    for (const Variant& variant : kVariants) {
+    for (const Variant& variant : Variants()) {
       for (const uint64_t seed : options.seeds) {
         std::vector<double> quiet;
         std::vector<double> peak;
--- a/tools/experiment/zone_loss_experiment.cc
+++ b/tools/experiment/zone_loss_experiment.cc
@@ -5,6 +5,7 @@
 
 #include "state/admit_all_policy.h"
 #include "state/fair_share_policy.h"
+#include "tools/experiment/load_variants.h"
 #include "tools/experiment/router_factory.h"
 #include "tools/experiment/serving_world.h"
 #include "tools/experiment/svg_plot.h"
@@ -28,7 +29,22 @@
 // One window holds about 110 requests, enough to tell 99 %.
 constexpr int kWindowSeconds = 5;
 
-ServingOptions MakeOptions(const Deployment& deployment, bool decision, double rollouts, uint64_t seed) {
+struct Variant {
+  const char* name;
+  bool decision = false;
+  InstanceRules rules;
+};
+
+std::vector<Variant> Variants() {
+  std::vector<Variant> variants = {{"retries_and_list", false, {}}, {"breakers_and_shares", true, {}}};
+  for (const LoadVariant& load : LoadVariants()) {
+    variants.push_back({load.name, true, {}});
+    load.ApplyTo(&variants.back().rules);
+  }
+  return variants;
+}
+
+ServingOptions MakeOptions(const Deployment& deployment, const Variant& variant, double rollouts, uint64_t seed) {
   ServingOptions options;
   options.deployment = deployment;
   options.seed = seed;
@@ -36,9 +52,10 @@
   options.zone_loss_ms = kLossSecond * 1000.0;
   options.sources = InteractiveTraffic(deployment.workspaces, [](double) { return kInteractiveRate; });
   options.sources.push_back(TrainerTraffic("workspace-0", rollouts));
-  options.make_router = RouterFactory(decision ? "prefix_affinity" : "random");
-  options.rules.breakers = decision;
-  options.make_policy = [decision]() -> std::unique_ptr<AdmissionPolicy> {
+  options.make_router = RouterFactory(variant.decision ? "prefix_affinity" : "random");
+  options.rules = variant.rules;
+  options.rules.breakers = variant.decision;
+  options.make_policy = [decision = variant.decision]() -> std::unique_ptr<AdmissionPolicy> {
     if (decision) {
       return std::make_unique<FairSharePolicy>();
     }
@@ -108,17 +125,16 @@
   for (const Deployment& deployment : Deployments()) {
     SvgPlot plot("Requests within the objective, zone lost at 60 s, light rollouts, " + deployment.name, "s", "part");
     for (const RolloutLoad& load : kRolloutLoads) {
-      for (const bool decision : {false, true}) {
-        const std::string variant = decision ? "breakers_and_shares" : "retries_and_list";
+      for (const Variant& variant : Variants()) {
         std::vector<Second> sums(kEndSecond);
         for (const uint64_t seed : options.seeds) {
-          const LossRun run = RunLoss(MakeOptions(deployment, decision, load.samples_per_second, seed));
+          const LossRun run = RunLoss(MakeOptions(deployment, variant, load.samples_per_second, seed));
           for (int s = 0; s < kEndSecond; ++s) {
             sums[s].requests += run.seconds[s].requests;
             sums[s].met += run.seconds[s].met;
           }
           const auto add = [&](const std::string& measure, const char* unit, Better better, double value) {
-            results->Add({deployment.name, variant, measure + ", " + load.name, unit, better, seed, value});
+            results->Add({deployment.name, variant.name, measure + ", " + load.name, unit, better, seed, value});
           };
           add("within the objective before the loss", "1", Better::kHigher,
               MetBetween(run.seconds, kLossSecond / 2, kLossSecond));
@@ -132,7 +148,7 @@
           points.push_back({s, MetBetween(sums, s, s + 1)});
         }
         if (&load == &kRolloutLoads[0]) {
-          plot.AddLine(variant, points);
+          plot.AddLine(variant.name, points);
         }
       }
     }
