Report load to peers, and hold requests at the instance in the daemon

* A `PeerLoad` datagram {sender, incarnation, sequence, [endpoint hash, in flight, without a first token]} goes to all members when a count changes, at most every 100 ms, and each second without a change.
With more than 16 members none is sent, and the estimate uses the engines' reports as before.
* LoadExchange enters the peers' counts into the registry's endpoint state.
* An admitted request that finds no free slot waits in the dispatcher for at most queue_timeout, and is then refused as not run.
* The body's `priority` is the one that admission gave.
It now comes first in the object, so that it changes without parsing the body again.

Only streamed requests count as without a first token: the daemon cannot see the first token of a whole answer.

No measurement on real processes was made.

--- a/src/coordination/membership.cc
+++ b/src/coordination/membership.cc
@@ -12,6 +12,8 @@
 // Below the interval between statuses, so that a lost datagram costs less than the permission.
 constexpr Duration kReplyInterval = Duration::Milliseconds(200);
 constexpr Duration kChangesInterval = Duration::Milliseconds(100);
+// Both deployments have at most 9 instances. With more, load goes to those that share endpoints, which is not done yet.
+constexpr size_t kMaxLoadPeers = 16;
 // Bounds the bookkeeping of replies; addresses are few unless datagrams are forged.
 constexpr size_t kMaxReplyEntries = 2048;
 
@@ -186,9 +188,35 @@
   } else if (message->changes_reply.has_value()) {
     m_config->OnPeerChanges(message->changes_reply->changes);
     CheckAgreement();
+  } else if (message->load.has_value() && m_load_receiver && message->load->incarnation != m_options.incarnation) {
+    m_load_receiver(*message->load);
   }
 }
 
+void Membership::SendLoad(const std::vector<EndpointCount>& counts) {
+  const std::vector<Member> members = Members();
+  if (members.size() > kMaxLoadPeers) {
+    return;
+  }
+  PeerMessage message;
+  message.load = PeerLoad{m_options.instance, m_options.incarnation, ++m_load_sequence, counts};
+  for (const Member& member : members) {
+    if (!member.gone) {
+      Send(member.address, message);
+    }
+  }
+}
+
+std::vector<std::string> Membership::OtherIncarnations() const {
+  std::vector<std::string> incarnations;
+  for (const Member& member : Members()) {
+    if (!member.gone) {
+      incarnations.push_back(member.incarnation);
+    }
+  }
+  return incarnations;
+}
+
 void Membership::OnStatus(const std::string& from, const PeerStatus& status) {
   const TimePoint now = m_scheduler->clock().Now();
   if (status.incarnation == m_options.incarnation || !m_peers.Update(status, from, now)) {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -43,6 +43,11 @@
 
   void SetDigestSource(DigestSource source) { m_digest_source = std::move(source); }
   void SetDigestReceiver(DigestReceiver receiver) { m_digest_receiver = std::move(receiver); }
+  void SetLoadReceiver(std::function<void(const PeerLoad& load)> receiver) { m_load_receiver = std::move(receiver); }
+  // Sends the counts to all members; to none when there are more of them than the traffic allows.
+  void SendLoad(const std::vector<EndpointCount>& counts);
+  // Incarnations of the members that are not known to be gone.
+  std::vector<std::string> OtherIncarnations() const;
   void SetLeaving() { m_leaving = true; }
   void Start();
   const PeerTable& peers() const { return m_peers; }
@@ -88,6 +93,8 @@
   Random m_random;
   DigestSource m_digest_source;
   DigestReceiver m_digest_receiver;
+  std::function<void(const PeerLoad& load)> m_load_receiver;
+  uint32_t m_load_sequence = 0;
   // Addresses still to be sent to in this round.
   std::vector<std::string> m_round;
   // When each address last got an immediate reply or changes, to bound what a peer can make this instance send.
--- a/src/coordination/peer_message.h
+++ b/src/coordination/peer_message.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "state/config_document.h"
+#include "state/peer_load_table.h"
 #include "state/quarantine.h"
 
 namespace quetzalridge {
@@ -63,11 +64,21 @@
   std::vector<ConfigChange> changes;
 };
 
+// The sender's requests in flight on each endpoint that has any.
+struct PeerLoad {
+  std::string sender;
+  std::string incarnation;
+  // Grows with each PeerLoad of this incarnation.
+  uint32_t sequence = 0;
+  std::vector<EndpointCount> counts;
+};
+
 // One datagram; exactly one of the parts is present.
 struct PeerMessage {
   std::optional<PeerStatus> status;
   std::optional<ChangesRequest> changes_request;
   std::optional<ChangesReply> changes_reply;
+  std::optional<PeerLoad> load;
 };
 
 uint32_t PeerNameHash(std::string_view name);
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -16,7 +16,6 @@
 constexpr Duration kPermissionCheck = Duration::Milliseconds(100);
 constexpr int64_t kDrainRetryMs = 1000;
 // Engines run requests with smaller numbers first.
-constexpr int kInteractivePriority = 0;
 constexpr std::string_view kPlainPrefix = "/s/";
 constexpr std::string_view kIdempotencyKey = "idempotency-key";
 // A whole answer comes with its last token, so its deadline grows with its length.
@@ -158,7 +157,7 @@
 }
 
 void CallerApi::StartCompletion(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
-  const CompletionRequest completion = ParseCompletionRequest(request.body, kInteractivePriority);
+  const CompletionRequest completion = ParseCompletionRequest(request.body, kEnginePriorityWithinShare);
   const RouteConfig& route = FindRoute(completion.model, ServiceKind::kInference);
   const CallerIdentity identity = Admit(request, route);
   // The key can be spelled with escapes in JSON; the body as sent to the endpoint has them resolved.
@@ -170,6 +169,7 @@
   dispatch.target = request.path;
   dispatch.headers = AllowedHeaders(request.headers, ServiceKind::kInference);
   dispatch.body = completion.body;
+  dispatch.has_priority = true;
   dispatch.idempotent = route.idempotent;
   dispatch.stream = completion.stream;
   if (!completion.stream) {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -17,6 +17,7 @@
 #include "daemon/dispatcher.h"
 #include "daemon/duty_set.h"
 #include "daemon/endpoint_registry.h"
+#include "daemon/load_exchange.h"
 #include "daemon/metrics.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_exchange.h"
@@ -177,6 +178,7 @@
         m_endpoints(loop, &m_config, &m_platform, &m_engines, &m_router, {m_settings.timing.load_poll}),
         m_dispatcher({loop, &m_config, &m_endpoints, &m_engines, &m_router, &m_admission, &m_quarantine},
                      DispatchOptions(m_settings)),
+        m_load_exchange(loop, &m_endpoints, MakeLoadHooks()),
         m_sample_engine(&m_dispatcher, &m_usage),
         m_once(&m_table, loop, m_settings.instance.id + "/" + m_incarnation),
         m_engine_control(&m_client),
@@ -200,6 +202,7 @@
     m_membership.Start();
     m_usage.Start();
     m_endpoints.Start();
+    m_load_exchange.Start();
     m_duties.Start();
     Log(LogEvent::kDaemonStarted, m_settings.instance.id + " incarnation " + m_incarnation + " caller " +
                                       m_settings.listen.caller + " admin " + m_settings.listen.admin);
@@ -245,9 +248,18 @@
     m_membership.SetDigestReceiver([this](const std::string& incarnation, const PeerDigest& digest) {
       m_peer_exchange.OnDigest(incarnation, digest);
     });
+    m_membership.SetLoadReceiver([this](const PeerLoad& load) { m_load_exchange.OnPeerLoad(load); });
     PollInstanceList();
   }
 
+  LoadExchange::Hooks MakeLoadHooks() {
+    LoadExchange::Hooks hooks;
+    hooks.send = [this](const std::vector<EndpointCount>& counts) { m_membership.SendLoad(counts); };
+    hooks.peers = [this] { return m_membership.OtherIncarnations(); };
+    hooks.changed = [this] { m_dispatcher.OnLoadChanged(); };
+    return hooks;
+  }
+
   void PollInstanceList() {
     m_platform.ListInstances([this](const InstanceListResult& list) {
       if (list.ok) {
@@ -373,6 +385,7 @@
   PeerExchange m_peer_exchange;
   EndpointRegistry m_endpoints;
   Dispatcher m_dispatcher;
+  LoadExchange m_load_exchange;
   DispatchedSampleEngine m_sample_engine;
   OnceLedger m_once;
   HttpEngineControl m_engine_control;
--- a/src/daemon/dispatch.h
+++ b/src/daemon/dispatch.h
@@ -24,6 +24,8 @@
   // Already reduced to the allow list; the request id is added for each attempt.
   HttpHeaders headers;
   std::string body;
+  // The body came from ParseCompletionRequest or EncodeSampleRequest, and gets the priority that admission gives.
+  bool has_priority = false;
   // May be sent again after an attempt with an unknown outcome.
   bool idempotent = true;
   // An event-stream answer is passed on piece by piece; every other answer is passed on when it is whole.
--- a/src/daemon/dispatched_sample_engine.cc
+++ b/src/daemon/dispatched_sample_engine.cc
@@ -12,7 +12,6 @@
 namespace {
 
 // Engines run requests with smaller numbers first; interactive requests have 0.
-constexpr int kRolloutPriority = 10;
 constexpr int kStatusOk = 200;
 constexpr char kTarget[] = "/v1/completions";
 
@@ -119,12 +118,13 @@
   dispatch.work_class = WorkClass::kRollout;
   dispatch.target = kTarget;
   dispatch.headers = {{"content-type", "application/json"}};
-  dispatch.body = EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kRolloutPriority,
+  dispatch.body = EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kEnginePriorityRollout,
                                       request.resume_text, request.resume_tokens);
+  dispatch.has_priority = true;
   dispatch.stream = true;
   // What is resumed differs between attempts, so the fingerprint covers the sample as first sent.
   const std::string first_body =
-      EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kRolloutPriority, "", 0);
+      EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kEnginePriorityRollout, "", 0);
   dispatch.fingerprint = RequestFingerprint(request.workspace, kTarget, first_body);
   dispatch.prefix_hashes = PrefixHashes(request.prompt);
   dispatch.excluded = request.excluded;
--- a/src/daemon/dispatcher.cc
+++ b/src/daemon/dispatcher.cc
@@ -55,6 +55,7 @@
 void Dispatcher::AskAdmission() {
   const TimePoint now = m_collaborators.scheduler->clock().Now();
   m_admission_timer.reset();
+  TryHeld();
   for (const QueueOutcome& outcome : m_collaborators.admission->NextQueued(now)) {
     const auto it = m_runs.find(outcome.id);
     if (it != m_runs.end()) {
@@ -74,6 +75,23 @@
   }
 }
 
+// Held runs are asked before admission lets further ones start.
+void Dispatcher::TryHeld() {
+  for (const uint64_t id : m_held.InOrder()) {
+    const auto it = m_runs.find(id);
+    if (it != m_runs.end()) {
+      const std::shared_ptr<Run> run = it->second;
+      run->TryHeld();
+    }
+  }
+}
+
+void Dispatcher::OnLoadChanged() {
+  if (m_held.size() > 0) {
+    AskAdmissionSoon(Duration());
+  }
+}
+
 // The connections of a crashed endpoint break one after the other. The first break blames all attempts that are in
 // flight there; the breaks of those attempts that follow belong to the same crash.
 void Dispatcher::OnConnectionLost(uint64_t run_id) {
--- a/src/daemon/dispatcher.h
+++ b/src/daemon/dispatcher.h
@@ -11,6 +11,7 @@
 #include "daemon/dispatch.h"
 #include "daemon/endpoint_registry.h"
 #include "state/admission.h"
+#include "state/held_queue.h"
 #include "state/quarantine.h"
 #include "state/retry_budget.h"
 #include "state/router.h"
@@ -25,7 +26,7 @@
   Duration first_token_timeout = Duration::Seconds(30);
   Duration token_gap_timeout = Duration::Seconds(10);
   Duration total_timeout = Duration::Seconds(600);
-  // Longest wait for admission, and for an endpoint that a suspect may run on alone.
+  // Longest wait for admission, for a free slot of an endpoint, and for an endpoint that a suspect may run on alone.
   Duration queue_timeout = Duration::Seconds(10);
   // A suspect waits this long for an endpoint that no instance uses; after that, own work alone decides.
   Duration idle_endpoint_wait = Duration::Seconds(2);
@@ -51,6 +52,8 @@
 
   // Callbacks come after the call returned.
   std::unique_ptr<DispatchRun> Start(DispatchRequest request, DispatchObserver* observer);
+  // The load estimate of endpoints has changed.
+  void OnLoadChanged();
   // Runs that have not ended.
   size_t active() const { return m_runs.size(); }
 
@@ -69,6 +72,7 @@
   // Starts queued requests and stops preempted ones; again after 100 ms while there are runs.
   void AskAdmissionSoon(Duration delay);
   void AskAdmission();
+  void TryHeld();
   void OnConnectionLost(uint64_t run_id);
 
   Collaborators m_collaborators;
@@ -78,6 +82,8 @@
   std::map<uint64_t, std::shared_ptr<Run>> m_runs;
   std::map<uint64_t, InFlight> m_in_flight;
   std::map<std::string, int64_t> m_crashes;
+  // Admitted runs that wait for a free slot of an endpoint.
+  HeldQueue m_held;
   std::unique_ptr<Timer> m_admission_timer;
   TimePoint m_admission_due;
 };
--- a/src/daemon/dispatcher_run.cc
+++ b/src/daemon/dispatcher_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/hash.h"
+#include "protocol/completion_request.h"
 
 namespace quetzalridge {
 
@@ -84,6 +85,10 @@
   switch (result.verdict) {
     case AdmissionVerdict::kAdmit:
       m_admitted = true;
+      m_engine_priority = result.engine_priority;
+      if (m_request.has_priority) {
+        SetEnginePriority(&m_request.body, m_engine_priority);
+      }
       ChooseEndpoint();
       return;
     case AdmissionVerdict::kShed:
@@ -122,6 +127,12 @@
   route.excluded = m_request.excluded;
   route.min_weight_version = m_request.min_weight_version;
   route.alone = verdict == FingerprintVerdict::kSuspect;
+  // A suspect has its own way to wait for an endpoint.
+  route.needs_free_slot = !route.alone;
+  route.engine_priority = m_engine_priority;
+  if (m_held) {
+    route.held = Now() - m_held_since;
+  }
   return route;
 }
 
@@ -135,6 +146,12 @@
   const std::vector<EndpointState> endpoints = m_owner->m_collaborators.endpoints->Available(m_request.service, m_id);
   const int index = route.alone ? ChooseForSuspect(route, endpoints)
                                 : m_owner->m_collaborators.router->Choose(route, endpoints, Now());
+  if (index < 0 && IsWorthHolding(route, endpoints)) {
+    WaitForSlot();
+    return;
+  }
+  m_held = false;
+  m_owner->m_held.Remove(m_id);
   if (index >= 0) {
     if (route.alone) {
       // Held until the end of the run, so that nothing joins the suspect.
@@ -153,6 +170,26 @@
          kRefusalRetry);
 }
 
+// The queue keeps the place of a run that finds no slot again, and its timer runs from the first time.
+void Dispatcher::Run::WaitForSlot() {
+  if (m_held) {
+    return;
+  }
+  m_held = true;
+  m_held_since = Now();
+  m_owner->m_held.Add(m_id, m_engine_priority);
+  m_timer = m_owner->m_collaborators.scheduler->After(m_owner->m_options.queue_timeout, [self = shared_from_this()] {
+    self->Refuse(ErrorCode::kOverloaded, "no slot of an endpoint became free in time; send the request again later",
+                 kRefusalRetry);
+  });
+}
+
+void Dispatcher::Run::TryHeld() {
+  if (m_held && !m_ended) {
+    ChooseEndpoint();
+  }
+}
+
 void Dispatcher::Run::WaitForEndpoint() {
   m_timer = m_owner->m_collaborators.scheduler->After(kEndpointRetry,
                                                       [self = shared_from_this()] { self->ChooseEndpoint(); });
@@ -237,6 +274,10 @@
   m_in_flight = true;
   m_owner->m_in_flight[m_id] = {endpoint.id, {m_request.fingerprint, route.alone}, m_owner->m_crashes[endpoint.id]};
   m_trial = m_owner->m_collaborators.endpoints->OnCallStarted(endpoint.id);
+  if (m_request.stream) {
+    m_prompt_open = true;
+    m_owner->m_collaborators.endpoints->OnPromptStarted(endpoint.id);
+  }
   m_owner->m_collaborators.router->OnDispatched(endpoint.id, route.prefix_hashes);
   m_observer->OnAttempt(endpoint.id);
   if (m_ended) {
@@ -266,6 +307,7 @@
 // The head of a stream is passed on with its first piece. Until then another endpoint can still be tried.
 void Dispatcher::Run::OnBody(std::string_view data) {
   const std::shared_ptr<Run> self = shared_from_this();
+  OnPromptDone();
   ArmGapTimer();
   if (m_mode == AnswerMode::kStreamed) {
     PassHead();
@@ -284,6 +326,13 @@
   m_collected.append(data);
 }
 
+void Dispatcher::Run::OnPromptDone() {
+  if (m_prompt_open) {
+    m_prompt_open = false;
+    m_owner->m_collaborators.endpoints->OnPromptDone(m_endpoint_id);
+  }
+}
+
 void Dispatcher::Run::PassHead() {
   if (!m_head_passed) {
     m_head_passed = true;
@@ -358,6 +407,7 @@
     return;
   }
   m_in_flight = false;
+  OnPromptDone();
   m_owner->m_in_flight.erase(m_id);
   m_owner->m_collaborators.endpoints->OnCallEnded(m_endpoint_id, effect, m_trial);
 }
@@ -439,6 +489,7 @@
   if (m_queued) {
     m_owner->m_collaborators.admission->CancelQueued(m_id);
   }
+  m_owner->m_held.Remove(m_id);
   m_owner->m_collaborators.endpoints->Release(m_id);
   if (m_admitted) {
     m_admitted = false;
--- a/src/daemon/dispatcher_run.h
+++ b/src/daemon/dispatcher_run.h
@@ -18,6 +18,8 @@
   // Stops work that yields to interactive requests; it can be resumed.
   void Preempt();
   void Cancel();
+  // Looks again for a free slot.
+  void TryHeld();
   bool written() const { return m_written; }
 
   void OnHead(int status, const HttpHeaders& headers) override;
@@ -44,6 +46,8 @@
   AdmissionRequest MakeAdmissionRequest() const;
   void ChooseEndpoint();
   void WaitForEndpoint();
+  void WaitForSlot();
+  void OnPromptDone();
   // Index into `endpoints` or -1; reserves an endpoint for a suspect when none is idle.
   int ChooseForSuspect(const RouteRequest& route, const std::vector<EndpointState>& endpoints);
   RouteRequest MakeRouteRequest(FingerprintVerdict verdict) const;
@@ -70,6 +74,10 @@
   bool m_suspect = false;
   bool m_admitted = false;
   bool m_queued = false;
+  // Waits for a free slot since `m_held_since`.
+  bool m_held = false;
+  TimePoint m_held_since;
+  int m_engine_priority = kEnginePriorityWithinShare;
   bool m_written = false;
   bool m_attempt_written = false;
   // An earlier attempt may have run.
@@ -79,6 +87,7 @@
   bool m_starting = false;
   bool m_head_passed = false;
   bool m_in_flight = false;
+  bool m_prompt_open = false;
   bool m_trial = false;
   // The chosen endpoint was taken out of use before the write.
   bool m_endpoint_left = false;
--- a/src/daemon/endpoint_registry.cc
+++ b/src/daemon/endpoint_registry.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "coordination/peer_message.h"
+
 namespace quetzalridge {
 
 namespace {
@@ -162,6 +164,7 @@
   while (record.recent_starts.front() + kLongestReportAge < now) {
     record.recent_starts.pop_front();
   }
+  OnCountsChanged();
   return record.breaker.OnStart(now);
 }
 
@@ -172,6 +175,7 @@
   }
   endpoint->own_in_flight = std::max(endpoint->own_in_flight - 1, 0);
   endpoint->own_since_report = std::min(endpoint->own_since_report, endpoint->own_in_flight);
+  OnCountsChanged();
   CircuitBreaker& breaker = m_records.at(endpoint_id).breaker;
   switch (effect) {
     case CallEffect::kSuccess:
@@ -186,6 +190,49 @@
   }
 }
 
+void EndpointRegistry::ChangeStarting(const std::string& endpoint_id, int change) {
+  EndpointState* endpoint = FindMutable(endpoint_id);
+  if (endpoint == nullptr) {
+    return;
+  }
+  Record& record = m_records.at(endpoint_id);
+  record.own_starting = std::max(record.own_starting + change, 0);
+  endpoint->starting = record.own_starting + record.peer_starting;
+  OnCountsChanged();
+}
+
+void EndpointRegistry::OnCountsChanged() {
+  if (m_counts_changed) {
+    m_counts_changed();
+  }
+}
+
+// A datagram may not have room for all; what is known of full endpoints matters most.
+std::vector<EndpointCount> EndpointRegistry::OwnCounts() const {
+  std::vector<EndpointCount> counts;
+  for (const EndpointState& endpoint : m_endpoints) {
+    if (endpoint.own_in_flight > 0) {
+      const int starting = std::min(m_records.at(endpoint.id).own_starting, endpoint.own_in_flight);
+      counts.push_back({PeerNameHash(endpoint.id), endpoint.own_in_flight, starting});
+    }
+  }
+  std::stable_sort(counts.begin(), counts.end(),
+                   [](const EndpointCount& a, const EndpointCount& b) { return a.in_flight > b.in_flight; });
+  return counts;
+}
+
+void EndpointRegistry::ApplyPeerCounts(const std::function<EndpointCount(uint32_t endpoint_hash)>& sum,
+                                       bool all_counted) {
+  for (EndpointState& endpoint : m_endpoints) {
+    const EndpointCount peers = sum(PeerNameHash(endpoint.id));
+    Record& record = m_records.at(endpoint.id);
+    record.peer_starting = peers.starting;
+    endpoint.peer_in_flight = peers.in_flight;
+    endpoint.all_peers_counted = all_counted;
+    endpoint.starting = record.own_starting + peers.starting;
+  }
+}
+
 // An endpoint that both sources name by one address is listed once, under the name of the configuration. It is leaving
 // as soon as the platform says so.
 std::map<std::string, EndpointState> EndpointRegistry::Wanted() const {
--- a/src/daemon/endpoint_registry.h
+++ b/src/daemon/endpoint_registry.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +13,7 @@
 #include "coordination/platform.h"
 #include "coordination/scheduler.h"
 #include "state/circuit_breaker.h"
+#include "state/peer_load_table.h"
 #include "state/router.h"
 #include "transport/engine_client.h"
 
@@ -57,6 +60,16 @@
   // True when the call is the trial of an open circuit breaker; said again when the call ends.
   bool OnCallStarted(const std::string& endpoint_id);
   void OnCallEnded(const std::string& endpoint_id, CallEffect effect, bool trial);
+  // The prompt of a call with a streamed answer is being processed, until its first piece arrives.
+  void OnPromptStarted(const std::string& endpoint_id) { ChangeStarting(endpoint_id, 1); }
+  void OnPromptDone(const std::string& endpoint_id) { ChangeStarting(endpoint_id, -1); }
+
+  // This instance's calls in flight on each endpoint that has any; the most loaded come first.
+  std::vector<EndpointCount> OwnCounts() const;
+  // Called when a count of OwnCounts has changed.
+  void SetCountsChanged(std::function<void()> callback) { m_counts_changed = std::move(callback); }
+  // Enters the sums of the peers' counts; `all_counted` when no peer is silent.
+  void ApplyPeerCounts(const std::function<EndpointCount(uint32_t endpoint_hash)>& sum, bool all_counted);
 
   // Reads the configuration and the last list again; tests call it without waiting for a poll.
   void Refresh();
@@ -70,6 +83,8 @@
     bool cache_pending = false;
     int64_t next_cache_event = 0;
     uint64_t reserved_by = 0;
+    int own_starting = 0;
+    int peer_starting = 0;
     CircuitBreaker breaker;
     std::deque<TimePoint> recent_starts;
   };
@@ -82,6 +97,8 @@
   void OnCacheEvents(const std::string& endpoint_id, const std::optional<CacheEventBatch>& batch);
   std::map<std::string, EndpointState> Wanted() const;
   EndpointState* FindMutable(const std::string& endpoint_id);
+  void ChangeStarting(const std::string& endpoint_id, int change);
+  void OnCountsChanged();
   bool IsUsable(const EndpointState& endpoint, uint64_t owner) const;
   bool IsAnyReachable(const std::string& service) const;
 
@@ -96,6 +113,7 @@
   std::vector<PlatformInstance> m_list;
   int64_t m_list_revision = -1;
   int m_lists_pending = 0;
+  std::function<void()> m_counts_changed;
   std::unique_ptr<Timer> m_list_timer;
   std::unique_ptr<Timer> m_load_timer;
   // Callbacks of calls in flight look here whether the registry still exists.
--- a/src/protocol/completion_request.cc
+++ b/src/protocol/completion_request.cc
@@ -76,6 +76,15 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+constexpr char kPriorityStart[] = "{\"priority\":";
+constexpr size_t kPriorityStartBytes = sizeof(kPriorityStart) - 1;
+
+// The priority comes first, so that it can be changed without parsing the body again. The object is never empty.
+std::string DumpWithPriority(Json json, int priority) {
+  json.erase("priority");
+  return kPriorityStart + std::to_string(priority) + "," + Dump(json).substr(1);
+}
+
 }  // namespace
 
 // The body is written again from the parsed object. A repeated key could otherwise be read one way here, where it
@@ -105,21 +114,27 @@
     Refuse("'resume' is reserved for rollouts; send the text in the prompt");
   }
   request.prompt = PromptOf(json);
-  json["priority"] = priority;
-  request.body = Dump(json);
+  request.body = DumpWithPriority(std::move(json), priority);
   return request;
 }
 
 std::string EncodeSampleRequest(const std::string& model, const std::string& prompt, int max_tokens, int priority,
                                 const std::string& resume_text, int64_t resume_tokens) {
-  Json json = {{"model", model}, {"prompt", prompt}, {"stream", true}, {"priority", priority}};
+  Json json = {{"model", model}, {"prompt", prompt}, {"stream", true}};
   if (max_tokens > 0) {
     json["max_tokens"] = max_tokens;
   }
   if (resume_tokens > 0 || !resume_text.empty()) {
     json["resume"] = {{"text", resume_text}, {"tokens", resume_tokens}};
   }
-  return Dump(json);
+  return DumpWithPriority(std::move(json), priority);
+}
+
+void SetEnginePriority(std::string* body, int priority) {
+  const size_t end = body->find(',', kPriorityStartBytes);
+  if (body->compare(0, kPriorityStartBytes, kPriorityStart) == 0 && end != std::string::npos) {
+    body->replace(kPriorityStartBytes, end - kPriorityStartBytes, std::to_string(priority));
+  }
 }
 
 }  // namespace quetzalridge
--- a/src/protocol/completion_request.h
+++ b/src/protocol/completion_request.h
@@ -24,4 +24,7 @@
 std::string EncodeSampleRequest(const std::string& model, const std::string& prompt, int max_tokens, int priority,
                                 const std::string& resume_text, int64_t resume_tokens);
 
+// Changes the priority in a body that one of the functions above wrote.
+void SetEnginePriority(std::string* body, int priority);
+
 }  // namespace quetzalridge
--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -23,11 +23,13 @@
 constexpr size_t kMaxDemand = 64;
 constexpr size_t kMaxQuarantine = 16;
 constexpr size_t kMaxChanges = 64;
+constexpr size_t kMaxLoad = 128;
 
 enum class MessageType : uint8_t {
   kStatus = 1,
   kChangesRequest = 2,
   kChangesReply = 3,
+  kLoad = 4,
 };
 
 class MalformedDatagram : public std::runtime_error {
@@ -177,6 +179,44 @@
   return status;
 }
 
+void SaveCount(Output* out, const EndpointCount& count) {
+  constexpr int kMax = std::numeric_limits<uint16_t>::max();
+  (*out)(count.endpoint_hash, static_cast<uint16_t>(std::clamp(count.in_flight, 0, kMax)),
+         static_cast<uint16_t>(std::clamp(count.starting, 0, kMax)));
+}
+
+EndpointCount LoadCount(Input* in) {
+  EndpointCount count;
+  uint16_t in_flight = 0;
+  uint16_t starting = 0;
+  (*in)(count.endpoint_hash, in_flight, starting);
+  if (starting > in_flight) {
+    throw MalformedDatagram();
+  }
+  count.in_flight = in_flight;
+  count.starting = starting;
+  return count;
+}
+
+void SaveLoad(Output* out, const PeerLoad& load) {
+  Save(out, load.sender);
+  Save(out, load.incarnation);
+  (*out)(load.sequence);
+  SaveList(out, load.counts, kMaxLoad, SaveCount);
+}
+
+PeerLoad LoadLoad(Input* in) {
+  PeerLoad load;
+  load.sender = LoadString(in, kMaxName);
+  load.incarnation = LoadString(in, kMaxName);
+  (*in)(load.sequence);
+  LoadList(in, &load.counts, kMaxLoad, LoadCount);
+  if (load.sender.empty() || load.incarnation.empty()) {
+    throw MalformedDatagram();
+  }
+  return load;
+}
+
 PeerMessage LoadMessage(Input* in, const std::string& cluster) {
   uint16_t version = 0;
   (*in)(version);
@@ -198,6 +238,9 @@
       message.changes_reply.emplace();
       LoadList(in, &message.changes_reply->changes, kMaxChanges, LoadChange);
       return message;
+    case MessageType::kLoad:
+      message.load = LoadLoad(in);
+      return message;
   }
   throw MalformedDatagram();
 }
@@ -221,6 +264,10 @@
     message->changes_reply->changes.pop_back();
     return true;
   }
+  if (message->load.has_value() && !message->load->counts.empty()) {
+    message->load->counts.pop_back();
+    return true;
+  }
   return false;
 }
 
@@ -236,6 +283,10 @@
     std::vector<ConfigChange>& changes = message->changes_reply->changes;
     changes.resize(std::min(changes.size(), kMaxChanges));
   }
+  if (message->load.has_value()) {
+    std::vector<EndpointCount>& counts = message->load->counts;
+    counts.resize(std::min(counts.size(), kMaxLoad));
+  }
 }
 
 }  // namespace
@@ -254,6 +305,9 @@
     } else if (message.changes_reply.has_value()) {
       out(static_cast<uint8_t>(MessageType::kChangesReply));
       SaveList(&out, message.changes_reply->changes, kMaxChanges, SaveChange);
+    } else if (message.load.has_value()) {
+      out(static_cast<uint8_t>(MessageType::kLoad));
+      SaveLoad(&out, *message.load);
     }
   }
   return stream.str();
--- a/tests/coordination/membership_test.cc
+++ b/tests/coordination/membership_test.cc
@@ -47,6 +47,22 @@
   CHECK(f.Propose(0, "w", Duration::Milliseconds(2200)).outcome == ProposalOutcome::kInForce);
 }
 
+// Guards against load that reaches only some of the members, or is taken for a peer's by its own sender.
+TEST_CASE("a load report reaches all other members") {
+  Fixture f;
+  f.Start(3);
+  std::vector<PeerLoad> received;
+  for (const std::unique_ptr<CoordinationInstance>& instance : f.instances) {
+    instance->membership.SetLoadReceiver([&](const PeerLoad& load) { received.push_back(load); });
+  }
+  CHECK(f.instances[0]->membership.OtherIncarnations() == std::vector<std::string>{"i1-first", "i2-first"});
+  f.instances[0]->membership.SendLoad({{7, 3, 1}});
+  f.Advance(Duration::Milliseconds(500));
+  REQUIRE(received.size() == 2);
+  CHECK(received[1].incarnation == "i0-first");
+  CHECK(received[1].counts.at(0).in_flight == 3);
+}
+
 // Guards against an outage of the store that stops interactive service.
 TEST_CASE("instances serve on while the store is unreachable to all of them") {
   Fixture f;
--- a/tests/daemon/caller_fixture.cc
+++ b/tests/daemon/caller_fixture.cc
@@ -34,6 +34,7 @@
     queue.push_back(request.id);
   } else {
     ++running;
+    result.engine_priority = request.work_class == WorkClass::kRollout ? kEnginePriorityRollout : priority;
   }
   return result;
 }
--- a/tests/daemon/caller_fixture.h
+++ b/tests/daemon/caller_fixture.h
@@ -60,6 +60,8 @@
 
   int limit = 1'000'000;
   int running = 0;
+  // Of admitted interactive requests.
+  int priority = kEnginePriorityWithinShare;
   bool shed = false;
   std::vector<uint64_t> queue;
 };
--- a/tests/protocol/peer_codec_test.cc
+++ b/tests/protocol/peer_codec_test.cc
@@ -50,6 +50,31 @@
   REQUIRE(decoded.has_value());
   CHECK_FALSE(decoded->changes_reply->changes.at(0).value.has_value());
   CHECK(decoded->changes_reply->changes.at(1).value == "{}");
+  PeerMessage load;
+  load.load = PeerLoad{"entry-1", "0123", 9, {{77, 5, 2}, {78, 1, 0}}};
+  const std::optional<PeerMessage> counts = codec.Decode(codec.Encode(load));
+  REQUIRE(counts.has_value());
+  REQUIRE(counts->load.has_value());
+  CHECK(counts->load->incarnation == "0123");
+  CHECK(counts->load->sequence == 9);
+  CHECK(counts->load->counts.at(0).in_flight == 5);
+  CHECK(counts->load->counts.at(0).starting == 2);
+  CHECK(counts->load->counts.at(1).endpoint_hash == 78);
+}
+
+// Guards against a load report that is fragmented, or lost as a whole, where an instance has very many endpoints.
+TEST_CASE("a load report is shortened to one datagram") {
+  const CerealPeerCodec codec("prod");
+  PeerMessage message;
+  message.load = PeerLoad{"entry-1", "0123", 9, {}};
+  for (uint32_t i = 0; i < 1000; ++i) {
+    message.load->counts.push_back({i, 3, 1});
+  }
+  const std::string datagram = codec.Encode(message);
+  CHECK(datagram.size() <= kMaxPeerDatagramBytes);
+  const std::optional<PeerMessage> decoded = codec.Decode(datagram);
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->load->counts.size() >= 100);
 }
 
 // Guards against datagrams that the network would fragment, and against dropping what matters most: who was heard.
