--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -17,6 +17,7 @@
 #include "daemon/dispatcher.h"
 #include "daemon/duty_set.h"
 #include "daemon/endpoint_registry.h"
+#include "daemon/load_exchange.h"
 #include "daemon/metrics.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_exchange.h"
@@ -187,6 +188,7 @@
                     {m_settings.timing.load_poll, EndpointRegistryOptions().list_poll, mechanisms}),
         m_dispatcher({loop, &m_config, &m_endpoints, &m_engines, &m_router, &m_admission, &m_quarantine},
                      DispatchOptions(m_settings, mechanisms)),
+        m_load_exchange(loop, &m_endpoints, MakeLoadHooks()),
         m_sample_engine(&m_dispatcher, &m_usage),
         m_once(&m_table, loop, m_settings.instance.id + "/" + m_incarnation),
         m_engine_control(&m_client),
@@ -212,6 +214,7 @@
     m_membership.Start();
     m_usage.Start();
     m_endpoints.Start();
+    m_load_exchange.Start();
     m_duties.Start();
     Log(LogEvent::kDaemonStarted, m_settings.instance.id + " incarnation " + m_incarnation + " caller " +
                                       m_settings.listen.caller + " admin " + m_settings.listen.admin);
@@ -262,9 +265,18 @@
     m_membership.SetDigestReceiver([this](const std::string& incarnation, const PeerDigest& digest) {
       m_peer_exchange.OnDigest(incarnation, digest, m_membership.RoundTime());
     });
+    m_membership.SetLoadReceiver([this](const PeerLoad& load) { m_load_exchange.OnPeerLoad(load); });
     m_endpoints.SetListReceiver([this](const InstanceListResult& list) { m_roster.OnInstanceList(list); });
   }
 
+  LoadExchange::Hooks MakeLoadHooks() {
+    LoadExchange::Hooks hooks;
+    hooks.send = [this](const std::vector<EndpointCount>& counts) { m_membership.SendLoad(counts); };
+    hooks.peers = [this] { return m_membership.OtherIncarnations(); };
+    hooks.changed = [this] { m_dispatcher.OnLoadChanged(); };
+    return hooks;
+  }
+
   std::vector<std::string> MemberIds() const {
     std::vector<std::string> ids;
     for (const RosterMember& member : m_roster.live_members()) {
@@ -390,6 +402,7 @@
   PeerExchange m_peer_exchange;
   EndpointRegistry m_endpoints;
   Dispatcher m_dispatcher;
+  LoadExchange m_load_exchange;
   DispatchedSampleEngine m_sample_engine;
   OnceLedger m_once;
   HttpEngineControl m_engine_control;
