Resume slow samples from the engine's KV cache

Cause: a sample that moves to another engine made that engine process its prompt and text again.

The old engine goes on while its cache is exported; the cache goes to an endpoint with a free slot, and the resume to that endpoint only. When a step fails, the sample goes on from its text. Stamps come from the tokens in both cases.

Ruled out: writing the cache after the dispatcher's own choice of the endpoint, which would put a transfer into every attempt.

--- a/src/coordination/group_runner.cc
+++ b/src/coordination/group_runner.cc
@@ -1,6 +1,7 @@
 #include "coordination/group_runner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace quetzalridge {
 
@@ -26,6 +27,7 @@
 
   std::unique_ptr<SampleRun> run;
   std::unique_ptr<Timer> start_timer;
+  bool exporting = false;
 
  private:
   GroupRunner* m_runner;
@@ -65,8 +67,8 @@
   Launch(id);
 }
 
-void GroupRunner::Launch(SampleGroup::CopyId id) {
-  m_copies[id]->run = m_engine->Start(MakeRequest(id), m_copies[id].get());
+void GroupRunner::Launch(SampleGroup::CopyId id, SampleKv kv) {
+  m_copies[id]->run = m_engine->Start(MakeRequest(id, std::move(kv)), m_copies[id].get());
 }
 
 void GroupRunner::LaunchLater(SampleGroup::CopyId id) {
@@ -83,11 +85,12 @@
   return std::min(newest, m_freshness.MinVersion(m_forecast->ExpectedAtHandover(now)));
 }
 
-SampleRequest GroupRunner::MakeRequest(SampleGroup::CopyId id) {
+SampleRequest GroupRunner::MakeRequest(SampleGroup::CopyId id, SampleKv kv) {
   const int64_t min_version = MinUsefulVersion();
   // Text that will be past the bound at the hand-over is of no use; the sample starts again.
   if (!m_group.copy(id).runs.empty() && OldestVersion(m_group.copy(id).runs) < min_version) {
     m_group.DiscardText(id);
+    kv.reset();
   }
   const SampleCopy& copy = m_group.copy(id);
   SampleRequest request;
@@ -98,6 +101,7 @@
   request.max_tokens = m_group.spec().max_tokens;
   request.resume_text = copy.text;
   request.resume_tokens = TokenCount(copy.runs);
+  request.kv = std::move(kv);
   request.excluded = copy.avoided_endpoints;
   request.min_weight_version = min_version;
   return request;
@@ -105,6 +109,7 @@
 
 void GroupRunner::OnCopyEnd(SampleGroup::CopyId id, SampleEnd end) {
   m_copies[id]->run.reset();
+  m_copies[id]->exporting = false;
   switch (end) {
     case SampleEnd::kFinished:
       m_group.OnFinished(id, m_scheduler->clock().Now());
@@ -161,16 +166,31 @@
 }
 
 void GroupRunner::HandleStraggler(SampleGroup::CopyId id) {
-  const TimePoint now = m_scheduler->clock().Now();
-  const SampleGroup::CopyId next = m_options.strategy == StragglerStrategy::kSecondCopy
-                                       ? m_group.AddCopy(m_group.copy(id).member, now)
-                                       : m_group.AddCopyFrom(id, now);
+  if (m_options.strategy == StragglerStrategy::kSecondCopy) {
+    const SampleGroup::CopyId next = m_group.AddCopy(m_group.copy(id).member, m_scheduler->clock().Now());
+    m_copies.push_back(std::make_unique<Copy>(this, next));
+    Launch(next);
+    return;
+  }
+  // The straggler goes on during the export. When it ends before, there is nothing to continue.
+  if (m_copies[id]->run != nullptr && !m_copies[id]->exporting) {
+    m_copies[id]->exporting = true;
+    m_copies[id]->run->Export([this, id](SampleKv kv) { Continue(id, std::move(kv)); });
+  }
+}
+
+void GroupRunner::Continue(SampleGroup::CopyId id, SampleKv kv) {
+  m_copies[id]->exporting = false;
+  if (m_group.IsSurplus(id)) {
+    return;
+  }
+  const SampleGroup::CopyId next = m_group.AddCopyFrom(id, m_scheduler->clock().Now());
   m_copies.push_back(std::make_unique<Copy>(this, next));
   if (m_options.strategy == StragglerStrategy::kResume) {
     m_group.Abandon(id);
     m_copies[id]->run.reset();
   }
-  Launch(next);
+  Launch(next, std::move(kv));
 }
 
 void GroupRunner::Settle() {
--- a/src/coordination/group_runner.h
+++ b/src/coordination/group_runner.h
@@ -77,14 +77,16 @@
   static constexpr Duration kStragglerCheckInterval = Duration::Milliseconds(500);
 
   void RunMember(int member);
-  void Launch(SampleGroup::CopyId id);
+  void Launch(SampleGroup::CopyId id, SampleKv kv = nullptr);
   void LaunchLater(SampleGroup::CopyId id);
   // The oldest version that a sample may contain to be fresh at its hand-over, as far as can be foreseen.
   int64_t MinUsefulVersion() const;
-  SampleRequest MakeRequest(SampleGroup::CopyId id);
+  SampleRequest MakeRequest(SampleGroup::CopyId id, SampleKv kv);
   void OnCopyEnd(SampleGroup::CopyId id, SampleEnd end);
   void CheckStragglers();
   void HandleStraggler(SampleGroup::CopyId id);
+  // Goes on elsewhere from the text so far, and from the KV cache when there is one.
+  void Continue(SampleGroup::CopyId id, SampleKv kv);
   std::vector<SampleGroup::CopyId> FindStragglers();
   // Starts up to `count` members that have not run yet.
   void StartMembers(int count);
--- a/src/coordination/sample_engine.h
+++ b/src/coordination/sample_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -10,6 +11,9 @@
 
 namespace quetzalridge {
 
+// The KV cache of a sample, as its engine exported it.
+using SampleKv = std::shared_ptr<const std::string>;
+
 struct SampleRequest {
   std::string service;
   std::string workspace;
@@ -19,6 +23,8 @@
   // What earlier attempts produced; the engine goes on after it.
   std::string resume_text;
   int64_t resume_tokens = 0;
+  // Saves the engine the work on what is resumed; null when there is none. It may cover less than the text.
+  SampleKv kv;
   // Endpoints to avoid.
   std::vector<std::string> excluded;
   // Weight versions below this would be too old at hand-over.
@@ -49,6 +55,9 @@
 class SampleRun {
  public:
   virtual ~SampleRun() = default;
+  // Reads the KV cache while the sample goes on; null when it cannot be had. The callback may come within the call,
+  // does not come after the sample ended, and may destroy the run.
+  virtual void Export(std::function<void(SampleKv)> callback) = 0;
 };
 
 // Runs single samples on endpoints of a service, with rollout priority.
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -177,7 +177,8 @@
         m_endpoints(loop, &m_config, &m_platform, &m_engines, &m_router, {m_settings.timing.load_poll}),
         m_dispatcher({loop, &m_config, &m_endpoints, &m_engines, &m_router, &m_admission, &m_quarantine},
                      DispatchOptions(m_settings)),
-        m_sample_engine(&m_dispatcher, &m_usage),
+        m_kv_transfer(&m_engines, &m_endpoints),
+        m_sample_engine(&m_dispatcher, &m_usage, &m_kv_transfer),
         m_once(&m_table, loop, m_settings.instance.id + "/" + m_incarnation),
         m_engine_control(&m_client),
         m_targets(
@@ -373,6 +374,7 @@
   PeerExchange m_peer_exchange;
   EndpointRegistry m_endpoints;
   Dispatcher m_dispatcher;
+  KvTransfer m_kv_transfer;
   DispatchedSampleEngine m_sample_engine;
   OnceLedger m_once;
   HttpEngineControl m_engine_control;
--- a/src/daemon/dispatched_sample_engine.cc
+++ b/src/daemon/dispatched_sample_engine.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "coordination/callback_guard.h"
 #include "protocol/completion_request.h"
 #include "protocol/completion_stream.h"
 #include "state/prefix_hash.h"
@@ -16,11 +17,37 @@
 constexpr int kStatusOk = 200;
 constexpr char kTarget[] = "/v1/completions";
 
+DispatchRequest MakeDispatchRequest(const SampleRequest& request, const std::optional<KvPlace>& place) {
+  DispatchRequest dispatch;
+  dispatch.service = request.service;
+  dispatch.workspace = request.workspace;
+  dispatch.work_class = WorkClass::kRollout;
+  dispatch.target = kTarget;
+  dispatch.headers = {{"content-type", "application/json"}};
+  dispatch.body =
+      EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kRolloutPriority, request.resume_text,
+                          request.resume_tokens, place.has_value() ? place->handle : "");
+  dispatch.stream = true;
+  // What is resumed differs between attempts, so the fingerprint covers the sample as first sent.
+  const std::string first_body =
+      EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kRolloutPriority, "", 0);
+  dispatch.fingerprint = RequestFingerprint(request.workspace, kTarget, first_body);
+  dispatch.prefix_hashes = PrefixHashes(request.prompt);
+  dispatch.excluded = place.has_value() ? place->other_endpoints : request.excluded;
+  dispatch.min_weight_version = request.min_weight_version;
+  return dispatch;
+}
+
 // The run and its observer live until the sample ends or its owner destroys it.
 class DispatchedSample : public SampleRun, public DispatchObserver {
  public:
-  DispatchedSample(std::string workspace, UsageSink* usage, int64_t resume_tokens, SampleObserver* observer)
-      : m_workspace(std::move(workspace)), m_usage(usage), m_next_index(resume_tokens), m_observer(observer) {}
+  DispatchedSample(std::string workspace, UsageSink* usage, KvTransfer* kv, int64_t resume_tokens,
+                   SampleObserver* observer)
+      : m_workspace(std::move(workspace)),
+        m_usage(usage),
+        m_kv(kv),
+        m_next_index(resume_tokens),
+        m_observer(observer) {}
 
   ~DispatchedSample() override {
     *m_alive = false;
@@ -29,9 +56,35 @@
 
   void Begin(Dispatcher* dispatcher, DispatchRequest request) { m_run = dispatcher->Start(std::move(request), this); }
 
-  void OnAttempt(const std::string& endpoint_id) override { m_observer->OnSampleStarted(endpoint_id); }
+  // The KV cache goes to an endpoint first, and the sample then runs there. It is released as soon as the import ended.
+  void BeginWithKv(Dispatcher* dispatcher, SampleRequest request) {
+    KvTransfer* const kv = m_kv;
+    const SampleRequest with_kv = request;
+    request.kv.reset();
+    kv->Import(with_kv, m_guard.Wrap([this, dispatcher, request](const std::optional<KvPlace>& place) {
+      Begin(dispatcher, MakeDispatchRequest(request, place));
+    }));
+  }
 
-  void OnHead(const DispatchHead& head) override { m_status = head.status; }
+  void Export(std::function<void(SampleKv)> callback) override {
+    if (m_kv == nullptr || m_request_id.empty()) {
+      callback(nullptr);
+      return;
+    }
+    m_kv->Export(m_endpoint_id, m_request_id, m_guard.Wrap(std::move(callback)));
+  }
+
+  void OnAttempt(const std::string& endpoint_id) override {
+    m_endpoint_id = endpoint_id;
+    m_request_id.clear();
+    m_observer->OnSampleStarted(endpoint_id);
+  }
+
+  void OnHead(const DispatchHead& head) override {
+    m_status = head.status;
+    const std::string* request_id = FindHeader(head.headers, "x-request-id");
+    m_request_id = request_id != nullptr ? *request_id : "";
+  }
 
   void OnBody(std::string_view data) override {
     const std::shared_ptr<bool> alive = m_alive;
@@ -100,37 +153,30 @@
 
   std::string m_workspace;
   UsageSink* m_usage;
+  KvTransfer* m_kv;
   int64_t m_next_index;
   SampleObserver* m_observer;
   std::unique_ptr<DispatchRun> m_run;
   CompletionStream m_stream;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
   int m_status = 0;
+  std::string m_endpoint_id;
+  // Names the KV cache at the endpoint.
+  std::string m_request_id;
   bool m_broken = false;
   bool m_usage_added = false;
+  CallbackGuard m_guard;
 };
 
 }  // namespace
 
 std::unique_ptr<SampleRun> DispatchedSampleEngine::Start(const SampleRequest& request, SampleObserver* observer) {
-  DispatchRequest dispatch;
-  dispatch.service = request.service;
-  dispatch.workspace = request.workspace;
-  dispatch.work_class = WorkClass::kRollout;
-  dispatch.target = kTarget;
-  dispatch.headers = {{"content-type", "application/json"}};
-  dispatch.body = EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kRolloutPriority,
-                                      request.resume_text, request.resume_tokens);
-  dispatch.stream = true;
-  // What is resumed differs between attempts, so the fingerprint covers the sample as first sent.
-  const std::string first_body =
-      EncodeSampleRequest(request.model, request.prompt, request.max_tokens, kRolloutPriority, "", 0);
-  dispatch.fingerprint = RequestFingerprint(request.workspace, kTarget, first_body);
-  dispatch.prefix_hashes = PrefixHashes(request.prompt);
-  dispatch.excluded = request.excluded;
-  dispatch.min_weight_version = request.min_weight_version;
-  auto sample = std::make_unique<DispatchedSample>(request.workspace, m_usage, request.resume_tokens, observer);
-  sample->Begin(m_dispatcher, std::move(dispatch));
+  auto sample = std::make_unique<DispatchedSample>(request.workspace, m_usage, m_kv, request.resume_tokens, observer);
+  if (m_kv != nullptr && request.kv != nullptr) {
+    sample->BeginWithKv(m_dispatcher, request);
+  } else {
+    sample->Begin(m_dispatcher, MakeDispatchRequest(request, std::nullopt));
+  }
   return sample;
 }
 
--- a/src/daemon/dispatched_sample_engine.h
+++ b/src/daemon/dispatched_sample_engine.h
@@ -5,19 +5,23 @@
 #include "coordination/sample_engine.h"
 #include "coordination/usage_sink.h"
 #include "daemon/dispatcher.h"
+#include "daemon/kv_transfer.h"
 
 namespace quetzalridge {
 
 // Runs samples through the dispatcher with rollout priority.
 class DispatchedSampleEngine : public SampleEngine {
  public:
-  DispatchedSampleEngine(Dispatcher* dispatcher, UsageSink* usage) : m_dispatcher(dispatcher), m_usage(usage) {}
+  // Without `kv`, samples are resumed from their text only.
+  DispatchedSampleEngine(Dispatcher* dispatcher, UsageSink* usage, KvTransfer* kv = nullptr)
+      : m_dispatcher(dispatcher), m_usage(usage), m_kv(kv) {}
 
   std::unique_ptr<SampleRun> Start(const SampleRequest& request, SampleObserver* observer) override;
 
  private:
   Dispatcher* m_dispatcher;
   UsageSink* m_usage;
+  KvTransfer* m_kv;
 };
 
 }  // namespace quetzalridge
--- a/src/protocol/completion_request.cc
+++ b/src/protocol/completion_request.cc
@@ -111,13 +111,16 @@
 }
 
 std::string EncodeSampleRequest(const std::string& model, const std::string& prompt, int max_tokens, int priority,
-                                const std::string& resume_text, int64_t resume_tokens) {
+                                const std::string& resume_text, int64_t resume_tokens, const std::string& kv_handle) {
   Json json = {{"model", model}, {"prompt", prompt}, {"stream", true}, {"priority", priority}};
   if (max_tokens > 0) {
     json["max_tokens"] = max_tokens;
   }
   if (resume_tokens > 0 || !resume_text.empty()) {
     json["resume"] = {{"text", resume_text}, {"tokens", resume_tokens}};
+    if (!kv_handle.empty()) {
+      json["resume"]["kv"] = kv_handle;
+    }
   }
   return Dump(json);
 }
--- a/src/protocol/completion_request.h
+++ b/src/protocol/completion_request.h
@@ -20,8 +20,10 @@
 // Throws Error(kInvalidRequest) for malformed JSON, a missing model, or a field that is reserved for this service.
 CompletionRequest ParseCompletionRequest(const std::string& body, int priority);
 
-// A completions request for one sample of a rollout, which is streamed and goes on after `resume_text`.
+// A completions request for one sample of a rollout, which is streamed and goes on after `resume_text`. `kv_handle`
+// names a KV cache that was imported before; empty for none.
 std::string EncodeSampleRequest(const std::string& model, const std::string& prompt, int max_tokens, int priority,
-                                const std::string& resume_text, int64_t resume_tokens);
+                                const std::string& resume_text, int64_t resume_tokens,
+                                const std::string& kv_handle = "");
 
 }  // namespace quetzalridge
--- a/src/transport/engine_client.cc
+++ b/src/transport/engine_client.cc
@@ -54,6 +54,28 @@
       kMaxCacheEventBytes);
 }
 
+void EngineClient::ExportKv(const std::string& address, const std::string& request_id, Duration timeout,
+                            size_t max_bytes, std::function<void(std::optional<std::string>)> callback) {
+  m_client->Fetch(
+      SmallCall(address, "/kv/" + request_id, timeout),
+      [callback = std::move(callback)](const HttpResponse& response) {
+        callback(IsUsable(response) && !response.body.empty() ? std::optional<std::string>(response.body)
+                                                              : std::nullopt);
+      },
+      max_bytes);
+}
+
+void EngineClient::ImportKv(const std::string& address, const std::string& handle, std::string data, Duration timeout,
+                            std::function<void(bool)> callback) {
+  HttpCall call = SmallCall(address, "/kv/" + handle, timeout);
+  call.method = "PUT";
+  call.headers = {{"content-type", "application/octet-stream"}};
+  call.body = std::move(data);
+  m_client->Fetch(
+      std::move(call), [callback = std::move(callback)](const HttpResponse& response) { callback(IsUsable(response)); },
+      kMaxLoadBytes);
+}
+
 void EngineClient::Cancel(const std::string& address, const std::string& request_id) {
   HttpCall call = SmallCall(address, "/cancel");
   call.method = "POST";
--- a/src/transport/engine_client.h
+++ b/src/transport/engine_client.h
@@ -21,6 +21,12 @@
   void PollLoad(const std::string& address, std::function<void(const std::optional<EngineLoad>&)> callback);
   void PollCacheEvents(const std::string& address, int64_t since,
                        std::function<void(const std::optional<CacheEventBatch>&)> callback);
+  // The KV cache of a request; nothing when the engine did not yield it in time or it has more than `max_bytes`.
+  void ExportKv(const std::string& address, const std::string& request_id, Duration timeout, size_t max_bytes,
+                std::function<void(std::optional<std::string>)> callback);
+  // True when the engine took the KV cache.
+  void ImportKv(const std::string& address, const std::string& handle, std::string data, Duration timeout,
+                std::function<void(bool)> callback);
   // Tells the engine to drop a request; the outcome is not reported, since the closed connection says the same.
   void Cancel(const std::string& address, const std::string& request_id);
 
--- a/tests/coordination/group_runner_test.cc
+++ b/tests/coordination/group_runner_test.cc
@@ -1,6 +1,7 @@
 #include "coordination/group_runner.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <utility>
 
 #include "tests/fakes/fake_rollout_world.h"
@@ -161,6 +162,80 @@
   CHECK(runner.group().WastedTokens() == 0);
 }
 
+// A group of which one sample is slow, until it was moved.
+void MoveSlowSample(RunnerWorld* world, Duration time) {
+  world->engine.tokens_per_sample = 1000;
+  world->engine.slow_starts = 1;
+  world->engine.slow_factor = 10;
+  world->Start(9, 9);
+  world->scheduler.Advance(time);
+}
+
+// Guards against a cache that does not reach the new engine, against tokens that are lost during the export, and
+// against stamps of the moved sample that are not those of its tokens.
+TEST_CASE("a slow sample goes on from its cache with the tokens and stamps that it has by then") {
+  RunnerWorld world;
+  world.engine.kv = std::make_shared<const std::string>("cache");
+  world.engine.export_time = Duration::Milliseconds(450);
+  MoveSlowSample(&world, Duration::Milliseconds(1100));
+  // The swap comes in the middle of the stream, and before the move.
+  world.weights.version = 2;
+  world.scheduler.Advance(Duration::Seconds(4));
+  REQUIRE(world.engine.requests.size() == 10);
+  const SampleRequest moved = world.engine.requests.back();
+  CHECK(moved.kv == world.engine.kv);
+  world.scheduler.Advance(Duration::Seconds(60));
+  REQUIRE(world.completions == 1);
+  const std::vector<FinishedSample> samples = world.runner->group().Results();
+  for (const FinishedSample& sample : samples) {
+    REQUIRE(sample.runs.size() == 2);
+    // The text of the fake repeats the version of each token.
+    std::string text;
+    for (const WeightVersionRun& run : sample.runs) {
+      for (int64_t i = 0; i < run.tokens; ++i) {
+        text += "v" + std::to_string(run.version) + " ";
+      }
+    }
+    CHECK(sample.text == text);
+    CHECK(TokenCount(sample.runs) == 1000);
+  }
+  CHECK(samples[0].text.compare(0, moved.resume_text.size(), moved.resume_text) == 0);
+  CHECK(OldestVersion(samples[0].runs) == 1);
+}
+
+// Guards against a sample that waits for ever, or is lost, because its engine exports nothing.
+TEST_CASE("a slow sample goes on from its text when there is no cache") {
+  RunnerWorld world;
+  MoveSlowSample(&world, Duration::Seconds(4));
+  REQUIRE(world.engine.requests.size() == 10);
+  CHECK(world.engine.requests.back().kv == nullptr);
+  CHECK(world.engine.requests.back().resume_tokens > 0);
+}
+
+// Guards against a second copy of a sample that finished while its cache was exported.
+TEST_CASE("a sample that ends during the export is not moved") {
+  RunnerWorld world;
+  world.engine.export_time = Duration::Seconds(500);
+  MoveSlowSample(&world, Duration::Seconds(400));
+  CHECK(world.completions == 1);
+  CHECK(world.engine.requests.size() == 9);
+  CHECK(world.engine.live_runs() == 0);
+}
+
+// Guards against a cache that brings back text that is past the bound.
+TEST_CASE("a sample whose text is too old starts again without its cache") {
+  RunnerWorld world;
+  world.engine.kv = std::make_shared<const std::string>("cache");
+  world.engine.export_time = Duration::Seconds(2);
+  MoveSlowSample(&world, Duration::Seconds(2));
+  world.forecast.Observe(4, world.scheduler.Now());
+  world.scheduler.Advance(Duration::Seconds(3));
+  REQUIRE(world.engine.requests.size() == 10);
+  CHECK(world.engine.requests.back().kv == nullptr);
+  CHECK(world.engine.requests.back().resume_text.empty());
+  CHECK(world.engine.requests.back().min_weight_version == 2);
+}
+
 // Guards against surplus samples that start although no other sample holds up the group, and against a group that never
 // uses them.
 TEST_CASE("a surplus sample starts when another one is overdue") {
--- /dev/null
+++ b/tests/daemon/kv_transfer_test.cc
@@ -0,0 +1,189 @@
+#include "daemon/kv_transfer.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "daemon/dispatched_sample_engine.h"
+#include "protocol/sse_writer.h"
+#include "tests/daemon/caller_fixture.h"
+
+namespace quetzalridge {
+namespace {
+
+using Json = nlohmann::json;
+using Responder = std::shared_ptr<HttpResponder>;
+
+struct MovedSample : SampleObserver {
+  std::string text;
+  std::vector<int64_t> versions;
+  std::optional<SampleEnd> end;
+  void OnSampleStarted(const std::string&) override {}
+  void OnSampleToken(std::string_view token, int64_t version) override {
+    text.append(token);
+    versions.push_back(version);
+  }
+  void OnSampleEnd(SampleEnd sample_end) override { end = sample_end; }
+};
+
+// The slow engine e0 streams one token and goes on without end; e1 takes the rest.
+struct KvWorld {
+  KvWorld() {
+    request.service = "sort";
+    request.workspace = "a";
+    request.model = "m";
+    request.prompt = "hides";
+    request.excluded = {"e1"};
+    f.endpoints["e0"]->on_request = [this](const HttpRequest& call, const Responder& responder) {
+      if (call.path.rfind("/kv/", 0) != 0) {
+        request_id = *FindHeader(call.headers, "x-request-id");
+        responder->Start(200, FakeEndpoint::EchoHeaders(call, "text/event-stream"));
+        responder->Write(FakeEndpoint::TokenEvent("a", 0));
+        return;
+      }
+      exported_id = call.path.substr(4);
+      if (export_status != 0) {
+        responder->Send(export_status, {}, exported);
+      }
+    };
+    f.endpoints["e1"]->on_request = [this](const HttpRequest& call, const Responder& responder) {
+      if (call.path.rfind("/kv/", 0) == 0) {
+        handle = call.path.substr(4);
+        imported = call.body;
+        if (import_status != 0) {
+          responder->Send(import_status, {}, "{}");
+        }
+        return;
+      }
+      resumed = Json::parse(call.body).at("resume");
+      responder->Start(200, FakeEndpoint::EchoHeaders(call, "text/event-stream"));
+      responder->Write(FakeEndpoint::TokenEvent("b", 1) + EncodeSseEvent(kSseDone));
+      responder->End();
+    };
+  }
+
+  SampleKv Export() {
+    slow_run = engine.Start(request, &slow);
+    REQUIRE(f.Until([&] { return slow.text == "a"; }));
+    std::optional<SampleKv> kv;
+    slow_run->Export([&](SampleKv data) { kv = std::move(data); });
+    REQUIRE(f.Until([&] { return kv.has_value(); }));
+    return *kv;
+  }
+  // The rest of the sample at the other endpoint, which must be whole whatever became of the cache.
+  void Resume(SampleKv kv) {
+    slow_run.reset();
+    request.excluded = {"e0"};
+    request.resume_text = "a";
+    request.resume_tokens = 1;
+    request.kv = std::move(kv);
+    const std::unique_ptr<SampleRun> run = engine.Start(request, &rest);
+    request.kv.reset();
+    REQUIRE(f.Until([&] { return rest.end.has_value(); }));
+    CHECK(*rest.end == SampleEnd::kFinished);
+    CHECK(rest.text == "b");
+    CHECK(rest.versions == std::vector<int64_t>{7});
+    CHECK(resumed.at("text") == "a");
+    CHECK(resumed.at("tokens") == 1);
+  }
+  void CheckFromText() {
+    CHECK_FALSE(resumed.contains("kv"));
+    CHECK(f.Until([&] { return kv.held() == 0; }));
+  }
+
+  CallerFixture f{2};
+  KvTransfer kv{&f.engines, f.registry.get()};
+  DispatchedSampleEngine engine{f.dispatcher.get(), &f.usage, &kv};
+  SampleRequest request;
+  MovedSample slow;
+  MovedSample rest;
+  std::unique_ptr<SampleRun> slow_run;
+  int export_status = 200;
+  std::string exported = "cache";
+  int import_status = 200;
+  std::string request_id;
+  std::string exported_id;
+  std::string handle;
+  std::string imported;
+  Json resumed;
+};
+
+// Guards against a cache of another request, a handle that the engine does not know, and caches that are never
+// released.
+TEST_CASE("a sample goes on at another endpoint from its exported cache") {
+  KvWorld world;
+  const SampleKv kv = world.Export();
+  REQUIRE(kv != nullptr);
+  CHECK(world.kv.held() == 1);
+  CHECK(world.exported_id == world.request_id);
+  world.Resume(kv);
+  CHECK(world.imported == "cache");
+  CHECK(world.resumed.at("kv") == world.handle);
+}
+
+// Guards against samples that are lost because an engine does not yield the cache.
+TEST_CASE("a sample is resumed from its text when the export fails") {
+  const int status = GENERATE(404, 500, 0);
+  KvWorld world;
+  world.export_status = status;
+  const SampleKv kv = world.Export();
+  CHECK(kv == nullptr);
+  world.Resume(kv);
+  world.CheckFromText();
+}
+
+// Guards against caches that fill the memory of the instance.
+TEST_CASE("a cache above the bound is not held") {
+  KvWorld world;
+  world.exported = std::string(KvTransfer::kMaxBytes + 1, 'x');
+  const SampleKv kv = world.Export();
+  CHECK(kv == nullptr);
+  world.Resume(kv);
+  world.CheckFromText();
+}
+
+// Guards against many caches of the allowed size that together fill the memory.
+TEST_CASE("no more caches are held than the bound allows") {
+  KvWorld world;
+  std::vector<SampleKv> held{world.Export()};
+  const auto export_next = [&] {
+    std::optional<SampleKv> kv;
+    world.kv.Export("e0", world.request_id, [&](SampleKv data) { kv = std::move(data); });
+    REQUIRE(world.f.Until([&] { return kv.has_value(); }));
+    return *kv;
+  };
+  while (held.size() < static_cast<size_t>(KvTransfer::kMaxHeld)) {
+    held.push_back(export_next());
+    REQUIRE(held.back() != nullptr);
+  }
+  CHECK(export_next() == nullptr);
+  held.pop_back();
+  CHECK(export_next() != nullptr);
+}
+
+// Guards against samples that are lost because the new engine does not take the cache.
+TEST_CASE("a sample is resumed from its text when the import fails") {
+  const int status = GENERATE(409, 500, 0);
+  KvWorld world;
+  world.import_status = status;
+  SampleKv kv = world.Export();
+  REQUIRE(kv != nullptr);
+  world.Resume(std::move(kv));
+  world.CheckFromText();
+}
+
+// Guards against a callback into a sample that ended while its cache was exported.
+TEST_CASE("an export ends with its sample") {
+  KvWorld world;
+  world.export_status = 0;
+  world.slow_run = world.engine.Start(world.request, &world.slow);
+  REQUIRE(world.f.Until([&] { return world.slow.text == "a"; }));
+  bool called = false;
+  world.slow_run->Export([&](const SampleKv&) { called = true; });
+  REQUIRE(world.f.Until([&] { return !world.exported_id.empty(); }));
+  world.slow_run.reset();
+  CHECK(world.f.Until([&] { return world.kv.held() == 0; }));
+  CHECK_FALSE(called);
+}
+
+}  // namespace
+}  // namespace quetzalridge
--- a/tests/fakes/fake_rollout_world.h
+++ b/tests/fakes/fake_rollout_world.h
@@ -141,6 +141,9 @@
   bool true_stamps = true;
   // Runs that end as quarantined, counted down.
   int quarantined_starts = 0;
+  // What engines export; null when they export nothing. The export takes this long.
+  SampleKv kv;
+  Duration export_time = Duration::Milliseconds(1);
   // Runs whose token times are multiplied by `slow_factor`, counted down.
   int slow_starts = 0;
   int64_t slow_factor = 100;
@@ -163,6 +166,10 @@
       m_timer = engine->m_scheduler->After(Duration::Milliseconds(1), [this] { Begin(); });
     }
     ~Run() override { --*m_live; }
+    void Export(std::function<void(SampleKv)> callback) override {
+      m_export = m_engine->m_scheduler->After(m_engine->export_time,
+                                              [kv = m_engine->kv, callback = std::move(callback)] { callback(kv); });
+    }
 
    private:
     void Begin() {
@@ -202,6 +209,7 @@
     int64_t m_slow = 1;
     std::shared_ptr<int> m_live;
     std::unique_ptr<Timer> m_timer;
+    std::unique_ptr<Timer> m_export;
   };
 
   Scheduler* m_scheduler;
--- a/tools/experiment/straggler_experiment.cc
+++ b/tools/experiment/straggler_experiment.cc
@@ -25,6 +25,8 @@
 // The engine model of docs/measurements.md. The cache of a replica holds the prompt of a group only where it ran.
 constexpr int64_t kPromptTokens = 1736;
 constexpr int64_t kPrefillTokensPerSecond = 6000;
+// The daemon reads a KV cache and writes it again; each way takes half of the time that the prefill takes.
+constexpr int64_t kKvTokensPerSecond = 12'000;
 // Long-tailed lengths: a median of 200 tokens, and one sample in 40 above 800.
 constexpr double kLogTokensMean = 5.3;
 constexpr double kLogTokensDeviation = 0.7;
@@ -58,6 +60,7 @@
   int groups_ahead = 0;
   // The default of a profile; before this choice it was 2.
   double straggler_factor = 3.0;
+  bool export_kv = false;
 };
 
 using S = StragglerStrategy;
@@ -75,6 +78,7 @@
     {"run_time_copy_surplus", S::kSecondCopyFromText, R::kRunTime, kSurplusPerGroup, U::kAtOnce, true, true, 0, 2},
     {"token_time_copy", S::kSecondCopyFromText, R::kTokenTime},
     {"token_time_resume", S::kResume, R::kTokenTime},
+    {"token_time_resume_kv", S::kResume, R::kTokenTime, 0, U::kAtOnce, true, true, 0, 3, true},
     {"token_time_resume_late_surplus", S::kResume, R::kTokenTime, kSurplusPerGroup, U::kWhenOverdue},
     {"token_time_resume_late_surplus_factor_2", S::kResume, R::kTokenTime, kSurplusPerGroup, U::kWhenOverdue, true,
      true, 0, 2},
@@ -83,6 +87,7 @@
     {"run_time_copy_ahead_4", S::kSecondCopyFromText, R::kRunTime, 0, U::kAtOnce, true, true, 4, 2},
     {"token_time_resume_ahead_2", S::kResume, R::kTokenTime, 0, U::kAtOnce, true, true, 2},
     {"token_time_resume_ahead_4", S::kResume, R::kTokenTime, 0, U::kAtOnce, true, true, 4},
+    {"token_time_resume_kv_ahead_4", S::kResume, R::kTokenTime, 0, U::kAtOnce, true, true, 4, 3, true},
     {"token_time_resume_ahead_8", S::kResume, R::kTokenTime, 0, U::kAtOnce, true, true, 8},
     {"token_time_resume_late_surplus_ahead_4", S::kResume, R::kTokenTime, kSurplusPerGroup, U::kWhenOverdue, true, true,
      4},
@@ -106,8 +111,8 @@
 // only, so that every strategy meets the same ones.
 class SimulatedEngines : public SampleEngine {
  public:
-  SimulatedEngines(ManualScheduler* scheduler, const Deployment& deployment, uint64_t seed)
-      : m_scheduler(scheduler), m_seed(seed) {
+  SimulatedEngines(ManualScheduler* scheduler, const Deployment& deployment, uint64_t seed, bool export_kv)
+      : m_scheduler(scheduler), m_seed(seed), m_export_kv(export_kv) {
     for (int i = 0; i < deployment.replicas; ++i) {
       m_replicas.push_back({"replica-" + std::to_string(i), i % deployment.zones, 0, 1});
     }
@@ -143,6 +148,16 @@
     }
     ~Run() override { Leave(); }
 
+    void Export(std::function<void(SampleKv)> callback) override {
+      if (!m_engines->m_export_kv || m_tokens == 0) {
+        callback(nullptr);
+        return;
+      }
+      const auto kv = std::make_shared<const std::string>(std::to_string(m_tokens));
+      const Duration time = Duration::Milliseconds((kPromptTokens + m_tokens) * 1000 / kKvTokensPerSecond);
+      m_export = m_engines->m_scheduler->After(time, [kv, callback = std::move(callback)] { callback(kv); });
+    }
+
     size_t replica() const { return m_replica; }
     void Interrupt() {
       Leave();
@@ -202,6 +217,7 @@
     int64_t m_length = 0;
     size_t m_trace = 0;
     std::unique_ptr<Timer> m_timer;
+    std::unique_ptr<Timer> m_export;
   };
 
   int Choose(const SampleRequest& request) const {
@@ -234,9 +250,10 @@
   }
 
   Duration PrefillTime(const SampleRequest& request) {
-    const int64_t tokens = kPromptTokens + request.resume_tokens;
+    const int64_t covered = request.kv != nullptr ? kPromptTokens + std::stoll(*request.kv) : 0;
+    const int64_t tokens = kPromptTokens + request.resume_tokens - covered;
     m_resumed_prefill += request.resume_tokens > 0 ? tokens : 0;
-    return Duration::Milliseconds(tokens * 1000 / kPrefillTokensPerSecond);
+    return Duration::Milliseconds(tokens * 1000 / kPrefillTokensPerSecond + covered * 1000 / kKvTokensPerSecond);
   }
 
   Duration TokenTime(size_t replica) const {
@@ -257,6 +274,7 @@
 
   ManualScheduler* m_scheduler;
   uint64_t m_seed;
+  bool m_export_kv;
   std::vector<Replica> m_replicas;
   // By the order of their start, which is the same in each execution of the program.
   std::map<uint64_t, Run*> m_runs;
@@ -274,7 +292,7 @@
 class StragglerRun {
  public:
   StragglerRun(const Deployment& deployment, uint64_t seed, const Strategy& strategy)
-      : m_strategy(strategy), m_engines(&m_scheduler, deployment, seed) {}
+      : m_strategy(strategy), m_engines(&m_scheduler, deployment, seed, strategy.export_kv) {}
 
   // A step's samples are generated while the trainer works on the step before; it idles for the rest.
   StragglerResult Run() {
