--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -189,7 +189,8 @@
         m_dispatcher({loop, &m_config, &m_endpoints, &m_engines, &m_router, &m_admission, &m_quarantine},
                      DispatchOptions(m_settings, mechanisms)),
         m_load_exchange(loop, &m_endpoints, MakeLoadHooks()),
-        m_sample_engine(&m_dispatcher, &m_usage),
+        m_kv_transfer(&m_engines, &m_endpoints),
+        m_sample_engine(&m_dispatcher, &m_usage, &m_kv_transfer),
         m_once(&m_table, loop, m_settings.instance.id + "/" + m_incarnation),
         m_engine_control(&m_client),
         m_targets(
@@ -403,6 +404,7 @@
   EndpointRegistry m_endpoints;
   Dispatcher m_dispatcher;
   LoadExchange m_load_exchange;
+  KvTransfer m_kv_transfer;
   DispatchedSampleEngine m_sample_engine;
   OnceLedger m_once;
   HttpEngineControl m_engine_control;
