Make the history tests independent of what runs beside them

* "a paused instance serves again" saw a paused instance answer.
When the shell that started the test ends, the kernel continues the stopped members of the group.
Each process now has a group of its own.

No bound was changed.

New cases on real processes: a key in a trailer, a queue of another workspace, and the weight store down.

--- a/tests/history/child_process.cc
+++ b/tests/history/child_process.cc
@@ -37,6 +37,9 @@
   }
   // No process is left behind when the test program is ended from outside.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // When a group loses its last parent outside, the kernel continues its stopped members. In the group of the test that
+  // would end a pause when the shell that started the test goes away.
+  setpgid(0, 0);
   const int log = open(m_log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
--- a/tests/history/keys_test.cc
+++ b/tests/history/keys_test.cc
@@ -1,9 +1,17 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <functional>
+#include <nlohmann/json.hpp>
 
+#include "standins/common/token_text.h"
 #include "tests/history/checks.h"
 #include "tests/history/deployment.h"
 #include "tests/history/monitor.h"
+#include "tests/history/trainer.h"
 
 namespace quetzalridge::history {
 namespace {
@@ -117,5 +125,86 @@
   CHECK(deployment.Judge() == Violations{});
 }
 
+// Sends bytes that the HTTP client cannot send, and returns the answer up to the end of its head.
+std::string SendRaw(ProcessHarness* harness, const std::string& address, const std::string& bytes) {
+  const size_t colon = address.rfind(':');
+  sockaddr_in server{};
+  server.sin_family = AF_INET;
+  server.sin_port = htons(static_cast<uint16_t>(std::stoi(address.substr(colon + 1))));
+  inet_pton(AF_INET, address.substr(0, colon).c_str(), &server.sin_addr);
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&server), sizeof(server)) == 0);
+  REQUIRE(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  std::string answer;
+  harness->WaitUntil([&] {
+    char buffer[4096];
+    const ssize_t size = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+    answer.append(buffer, size > 0 ? static_cast<size_t>(size) : 0);
+    return size == 0 || answer.find("\r\n\r\n") != std::string::npos;
+  });
+  close(fd);
+  return answer;
+}
+
+// Guards against a key that reaches an endpoint as a trailer of a chunked request.
+TEST_CASE("no endpoint sees a key in a trailer", "[daemon]") {
+  Deployment deployment(34);
+  const std::string& key = deployment.caller(0).key;
+  const std::string head =
+      "POST /s/score/score HTTP/1.1\r\nhost: entry\r\ncontent-type: text/plain\r\nx-api-key: " + key +
+      "\r\ntransfer-encoding: chunked\r\ntrailer: x-api-key, x-late\r\n\r\n";
+  const std::string answer = SendRaw(deployment.harness(), deployment.daemon(1)->caller_address,
+                                     head + "4\r\nbody\r\n0\r\nx-api-key: " + key + "\r\nx-late: " + key + "\r\n\r\n");
+  CHECK(answer.compare(0, 12, "HTTP/1.1 200") == 0);
+  CHECK(deployment.Judge() == Violations{});
+  CHECK(!deployment.history()->endpoint_requests.empty());
+}
+
+// Guards against a queue that takes work from, or hands samples to, another workspace.
+TEST_CASE("a queue serves its own workspace only", "[daemon]") {
+  Deployment deployment(35);
+  ProcessHarness* harness = deployment.harness();
+  Trainer owner(&deployment, "owner", {});
+  owner.Start();
+  int tries = 0;
+  int answered = 0;
+  const auto post = [&](const std::string& action, const std::string& body, const std::string& hash) {
+    const DaemonProcess& daemon = *deployment.daemon(tries++ % 3);
+    HttpCall call;
+    call.address = daemon.caller_address;
+    call.method = "POST";
+    call.target = "/v1/rollouts/queue/" + action;
+    call.headers = {{"content-type", "application/json"}, {"authorization", "Bearer " + deployment.caller(1).key}};
+    call.body = body;
+    const HttpResponse response = harness->Call(call);
+    answered += response.status > 0 ? 1 : 0;
+    Call log;
+    log.instance = daemon.id;
+    log.workspace = deployment.caller(1).workspace;
+    log.is_authorized = false;
+    log.hash = hash;
+    log.text = hash;
+    log.status = response.status;
+    log.outcome = response.status >= 200 && response.status < 300 ? Outcome::kOk : Outcome::kFail;
+    deployment.history()->calls.push_back(log);
+  };
+  do {
+    const std::string prompt = deployment.UniqueText("foreign");
+    const nlohmann::json group = {{"id", "foreign-" + std::to_string(tries)},
+                                  {"prompt", prompt},
+                                  {"samples", 1},
+                                  {"needed", 1},
+                                  {"max_tokens", 4},
+                                  {"model", "model"}};
+    post("groups", nlohmann::json{{"step", 0}, {"groups", {group}}}.dump(), PromptHash(prompt));
+    post("fetch", R"({"max_samples":1,"wait_ms":100})", "fetch " + std::to_string(tries));
+    post("confirm", R"({"batch":1})", "confirm " + std::to_string(tries));
+  } while (!owner.done() && tries < 300);
+  REQUIRE(harness->WaitUntil([&] { return owner.done(); }));
+  deployment.history()->expects_all_samples = true;
+  CHECK(deployment.Judge() == Violations{});
+  CHECK(answered == tries);
+}
+
 }  // namespace
 }  // namespace quetzalridge::history
--- a/tests/history/samples_test.cc
+++ b/tests/history/samples_test.cc
@@ -85,5 +85,31 @@
   FinishAndJudge(&deployment, trainer);
 }
 
+// Guards against samples that are handed over while the newest weight version cannot be read: what is fresh then is not
+// known.
+TEST_CASE("no sample is handed over while the weight store is down", "[daemon]") {
+  DeploymentOptions options;
+  options.staleness_bound = 1;
+  Deployment deployment(54, options);
+  ProcessHarness* harness = deployment.harness();
+  TrainerOptions training;
+  training.steps = 3;
+  training.max_tokens = 40;
+  Trainer trainer(&deployment, "trainer", training);
+  trainer.Start();
+  harness->SetFaults(*harness->platform(), R"({"weights_down":true})");
+  const int64_t down_ms = harness->NowMs();
+  harness->RunFor(Duration::Seconds(4));
+  const int64_t up_ms = harness->NowMs();
+  CHECK_FALSE(trainer.done());
+  harness->SetFaults(*harness->platform(), R"({"weights_down":null})");
+  harness->PublishWeights("default", 2);
+  FinishAndJudge(&deployment, trainer);
+  // A version that was read just before the outage holds for 500 ms, and the answer may be under way for 100 ms.
+  for (const DeliveredBatch& batch : deployment.history()->batches) {
+    CHECK((batch.received_ms < down_ms + 600 || batch.received_ms > up_ms));
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge::history
