Answer slow and large request heads with typed errors

Before: a head of 300 KB was accepted, and a request that was not whole after limits.request_read_timeout_ms (a half head, a trickling head or body, a content-length longer than the body) was closed without an answer, so a caller could not tell whether it ran.

Now limits.max_head_bytes (32 KB) refuses large heads with 413, and the server's own timer answers 408 request_timeout with `ran: no`. It writes past the HTTP library, which has no hook for its read timeout; the library's own close follows 1 s later. What arrives after the 408 is not run. An idle connection gets no answer, because a caller could take one for that to its next request. An exception in a handler is answered as JSON too.

Not reachable: the library answers a head that it cannot parse in plain text, and it hides the framing headers, so two content-length headers, or one next to chunks, are not refused.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -13,6 +13,7 @@
 constexpr ErrorCodeEntry kErrorCodes[] = {
     {ErrorCode::kInvalidRequest, "invalid_request", 400},
     {ErrorCode::kInvalidSettings, "invalid_settings", 500},
+    {ErrorCode::kRequestTimeout, "request_timeout", 408},
     {ErrorCode::kPayloadTooLarge, "payload_too_large", 413},
     {ErrorCode::kMethodNotAllowed, "method_not_allowed", 405},
     {ErrorCode::kNotFound, "not_found", 404},
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -10,6 +10,7 @@
 enum class ErrorCode {
   kInvalidRequest,
   kInvalidSettings,
+  kRequestTimeout,
   kPayloadTooLarge,
   kMethodNotAllowed,
   kNotFound,
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -93,6 +93,7 @@
   options.ip = host_port.ip;
   options.port = host_port.port;
   options.max_body_bytes = settings.limits.max_body_bytes;
+  options.max_head_bytes = settings.limits.max_head_bytes;
   options.request_timeout = settings.limits.request_read_timeout;
   return options;
 }
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -134,6 +134,7 @@
       AddressField("platform.address", &s->platform.address),
       StringField("admin.token", &s->admin.token, false),
       IntField("limits.max_body_bytes", &s->limits.max_body_bytes, 1024, 64 << 20),
+      IntField("limits.max_head_bytes", &s->limits.max_head_bytes, 1024, 256 << 10),
       DurationField("limits.request_read_timeout_ms", &s->limits.request_read_timeout, 100, kHourMs),
       DurationField("limits.connect_timeout_ms", &s->limits.connect_timeout, 10, kHourMs),
       DurationField("limits.first_token_timeout_ms", &s->limits.first_token_timeout, 10, kHourMs),
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -41,6 +41,7 @@
 
   struct Limits {
     int max_body_bytes = 1 << 20;
+    int max_head_bytes = 32 << 10;
     Duration request_read_timeout = Duration::Seconds(10);
     Duration connect_timeout = Duration::Seconds(1);
     Duration first_token_timeout = Duration::Seconds(30);
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -11,6 +11,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <map>
 #include <new>
 #include <stdexcept>
 #include <vector>
@@ -25,6 +26,8 @@
 
 constexpr int kListenBacklog = 512;
 constexpr int kStatusPayloadTooLarge = 413;
+// The HTTP library closes a late connection without an answer; it does so this much after the server's own answer.
+constexpr Duration kLibraryGrace = Duration::Seconds(1);
 // Callers that have gone are noticed within this time.
 constexpr Duration kCallerCheck = Duration::Milliseconds(250);
 
@@ -197,16 +200,39 @@
   bool m_final_sent = false;
 };
 
+// One accepted connection, between its accept and its close.
+struct Connection {
+  h2o_socket_t* socket = nullptr;
+  // Bytes read when the present request could begin.
+  size_t bytes_before = 0;
+  // No further request of this connection is run.
+  bool refused = false;
+  // Runs while a whole request is awaited.
+  std::unique_ptr<Timer> deadline;
+};
+
 // Keeps the responder alive in the request's memory pool until h2o disposes the request.
 struct ResponderHolder {
   std::shared_ptr<H2oResponder> responder;
+  std::function<void()> disposed;
 };
 
 void DisposeHolder(void* memory) {
   auto* holder = static_cast<ResponderHolder*>(memory);
-  std::shared_ptr<H2oResponder> responder = std::move(holder->responder);
+  const ResponderHolder last = std::move(*holder);
   holder->~ResponderHolder();
-  responder->OnDisposed();
+  last.responder->OnDisposed();
+  last.disposed();
+}
+
+// Of the request line and the headers as the caller sent them, within a few bytes.
+size_t HeadBytes(const h2o_req_t* request) {
+  constexpr size_t kSeparators = 4;
+  size_t bytes = request->method.len + request->path.len + request->authority.len + kSeparators;
+  for (size_t i = 0; i < request->headers.size; ++i) {
+    bytes += request->headers.entries[i].name->len + request->headers.entries[i].value.len + kSeparators;
+  }
+  return bytes;
 }
 
 // Replaces the text of h2o's own refusals, such as that of a body over the limit, by the typed error body.
@@ -275,7 +301,7 @@
       : m_loop(loop), m_options(std::move(options)), m_handler(handler) {
     h2o_config_init(&m_config);
     m_config.max_request_entity_size = m_options.max_body_bytes;
-    m_config.http1.req_timeout = m_options.request_timeout.ms();
+    m_config.http1.req_timeout = (m_options.request_timeout + (AnswersLate() ? kLibraryGrace : Duration())).ms();
     m_config.http1.upgrade_to_http2 = 0;
     m_config.server_name = h2o_iovec_init(H2O_STRLIT("quetzalridge"));
     h2o_hostconf_t* host = h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -306,7 +332,7 @@
     h2o_context_request_shutdown(&m_context);
   }
 
-  int open_connections() const { return m_open_connections; }
+  int open_connections() const { return static_cast<int>(m_connections.size()); }
 
   bool ReloadTls() {
     SSL_CTX* context = CreateTlsContext(m_options);
@@ -328,19 +354,82 @@
 
   static int OnRequest(h2o_handler_t* self, h2o_req_t* request) {
     Impl* owner = reinterpret_cast<RequestHandler*>(self)->owner;
+    h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
     auto responder = std::make_shared<H2oResponder>(request);
     void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ResponderHolder), &DisposeHolder);
-    new (memory) ResponderHolder{responder};
+    new (memory) ResponderHolder{responder, [owner, socket] { owner->AwaitRequest(socket); }};
     owner->Watch(responder);
     try {
-      owner->m_handler->OnRequest(ReadRequest(request), responder);
+      owner->Handle(request, socket, responder);
     } catch (const std::exception& error) {
       // A C frame is above; no exception may pass through it.
-      responder->Send(500, {{"content-type", "text/plain"}}, std::string(error.what()) + "\n");
+      SendError(responder.get(), ErrorCode::kInternal, std::string(error.what()) + "; report it", Ran::kUnknown);
     }
     return 0;
   }
 
+  static void SendError(H2oResponder* responder, ErrorCode code, const std::string& message, Ran ran) {
+    responder->Send(ErrorCodeHttpStatus(code), {{"content-type", "application/json"}},
+                    EncodeErrorBody(code, message, ran));
+  }
+
+  void Handle(h2o_req_t* request, h2o_socket_t* socket, const std::shared_ptr<H2oResponder>& responder) {
+    const auto connection = m_connections.find(socket);
+    if (connection != m_connections.end()) {
+      connection->second->deadline.reset();
+      if (connection->second->refused) {
+        responder->Abort();
+        return;
+      }
+    }
+    if (HeadBytes(request) > m_options.max_head_bytes) {
+      request->http1_is_persistent = 0;
+      SendError(responder.get(), ErrorCode::kPayloadTooLarge,
+                "the request line and headers are larger than " + std::to_string(m_options.max_head_bytes) +
+                    " bytes; send fewer or shorter headers",
+                Ran::kNo);
+      return;
+    }
+    m_handler->OnRequest(ReadRequest(request), responder);
+  }
+
+  // The answer is written to the socket past the HTTP library, which is possible without TLS only.
+  bool AnswersLate() const { return m_options.tls_certificate_file.empty(); }
+
+  // A whole request must follow within the timeout, however slowly it comes.
+  void AwaitRequest(h2o_socket_t* socket) {
+    const auto found = m_connections.find(socket);
+    if (found == m_connections.end() || !AnswersLate()) {
+      return;
+    }
+    Connection* connection = found->second.get();
+    connection->bytes_before = socket->bytes_read;
+    connection->deadline = m_loop->After(m_options.request_timeout, [this, connection] { OnLate(connection); });
+  }
+
+  // An idle connection is closed without an answer, since a caller could take one for that to its next request.
+  void OnLate(Connection* connection) {
+    h2o_socket_t* socket = connection->socket;
+    const int fd = h2o_socket_get_fd(socket);
+    // What still arrives is not run, because nothing can be answered any more.
+    connection->refused = true;
+    if (socket->bytes_read <= connection->bytes_before && socket->input->size == 0) {
+      shutdown(fd, SHUT_RDWR);
+      return;
+    }
+    const std::string body =
+        EncodeErrorBody(ErrorCode::kRequestTimeout,
+                        "the whole request did not arrive within " + std::to_string(m_options.request_timeout.ms()) +
+                            " ms; check its content-length and send it again without pauses",
+                        Ran::kNo);
+    const std::string answer = "HTTP/1.1 " + std::to_string(ErrorCodeHttpStatus(ErrorCode::kRequestTimeout)) +
+                               " Error\r\ncontent-type: application/json\r\nconnection: close\r\ncontent-length: " +
+                               std::to_string(body.size()) + "\r\n\r\n" + body;
+    send(fd, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    // The caller may still send; the library reads that and closes, so that no reset overtakes the answer.
+    shutdown(fd, SHUT_WR);
+  }
+
   void Watch(const std::shared_ptr<H2oResponder>& responder) {
     m_watched.push_back(responder);
     if (m_watch_timer == nullptr) {
@@ -364,6 +453,23 @@
     }
   }
 
+  struct CloseNotice {
+    Impl* owner;
+    h2o_socket_t* socket;
+  };
+
+  void AddConnection(h2o_socket_t* socket) {
+    auto connection = std::make_unique<Connection>();
+    connection->socket = socket;
+    m_connections[socket] = std::move(connection);
+    socket->on_close.cb = [](void* data) {
+      const std::unique_ptr<CloseNotice> notice(static_cast<CloseNotice*>(data));
+      notice->owner->m_connections.erase(notice->socket);
+    };
+    socket->on_close.data = new CloseNotice{this, socket};
+    AwaitRequest(socket);
+  }
+
   static void OnAccept(h2o_socket_t* listener, const char* error) {
     auto* owner = static_cast<Impl*>(listener->data);
     if (error != nullptr) {
@@ -374,9 +480,7 @@
       if (socket == nullptr) {
         return;
       }
-      ++owner->m_open_connections;
-      socket->on_close.cb = [](void* data) { --static_cast<Impl*>(data)->m_open_connections; };
-      socket->on_close.data = owner;
+      owner->AddConnection(socket);
       h2o_accept(&owner->m_accept, socket);
     }
   }
@@ -423,7 +527,7 @@
   h2o_accept_ctx_t m_accept{};
   h2o_socket_t* m_listener = nullptr;
   int m_port = 0;
-  int m_open_connections = 0;
+  std::map<h2o_socket_t*, std::unique_ptr<Connection>> m_connections;
   std::vector<std::weak_ptr<H2oResponder>> m_watched;
   std::unique_ptr<Timer> m_watch_timer;
 };
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -45,7 +45,9 @@
   // 0 lets the system choose; see HttpServer::port.
   int port = 0;
   size_t max_body_bytes = 1 << 20;
-  // From accept to the last byte of the request, and between requests of a connection.
+  // Of the request line and the headers together.
+  size_t max_head_bytes = 32 << 10;
+  // From accept to the last byte of the request, and between requests of a connection. Later bytes do not extend it.
   Duration request_timeout = Duration::Seconds(10);
   // PEM files; empty for plain TCP.
   std::string tls_certificate_file;
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -10,9 +10,12 @@
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <cstdio>
 #include <filesystem>
 #include <functional>
+#include <memory>
+#include <vector>
 
 #include "base/random.h"
 #include "transport/http_client.h"
@@ -56,12 +59,15 @@
   std::string Receive() {
     char buffer[65536];
     const ssize_t size = recv(m_fd, buffer, sizeof(buffer), 0);
+    m_closed = m_closed || size == 0 || (size < 0 && errno == ECONNRESET);
     return size > 0 ? std::string(buffer, static_cast<size_t>(size)) : "";
   }
   int fd() const { return m_fd; }
+  bool closed() const { return m_closed; }
 
  private:
   int m_fd;
+  bool m_closed = false;
 };
 
 struct Fixture {
@@ -73,6 +79,22 @@
     }
     return condition();
   }
+  // Sends the pieces with pauses in between, and collects what comes until the server closes.
+  std::string ReceiveUntilClosed(const std::vector<std::string>& pieces, Duration pause = Duration()) {
+    RawConnection connection(server.port());
+    std::string answer;
+    size_t sent = 0;
+    TimePoint next = loop.clock().Now();
+    REQUIRE(Until([&] {
+      if (sent < pieces.size() && loop.clock().Now() >= next) {
+        connection.Send(pieces[sent++]);
+        next = loop.clock().Now() + pause;
+      }
+      answer += connection.Receive();
+      return connection.closed();
+    }));
+    return answer;
+  }
   std::string Exchange(const std::string& data) {
     RawConnection connection(server.port());
     connection.Send(data);
@@ -110,6 +132,125 @@
   CHECK(f.handler.requests == 0);
 }
 
+struct RefusedCase {
+  std::string name;
+  std::string request;
+  std::string status;
+  // Empty where the HTTP library answers by itself.
+  std::string code;
+};
+
+std::vector<RefusedCase> RefusedCases() {
+  const std::string post = "POST / HTTP/1.1\r\nhost: x\r\n";
+  std::string many_headers = "GET / HTTP/1.1\r\nhost: x\r\n";
+  for (int i = 0; i < 150; ++i) {
+    many_headers += "a" + std::to_string(i) + ": b\r\n";
+  }
+  return {
+      {"not HTTP", "hello world\r\n\r\n", "400", ""},
+      {"malformed header", "GET / HTTP/1.1\r\nho st x\r\n\r\n", "400", ""},
+      {"too many headers", many_headers + "\r\n", "400", ""},
+      {"head over the limit", "GET / HTTP/1.1\r\nhost: x\r\na: " + std::string(2000, 'y') + "\r\n\r\n", "413",
+       "payload_too_large"},
+      {"length is not a number", post + "content-length: abc\r\n\r\nabc", "400", "invalid_request"},
+      {"negative length", post + "content-length: -3\r\n\r\nabc", "400", "invalid_request"},
+      {"unknown transfer encoding", post + "transfer-encoding: gzip\r\n\r\nabc", "400", "invalid_request"},
+      {"malformed chunk", post + "transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n", "400", "invalid_request"},
+      {"half a head", "GET / HTTP/1.1\r\nho", "408", "request_timeout"},
+      {"length longer than the body", post + "content-length: 10\r\n\r\nabc", "408", "request_timeout"},
+      {"half a chunk", post + "transfer-encoding: chunked\r\n\r\n5\r\nab", "408", "request_timeout"},
+  };
+}
+
+// Guards against refusals that a caller cannot read, and against malformed requests that are run.
+TEST_CASE("malformed, large and late requests are refused as not run") {
+  HttpServerOptions options;
+  options.max_head_bytes = 1500;
+  options.request_timeout = Duration::Milliseconds(300);
+  Fixture f(options);
+  for (const RefusedCase& refused : RefusedCases()) {
+    const std::string answer = f.ReceiveUntilClosed({refused.request});
+    INFO(refused.name << ": " << answer);
+    CHECK(answer.find("HTTP/1.1 " + refused.status) == 0);
+    if (!refused.code.empty()) {
+      CHECK(answer.find("application/json") != std::string::npos);
+      CHECK(answer.find("\"code\":\"" + refused.code + "\"") != std::string::npos);
+      CHECK(answer.find("\"ran\":\"no\"") != std::string::npos);
+    }
+  }
+  CHECK(f.handler.requests == 0);
+}
+
+// Guards against senders that hold a connection for ever by sending a byte now and then, and against a request that is
+// run after its caller was told that it was not.
+TEST_CASE("a request that trickles in is refused as a whole") {
+  HttpServerOptions options;
+  options.request_timeout = Duration::Milliseconds(300);
+  Fixture f(options);
+  const std::string head = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 8\r\n\r\n";
+  for (const std::string& start : {std::string(), head}) {
+    std::vector<std::string> pieces = {start};
+    for (const char byte : start.empty() ? head + "12345678" : std::string("12345678")) {
+      pieces.emplace_back(1, byte);
+    }
+    const std::string answer = f.ReceiveUntilClosed(pieces, Duration::Milliseconds(60));
+    INFO(answer);
+    CHECK(answer.find("HTTP/1.1 408") == 0);
+    CHECK(answer.find("\"code\":\"request_timeout\"") != std::string::npos);
+  }
+  CHECK(f.handler.requests == 0);
+}
+
+// Guards against an answer to no request, which a caller could take for that to its next one.
+TEST_CASE("idle connections are closed without an answer and disturb nobody") {
+  constexpr int kIdle = 200;
+  HttpServerOptions options;
+  options.request_timeout = Duration::Milliseconds(500);
+  Fixture f(options);
+  std::vector<std::unique_ptr<RawConnection>> idle;
+  for (int i = 0; i < kIdle; ++i) {
+    idle.push_back(std::make_unique<RawConnection>(f.server.port()));
+    if (i % 50 == 0) {
+      f.loop.RunOnce(Duration());
+    }
+  }
+  // Half of them have had an answer.
+  std::string answers;
+  for (int i = 0; i < kIdle; i += 2) {
+    idle[i]->Send("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+  }
+  REQUIRE(f.Until([&] { return f.handler.requests == kIdle / 2; }));
+  const std::string whole = f.Exchange("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nwhole");
+  CHECK(whole.find("whole") != std::string::npos);
+  REQUIRE(f.Until([&] { return f.server.open_connections() == 0; }));
+  for (int i = 0; i < kIdle; ++i) {
+    const std::string received = idle[i]->Receive();
+    const bool was_answered = i % 2 == 0;
+    CHECK((received.find("HTTP/1.1 200") == 0) == was_answered);
+    CHECK(received.find("408") == std::string::npos);
+  }
+}
+
+// Guards against a deadline that ends a request while its answer is due, or that is not renewed after an answer.
+TEST_CASE("the deadline counts only while a request is awaited") {
+  HttpServerOptions options;
+  options.request_timeout = Duration::Milliseconds(200);
+  Fixture f(options);
+  RawConnection connection(f.server.port());
+  connection.Send("GET /hold HTTP/1.1\r\nhost: x\r\n\r\n");
+  REQUIRE(f.Until([&] { return f.handler.requests == 1; }));
+  const TimePoint waited = f.loop.clock().Now() + options.request_timeout * 3;
+  f.Until([&] { return f.loop.clock().Now() >= waited; });
+  f.handler.held->Send(200, {}, "held");
+  std::string answer;
+  REQUIRE(f.Until([&] {
+    answer += connection.Receive();
+    return answer.find("held") != std::string::npos;
+  }));
+  connection.Send("GET /hold HTTP/1.1\r\nhost: x\r\n\r\n");
+  REQUIRE(f.Until([&] { return f.handler.requests == 2; }));
+}
+
 // Guards against work that goes on for a caller that has closed its connection while it waited.
 TEST_CASE("a caller that closes while it waits is noticed") {
   Fixture f;
