Read addresses in one place, and survive a malformed one

"ip:port" was read in four places by four rules. On a running daemon, `endpoint set e ... address=bad` was accepted, and 0.4 s later HttpClient threw in a timer callback: the process ended with settings_rejected, and so would every instance that applies the change, also after a restart. An address in the platform's instance list takes the same path. Further differences: atoi took "80x" as port 80, and strtoul took "+80".

ParseIpPort (src/base/ip_port.h) is now the only reader. The configuration refuses an endpoint whose address is not an IPv4 number and a port, and HttpClient reports a call to a malformed address as not sent. A catch around the loop was ruled out, because it would hide other faults. A configuration that already holds such an address cannot be applied; before, it ended the process.

--- /dev/null
+++ b/src/daemon/component_options.cc
@@ -0,0 +1,120 @@
+#include "daemon/component_options.h"
+
+#include "base/hash.h"
+#include "base/ip_port.h"
+
+namespace quetzalridge {
+
+namespace {
+
+// The settings were checked, so the address can be read.
+HttpServerOptions ListenOptions(const std::string& address, const Settings& settings) {
+  const IpPort ip_port = ParseIpPort(address).value();
+  HttpServerOptions options;
+  options.ip = ip_port.ip;
+  options.port = ip_port.port;
+  options.max_body_bytes = settings.limits.max_body_bytes;
+  options.max_head_bytes = settings.limits.max_head_bytes;
+  options.request_timeout = settings.limits.request_read_timeout;
+  return options;
+}
+
+}  // namespace
+
+PlatformClientOptions PlatformOptions(const Settings& settings) {
+  PlatformClientOptions options;
+  options.address = settings.platform.address;
+  options.request_timeout = settings.timing.platform_request_timeout;
+  return options;
+}
+
+ConfigLogOptions ConfigOptions(const Settings& settings, const std::string& incarnation) {
+  ConfigLogOptions options;
+  options.poll = settings.timing.config_poll;
+  options.permission = settings.timing.permission;
+  options.accept_wait = settings.timing.accept_wait;
+  options.incarnation = incarnation;
+  return options;
+}
+
+DispatcherOptions DispatchOptions(const Settings& settings) {
+  DispatcherOptions options;
+  options.zone = settings.instance.zone;
+  options.connect_timeout = settings.limits.connect_timeout;
+  options.first_token_timeout = settings.limits.first_token_timeout;
+  options.token_gap_timeout = settings.limits.token_gap_timeout;
+  options.total_timeout = settings.limits.total_timeout;
+  return options;
+}
+
+Location LocationOf(const Settings& settings) {
+  return {settings.instance.latitude, settings.instance.longitude};
+}
+
+HttpServerOptions AdminListenOptions(const Settings& settings) {
+  return ListenOptions(settings.listen.admin, settings);
+}
+
+HttpServerOptions CallerListenOptions(const Settings& settings) {
+  HttpServerOptions options = ListenOptions(settings.listen.caller, settings);
+  options.tls_certificate_file = settings.listen.tls_certificate;
+  options.tls_key_file = settings.listen.tls_key;
+  return options;
+}
+
+RosterOptions RosterOptionsOf(const Settings& settings, const std::string& incarnation) {
+  RosterOptions options;
+  options.instance = settings.instance.id;
+  options.incarnation = incarnation;
+  options.zone = settings.instance.zone;
+  options.peer_address = settings.listen.peer;
+  return options;
+}
+
+MembershipOptions MemberOptions(const Settings& settings, const std::string& incarnation) {
+  MembershipOptions options;
+  options.instance = settings.instance.id;
+  options.incarnation = incarnation;
+  options.interval = settings.timing.peer_interval;
+  options.permission = settings.timing.permission;
+  options.seed = Hash64(incarnation);
+  return options;
+}
+
+DutyManagerOptions DutyOptions(const Settings& settings, const std::string& incarnation) {
+  DutyManagerOptions options;
+  options.lease.time_to_live = settings.timing.lease_ttl;
+  options.lease.request_timeout = settings.timing.platform_request_timeout;
+  options.lease.takeover_wait = settings.timing.lease_ttl + settings.timing.platform_request_timeout;
+  options.lease.holder = settings.instance.id + "/" + incarnation;
+  options.renewal = settings.timing.lease_renewal;
+  return options;
+}
+
+OrderDutyOptions OrderOptions(const Settings& settings) {
+  OrderDutyOptions options;
+  options.request_timeout = settings.timing.platform_request_timeout;
+  return options;
+}
+
+UsageDutyOptions UsageOptions(const Settings& settings) {
+  UsageDutyOptions options;
+  options.window = settings.timing.usage_window;
+  options.grace = settings.timing.usage_grace;
+  options.request_timeout = settings.timing.platform_request_timeout;
+  return options;
+}
+
+CleanupOptions CleanupOptionsOf(const Settings& settings) {
+  CleanupOptions options;
+  options.retention = settings.cleanup.retention;
+  options.rows_per_second = settings.cleanup.rows_per_second;
+  options.request_timeout = settings.timing.platform_request_timeout;
+  return options;
+}
+
+UsageRecorderOptions RecorderOptions(const Settings& settings, const std::string& incarnation) {
+  return {settings.instance.id + "-" + incarnation, settings.timing.usage_window, settings.timing.usage_flush};
+}
+
+}  // namespace quetzalridge
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -13,6 +13,7 @@
 #include "coordination/usage_recorder.h"
 #include "daemon/caller_api.h"
 #include "daemon/caller_front.h"
+#include "daemon/component_options.h"
 #include "daemon/dispatched_sample_engine.h"
 #include "daemon/dispatcher.h"
 #include "daemon/duty_set.h"
@@ -47,119 +48,6 @@
 constexpr Duration kLastRowsTime = Duration::Seconds(5);
 constexpr Duration kDrainCheck = Duration::Milliseconds(50);
 
-struct HostPort {
-  std::string ip;
-  int port = 0;
-};
-
-HostPort SplitAddress(const std::string& address) {
-  const size_t colon = address.rfind(':');
-  return {address.substr(0, colon), std::stoi(address.substr(colon + 1))};
-}
-
-PlatformClientOptions PlatformOptions(const Settings& settings) {
-  PlatformClientOptions options;
-  options.address = settings.platform.address;
-  options.request_timeout = settings.timing.platform_request_timeout;
-  return options;
-}
-
-ConfigLogOptions ConfigOptions(const Settings& settings, const std::string& incarnation) {
-  ConfigLogOptions options;
-  options.poll = settings.timing.config_poll;
-  options.permission = settings.timing.permission;
-  options.accept_wait = settings.timing.accept_wait;
-  options.incarnation = incarnation;
-  return options;
-}
-
-DispatcherOptions DispatchOptions(const Settings& settings) {
-  DispatcherOptions options;
-  options.zone = settings.instance.zone;
-  options.connect_timeout = settings.limits.connect_timeout;
-  options.first_token_timeout = settings.limits.first_token_timeout;
-  options.token_gap_timeout = settings.limits.token_gap_timeout;
-  options.total_timeout = settings.limits.total_timeout;
-  return options;
-}
-
-Location LocationOf(const Settings& settings) {
-  return {settings.instance.latitude, settings.instance.longitude};
-}
-
-HttpServerOptions ListenOptions(const std::string& address, const Settings& settings) {
-  const HostPort host_port = SplitAddress(address);
-  HttpServerOptions options;
-  options.ip = host_port.ip;
-  options.port = host_port.port;
-  options.max_body_bytes = settings.limits.max_body_bytes;
-  options.max_head_bytes = settings.limits.max_head_bytes;
-  options.request_timeout = settings.limits.request_read_timeout;
-  return options;
-}
-
-HttpServerOptions CallerListenOptions(const Settings& settings) {
-  HttpServerOptions options = ListenOptions(settings.listen.caller, settings);
-  options.tls_certificate_file = settings.listen.tls_certificate;
-  options.tls_key_file = settings.listen.tls_key;
-  return options;
-}
-
-RosterOptions RosterOptionsOf(const Settings& settings, const std::string& incarnation) {
-  RosterOptions options;
-  options.instance = settings.instance.id;
-  options.incarnation = incarnation;
-  options.zone = settings.instance.zone;
-  options.peer_address = settings.listen.peer;
-  return options;
-}
-
-MembershipOptions MemberOptions(const Settings& settings, const std::string& incarnation) {
-  MembershipOptions options;
-  options.instance = settings.instance.id;
-  options.incarnation = incarnation;
-  options.interval = settings.timing.peer_interval;
-  options.permission = settings.timing.permission;
-  options.seed = Hash64(incarnation);
-  return options;
-}
-
-DutyManagerOptions DutyOptions(const Settings& settings, const std::string& incarnation) {
-  DutyManagerOptions options;
-  options.lease.time_to_live = settings.timing.lease_ttl;
-  options.lease.request_timeout = settings.timing.platform_request_timeout;
-  options.lease.takeover_wait = settings.timing.lease_ttl + settings.timing.platform_request_timeout;
-  options.lease.holder = settings.instance.id + "/" + incarnation;
-  options.renewal = settings.timing.lease_renewal;
-  return options;
-}
-
-OrderDutyOptions OrderOptions(const Settings& settings) {
-  OrderDutyOptions options;
-  options.request_timeout = settings.timing.platform_request_timeout;
-  return options;
-}
-
-UsageDutyOptions UsageOptions(const Settings& settings) {
-  UsageDutyOptions options;
-  options.window = settings.timing.usage_window;
-  options.grace = settings.timing.usage_grace;
-  options.request_timeout = settings.timing.platform_request_timeout;
-  return options;
-}
-
-CleanupOptions CleanupOptionsOf(const Settings& settings) {
-  CleanupOptions options;
-  options.retention = settings.cleanup.retention;
-  options.rows_per_second = settings.cleanup.rows_per_second;
-  options.request_timeout = settings.timing.platform_request_timeout;
-  return options;
-}
-
-UsageRecorderOptions RecorderOptions(const Settings& settings, const std::string& incarnation) {
-  return {settings.instance.id + "-" + incarnation, settings.timing.usage_window, settings.timing.usage_flush};
-}
-
 }  // namespace
 
 class Daemon::Impl {
@@ -203,7 +91,7 @@
         m_caller_front(&m_config, loop, &m_caller_api, &m_rollout_api),
         m_operator_api(&m_config, loop, m_settings.admin.token, MakeHooks()),
         m_caller_server(loop, CallerListenOptions(m_settings), &m_caller_front),
-        m_admin_server(loop, ListenOptions(m_settings.listen.admin, m_settings), &m_operator_api) {
+        m_admin_server(loop, AdminListenOptions(m_settings), &m_operator_api) {
     Connect();
     m_config.Start();
     m_roster.Start();
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -1,7 +1,5 @@
 #include "daemon/settings.h"
 
-#include <arpa/inet.h>
-
 #include <fstream>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -9,6 +7,7 @@
 #include <sstream>
 
 #include "base/error.h"
+#include "base/ip_port.h"
 
 namespace quetzalridge {
 
@@ -32,23 +31,6 @@
   std::function<std::optional<std::string>(const Json&)> store;
 };
 
-bool IsAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos || colon + 1 == text.size() || text.size() - colon > 6) {
-    return false;
-  }
-  in_addr ip{};
-  if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &ip) != 1) {
-    return false;
-  }
-  for (size_t i = colon + 1; i < text.size(); ++i) {
-    if (text[i] < '0' || text[i] > '9') {
-      return false;
-    }
-  }
-  return std::stoi(text.substr(colon + 1)) <= 65535;
-}
-
 Field StringField(const std::string& path, std::string* target, bool required) {
   return {path, "string", *target, required, [target, required](const Json& value) -> std::optional<std::string> {
             if (!value.is_string()) {
@@ -64,7 +46,7 @@
 
 Field AddressField(const std::string& path, std::string* target) {
   return {path, "address", "", true, [target](const Json& value) -> std::optional<std::string> {
-            if (!value.is_string() || !IsAddress(value.get<std::string>())) {
+            if (!value.is_string() || !ParseIpPort(value.get<std::string>()).has_value()) {
               return "must be an IPv4 number and a port; for example \"10.0.0.5:8080\"";
             }
             *target = value.get<std::string>();
@@ -117,7 +99,7 @@
 }
 
 constexpr int64_t kHourMs = 3'600'000;
-constexpr int64_t kLongestRetentionMs = 31 * 24 * kHourMs;
+constexpr int64_t kLongestRetentionMs = 744 * kHourMs;
 
 std::vector<Field> FieldsOf(Settings* s) {
   return {
--- a/src/state/config_document.cc
+++ b/src/state/config_document.cc
@@ -5,6 +5,7 @@
 #include <stdexcept>
 
 #include "base/error.h"
+#include "base/ip_port.h"
 
 namespace quetzalridge {
 
@@ -146,6 +147,9 @@
   EndpointConfig config;
   reader->String("service", &config.service, true);
   reader->String("address", &config.address, true);
+  if (const std::optional<IpPort> address = ParseIpPort(config.address); !address.has_value() || address->port == 0) {
+    reader->Fail("address", "must be an IPv4 number and a port, such as 10.0.0.5:8000");
+  }
   reader->String("zone", &config.zone, true);
   reader->Bool("cheap", &config.cheap);
   reader->Bool("checks_fencing", &config.checks_fencing);
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -11,7 +11,9 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/ip_port.h"
 #include "transport/detail_h2o.h"
+#include "transport/socket_address.h"
 
 namespace quetzalridge {
 
@@ -38,19 +40,6 @@
   return head + "\r\n";
 }
 
-sockaddr_in ParseAddress(const std::string& address) {
-  sockaddr_in result{};
-  const size_t colon = address.rfind(':');
-  const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
-  result.sin_family = AF_INET;
-  result.sin_port = htons(static_cast<uint16_t>(port));
-  if (port <= 0 || port > 65535 || inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr) != 1) {
-    throw Error(ErrorCode::kInvalidRequest,
-                "'" + address + "' is not an address; give an IPv4 number and a port, such as 127.0.0.1:8000");
-  }
-  return result;
-}
-
 enum class BodyFraming {
   kNone,
   kContentLength,
@@ -103,14 +92,14 @@
 
   static void DeleteFetch(FetchCall* fetch);
 
-  h2o_socketpool_t* PoolFor(const std::string& address) {
+  h2o_socketpool_t* PoolFor(const std::string& address, const IpPort& target) {
     auto it = m_pools.find(address);
     if (it != m_pools.end()) {
       return it->second;
     }
     // Pools are kept for the life of the process: h2o's sockets refer to them until they close.
     auto* pool = new h2o_socketpool_t;
-    sockaddr_in socket_address = ParseAddress(address);
+    sockaddr_in socket_address = ToSocketAddress(target);
     h2o_socketpool_init_by_address(pool, reinterpret_cast<sockaddr*>(&socket_address), sizeof(socket_address), 0,
                                    kPoolCapacity);
     h2o_socketpool_set_timeout(pool, m_loop->h2o_loop(), kPoolIdleTimeoutMs);
@@ -135,16 +124,23 @@
   void SetHandle(Handle* handle) { m_handle = handle; }
 
   void Begin() {
+    const std::optional<IpPort> target = ParseIpPort(m_call.address);
+    if (!target.has_value() || target->port == 0) {
+      // Addresses come from outside, and an exception in a callback would end the process.
+      m_total_timer = m_client->m_loop->After(Duration(), [this] {
+        Finish(CallOutcome::kNotSent,
+               "'" + m_call.address + "' is not an address; give an IPv4 number and a port, such as 127.0.0.1:8000");
+      });
+      return;
+    }
     m_total_timer = m_client->m_loop->After(m_call.total_timeout, [this] { OnTimeout("total time"); });
     ArmStage(m_call.connect_timeout, "connect");
     if (m_call.fresh_connection) {
-      const size_t colon = m_call.address.rfind(':');
-      ParseAddress(m_call.address);
-      m_host = m_call.address.substr(0, colon);
+      m_host = target->ip;
       h2o_http1client_connect(&m_h2o, this, &m_client->m_context, h2o_iovec_init(m_host.data(), m_host.size()),
-                              static_cast<uint16_t>(std::atoi(m_call.address.c_str() + colon + 1)), 0, &OnConnect);
+                              target->port, 0, &OnConnect);
     } else {
-      h2o_http1client_connect_with_pool(&m_h2o, this, &m_client->m_context, m_client->PoolFor(m_call.address),
+      h2o_http1client_connect_with_pool(&m_h2o, this, &m_client->m_context, m_client->PoolFor(m_call.address, *target),
                                         &OnConnect);
     }
   }
--- a/src/transport/udp_peer_channel.cc
+++ b/src/transport/udp_peer_channel.cc
@@ -10,8 +10,10 @@
 #include <utility>
 
 #include "base/error.h"
+#include "base/ip_port.h"
 #include "protocol/peer_codec.h"
 #include "transport/detail_h2o.h"
+#include "transport/socket_address.h"
 
 namespace quetzalridge {
 
@@ -20,23 +22,6 @@
 // One turn of the loop takes at most this many datagrams, so that a flood does not keep it from other sockets.
 constexpr int kMaxDatagramsPerTurn = 64;
 
-std::optional<sockaddr_in> ParseAddress(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  char* end = nullptr;
-  const uint64_t port = std::strtoul(text.c_str() + colon + 1, &end, 10);
-  if (end == text.c_str() + colon + 1 || *end != '\0' || port > UINT16_MAX ||
-      inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) {
-    return std::nullopt;
-  }
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  return address;
-}
-
 std::string FormatAddress(const sockaddr_in& address) {
   char ip[INET_ADDRSTRLEN] = {};
   inet_ntop(AF_INET, &address.sin_addr, ip, sizeof(ip));
@@ -48,14 +33,15 @@
 class UdpPeerChannel::Impl {
  public:
   Impl(EventLoop* loop, const std::string& text) {
-    const std::optional<sockaddr_in> address = ParseAddress(text);
-    if (!address.has_value()) {
+    const std::optional<IpPort> ip_port = ParseIpPort(text);
+    if (!ip_port.has_value()) {
       throw Error(ErrorCode::kInvalidSettings, "'" + text +
                                                    "' is not an IPv4 address and port; give listen.peer as "
                                                    "for example \"10.0.0.5:9100\"");
     }
+    const sockaddr_in address = ToSocketAddress(*ip_port);
     m_fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (m_fd < 0 || bind(m_fd, reinterpret_cast<const sockaddr*>(&*address), sizeof(*address)) != 0) {
+    if (m_fd < 0 || bind(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
       const std::string reason = std::strerror(errno);
       if (m_fd >= 0) {
         close(m_fd);
@@ -71,10 +57,11 @@
   ~Impl() { h2o_socket_close(m_socket); }
 
   void Send(const std::string& to, std::string_view datagram) {
-    const std::optional<sockaddr_in> address = ParseAddress(to);
-    if (!address.has_value() || datagram.size() > kMaxPeerDatagramBytes ||
-        sendto(m_fd, datagram.data(), datagram.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&*address),
-               sizeof(*address)) < 0) {
+    const std::optional<IpPort> ip_port = ParseIpPort(to);
+    const sockaddr_in address = ToSocketAddress(ip_port.value_or(IpPort()));
+    if (!ip_port.has_value() || datagram.size() > kMaxPeerDatagramBytes ||
+        sendto(m_fd, datagram.data(), datagram.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&address),
+               sizeof(address)) < 0) {
       ++m_dropped;
     }
   }
--- a/tests/state/config_document_test.cc
+++ b/tests/state/config_document_test.cc
@@ -46,6 +46,8 @@
       {6, ConfigKind::kWorkspace, "w", "not json"},
       {6, ConfigKind::kWorkspace, "w", std::nullopt},
       {6, ConfigKind::kService, "t", R"({"profile": "missing"})"},
+      {6, ConfigKind::kEndpoint, "e", R"({"service": "s", "zone": "z", "address": "engine:8000"})"},
+      {6, ConfigKind::kEndpoint, "e", R"({"service": "s", "zone": "z", "address": "127.0.0.1:0"})"},
       {6, ConfigKind::kProfile, "p", std::nullopt},
       {6, ConfigKind::kKey, "none", std::nullopt},
   };
--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -127,6 +127,33 @@
   CHECK(f.handler.requests == 1);
 }
 
+// Guards against an address from the configuration or the platform that ends the process by an exception.
+TEST_CASE("a call to a malformed address is not sent") {
+  Fixture f;
+  for (const bool is_fresh : {false, true}) {
+    for (const char* address : {"bad", "127.0.0.1:0", "host:80", "127.0.0.1:80x"}) {
+      HttpCall call = f.Call("/echo");
+      call.address = address;
+      call.fresh_connection = is_fresh;
+      bool done = false;
+      HttpResponse response;
+      f.client.Fetch(std::move(call), [&](const HttpResponse& answer) {
+        done = true;
+        response = answer;
+      });
+      CHECK_FALSE(done);
+      for (int turn = 0; turn < 100 && !done; ++turn) {
+        f.loop.RunOnce(Duration::Milliseconds(10));
+      }
+      INFO(address);
+      REQUIRE(done);
+      CHECK(response.result.outcome == CallOutcome::kNotSent);
+      CHECK(response.result.detail.find("is not an address") != std::string::npos);
+    }
+  }
+  CHECK(f.handler.requests == 0);
+}
+
 // Guards against callbacks into an observer that has gone.
 TEST_CASE("a destroyed exchange reports nothing more") {
   struct Silent : HttpCallObserver {
