--- a/src/coordination/cleanup_duty.cc
+++ b/src/coordination/cleanup_duty.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/error.h"
-#include "base/hash.h"
 #include "base/log_event.h"
 #include "coordination/config_record.h"
 #include "coordination/rollout_rows.h"
@@ -23,7 +22,6 @@
 const char* const kPrefixes[] = {"once/", "usage/", "usage-frozen/", nullptr, kAbandonedObjectPrefix};
 
 constexpr Duration kStepInterval = Duration::Seconds(1);
-constexpr int kTransactionIdBytes = 8;
 // A row lives between one and about 1 + 1/24 retention periods, and the row of marks stays below 2 KB.
 constexpr int kMarksPerRetention = 24;
 // A stored answer has up to 48 KB, so larger pages would load the store.
@@ -377,7 +375,6 @@
   if (!MayAct()) {
     return;
   }
-  transaction.id = RandomHex(kTransactionIdBytes);
   m_resolving_store.Transact(std::move(transaction), witness,
                              [this, callback = std::move(callback)](const TransactResult& result) {
                                gate()->OnAnswered();
--- a/src/coordination/resolving_store.cc
+++ b/src/coordination/resolving_store.cc
@@ -3,10 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
+
 namespace quetzalridge {
 
 namespace {
 
+constexpr int kIdentityBytes = 16;
 constexpr Duration kFirstResend = Duration::Milliseconds(100);
 // An outage may last minutes; this bounds the load on a store that comes back.
 constexpr Duration kLongestResend = Duration::Seconds(2);
@@ -30,6 +33,9 @@
 void ResolvingStore::Transact(TableTransaction transaction, std::string witness_key, Callback callback) {
   auto attempt = std::make_unique<Attempt>();
   attempt->transaction = std::move(transaction);
+  if (attempt->transaction.id.empty()) {
+    attempt->transaction.id = RandomHex(kIdentityBytes);
+  }
   attempt->witness_key = std::move(witness_key);
   attempt->callback = std::move(callback);
   const uint64_t id = m_next_id++;
@@ -64,7 +70,7 @@
       }
       break;
     case TransactOutcome::kConflict:
-      if (attempt.uncertain) {
+      if (attempt.uncertain && !attempt.witness_key.empty()) {
         ReadWitness(id, result);
         return;
       }
--- a/src/coordination/resolving_store.h
+++ b/src/coordination/resolving_store.h
@@ -25,7 +25,8 @@
 
   // `witness_key` names a row that the transaction writes and that no other transaction overwrites or deletes while
   // this one is unanswered. The callback waits as long as the store is unreachable after an unknown outcome, and is
-  // dropped when this object is destroyed.
+  // dropped when this object is destroyed. Without a witness, a conflict of a repeated transaction is reported as it is
+  // and may be the transaction's own effect. A transaction without an identity gets one.
   void Transact(TableTransaction transaction, std::string witness_key, Callback callback);
   // Transactions whose outcome is not known yet, because an attempt was not answered.
   int unresolved() const { return m_unresolved; }
--- a/src/coordination/usage_duty.cc
+++ b/src/coordination/usage_duty.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/hash.h"
 #include "base/log_event.h"
 
 namespace quetzalridge {
@@ -12,7 +11,6 @@
 
 constexpr char kUsagePrefix[] = "usage/";
 constexpr int kRowsPerScan = 128;
-constexpr int kTransactionIdBytes = 8;
 
 }  // namespace
 
@@ -75,7 +73,6 @@
 
 void UsageDuty::RecordFirstWindow(int64_t window) {
   TableTransaction transaction;
-  transaction.id = RandomHex(kTransactionIdBytes);
   transaction.checks = {{kFirstUsageWindowKey, 0}};
   transaction.writes = {{kFirstUsageWindowKey, std::to_string(window)}};
   m_resolving_store.Transact(std::move(transaction), kFirstUsageWindowKey,
@@ -117,7 +114,6 @@
 void UsageDuty::Close() {
   const std::string key = FrozenUsageKey(m_next_window);
   TableTransaction transaction;
-  transaction.id = RandomHex(kTransactionIdBytes);
   transaction.checks = {{key, 0}};
   transaction.writes = {{key, EncodeWindowRecord({WindowState::kClosed, {}})}};
   m_resolving_store.Transact(std::move(transaction), key, [this](const TransactResult&) { EndStep(); });
@@ -152,7 +148,6 @@
 void UsageDuty::Freeze(int64_t row_version, const UsageByWorkspace& sum) {
   const std::string key = FrozenUsageKey(m_next_window);
   TableTransaction transaction;
-  transaction.id = RandomHex(kTransactionIdBytes);
   transaction.checks = {{key, row_version}};
   transaction.writes = {{key, EncodeWindowRecord({WindowState::kFrozen, sum})}};
   m_resolving_store.Transact(std::move(transaction), key, [this](const TransactResult&) { EndStep(); });
@@ -210,7 +205,6 @@
 
 void UsageDuty::RecordProgress() {
   TableTransaction transaction;
-  transaction.id = RandomHex(kTransactionIdBytes);
   transaction.checks = {{kReportedUsageWindowKey, m_progress_version}};
   transaction.writes = {{kReportedUsageWindowKey, std::to_string(m_next_window)}};
   m_resolving_store.Transact(std::move(transaction), kReportedUsageWindowKey, [this](const TransactResult&) {
--- a/tests/coordination/cleanup_test.cc
+++ b/tests/coordination/cleanup_test.cc
@@ -16,6 +16,7 @@
 #include "coordination/retention_marks.h"
 #include "coordination/rollout_rows.h"
 #include "coordination/usage_record.h"
+#include "tests/fakes/check_filter_store.h"
 #include "tests/fakes/fake_table_store.h"
 #include "tests/fakes/in_memory_object_store.h"
 #include "tests/fakes/property.h"
@@ -36,37 +37,11 @@
   return text.rfind(prefix, 0) == 0;
 }
 
-// Leaves out the checks on the rows that a transaction deletes, to switch them off.
-class UncheckedDeletions : public TableStore {
- public:
-  UncheckedDeletions(TableStore* store, bool drops_checks) : m_store(store), m_drops_checks(drops_checks) {}
-
-  void Transact(TableTransaction transaction, TransactCallback callback) override {
-    if (m_drops_checks) {
-      std::vector<TableCheck> kept;
-      for (const TableCheck& check : transaction.checks) {
-        const bool is_deleted =
-            std::any_of(transaction.writes.begin(), transaction.writes.end(),
-                        [&](const TableWrite& write) { return write.key == check.key && !write.value.has_value(); });
-        if (!is_deleted) {
-          kept.push_back(check);
-        }
-      }
-      transaction.checks = kept;
-    }
-    m_store->Transact(std::move(transaction), std::move(callback));
-  }
-  void Read(std::vector<std::string> keys, ReadCallback callback) override {
-    m_store->Read(std::move(keys), std::move(callback));
-  }
-  void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
-    m_store->Scan(std::move(prefix), std::move(after), limit, std::move(callback));
-  }
-
- private:
-  TableStore* m_store;
-  bool m_drops_checks;
-};
+// Drops the checks on the rows that a transaction deletes.
+bool IsCheckOfDeletion(const TableTransaction& transaction, const TableCheck& check) {
+  return std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                     [&](const TableWrite& write) { return write.key == check.key && !write.value.has_value(); });
+}
 
 // One simulated process: it bids for the duty, reads the configuration, and keeps records of calls.
 struct CleanupInstance {
@@ -74,7 +49,10 @@
                   CleanupMechanisms mechanisms)
       : process(world),
         store(table, &process),
-        deletions(&store, !mechanisms.checks_versions),
+        deletions(&store,
+                  [drops = !mechanisms.checks_versions](const TableTransaction& transaction, const TableCheck& check) {
+                    return drops && IsCheckOfDeletion(transaction, check);
+                  }),
         reader(&store, objects, &process, &replica),
         once(&store, &process, name),
         duty(&deletions, objects, &process, DutyOptions(mechanisms)),
@@ -103,7 +81,7 @@
 
   PausableScheduler process;
   FakeTableStore store;
-  UncheckedDeletions deletions;
+  CheckFilterStore deletions;
   ConfigReplica replica;
   ConfigReader reader;
   OnceLedger once;
--- a/tests/coordination/usage_test.cc
+++ b/tests/coordination/usage_test.cc
@@ -7,6 +7,7 @@
 #include "coordination/duty_manager.h"
 #include "coordination/usage_duty.h"
 #include "coordination/usage_recorder.h"
+#include "tests/fakes/check_filter_store.h"
 #include "tests/fakes/fake_table_store.h"
 #include "tests/fakes/property.h"
 
@@ -15,33 +16,6 @@
 
 constexpr int kInstances = 3;
 
-// Leaves out the checks on closed windows, to switch the freeze off.
-class UncheckedStore : public TableStore {
- public:
-  UncheckedStore(TableStore* store, bool drops_checks) : m_store(store), m_drops_checks(drops_checks) {}
-
-  void Transact(TableTransaction transaction, TransactCallback callback) override {
-    std::vector<TableCheck> kept;
-    for (const TableCheck& check : transaction.checks) {
-      if (!m_drops_checks || check.key.rfind("usage-frozen/", 0) != 0) {
-        kept.push_back(check);
-      }
-    }
-    transaction.checks = kept;
-    m_store->Transact(std::move(transaction), std::move(callback));
-  }
-  void Read(std::vector<std::string> keys, ReadCallback callback) override {
-    m_store->Read(std::move(keys), std::move(callback));
-  }
-  void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
-    m_store->Scan(std::move(prefix), std::move(after), limit, std::move(callback));
-  }
-
- private:
-  TableStore* m_store;
-  bool m_drops_checks;
-};
-
 struct ReportedFigures {
   int64_t requests = 0;
   int64_t late_requests = 0;
@@ -113,7 +87,10 @@
                 bool drops_checks)
       : process(world),
         connection(table, &process),
-        store(&connection, drops_checks),
+        store(&connection,
+              [drops = drops_checks](const TableTransaction&, const TableCheck& check) {
+                return drops && check.key.rfind("usage-frozen/", 0) == 0;
+              }),
         platform(intake, &process),
         recorder(
             &store, &process, [this] { return process.clock().Now().ms(); }, RecorderOptions(name)),
@@ -137,7 +114,7 @@
 
   PausableScheduler process;
   FakeTableStore connection;
-  UncheckedStore store;
+  CheckFilterStore store;
   FakeUsagePlatform platform;
   UsageRecorder recorder;
   UsageDuty duty;
--- /dev/null
+++ b/tests/fakes/check_filter_store.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/table_store.h"
+
+namespace quetzalridge {
+
+// Leaves out some checks of each transaction, to switch a mechanism off.
+class CheckFilterStore : public TableStore {
+ public:
+  using Drops = std::function<bool(const TableTransaction&, const TableCheck&)>;
+
+  CheckFilterStore(TableStore* store, Drops drops) : m_store(store), m_drops(std::move(drops)) {}
+
+  void Transact(TableTransaction transaction, TransactCallback callback) override {
+    std::vector<TableCheck> kept;
+    for (const TableCheck& check : transaction.checks) {
+      if (!m_drops(transaction, check)) {
+        kept.push_back(check);
+      }
+    }
+    transaction.checks = kept;
+    m_store->Transact(std::move(transaction), std::move(callback));
+  }
+  void Read(std::vector<std::string> keys, ReadCallback callback) override {
+    m_store->Read(std::move(keys), std::move(callback));
+  }
+  void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
+    m_store->Scan(std::move(prefix), std::move(after), limit, std::move(callback));
+  }
+
+ private:
+  TableStore* m_store;
+  Drops m_drops;
+};
+
+}  // namespace quetzalridge
