Refuse wrong arguments of quetzalridgectl before the instance is asked

What surprised, and what it does now: - `workspace list` printed a column for the kind and none for the members; it lists one entry a line, or "none". - `status x`, `drain x` and `config x` ignored the argument; drain would have stopped an instance.

ctl_test 9 cases pass (6 before).

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -138,27 +138,37 @@
   return value;
 }
 
+// Wrong arguments are reported before the instance is asked.
+bool AreEntryArguments(const Words& words) {
+  const std::string action = words.size() > 1 ? words[1] : "list";
+  if (action == "list") {
+    return words.size() <= 2;
+  }
+  return action == "set" ? words.size() > 3 : words.size() == 3 && (action == "show" || action == "delete");
+}
+
 void RunEntry(Session* session, const Words& words) {
   const std::string& kind = words[0];
+  if (!AreEntryArguments(words)) {
+    FailUsage(kind);
+  }
   const std::string action = words.size() > 1 ? words[1] : "list";
+  if (action == "set") {
+    // Reports a malformed value before the instance is asked.
+    ParseValue(words, 3, Json());
+  }
   const Json config = session->Config();
   const Json entries = config.value(kind, Json::object());
-  if (action == "list" && words.size() <= 2) {
+  if (action == "list") {
     session->Print(Json{{kind, entries}}.dump());
     return;
   }
-  if (words.size() < 3) {
-    FailUsage(kind);
-  }
   const std::string& name = words[2];
   const Json present = entries.value(name, Json());
-  if (action == "set" && words.size() > 3) {
+  if (action == "set") {
     session->Change(config, kind, name, ParseValue(words, 3, present));
     return;
   }
-  if (words.size() != 3 || (action != "show" && action != "delete")) {
-    FailUsage(kind);
-  }
   if (present.is_null()) {
     throw CommandFailure(ExitCode::kRefused, kind + " " + name + " does not exist; see: " + kind + " list");
   }
@@ -178,7 +188,17 @@
                         {"kind", "key"},
                         {"name", digest},
                         {"value", {{"workspace", workspace}, {"label", label}}}};
-  const AdminResponse response = session->Checked(session->client()->Call("POST", "/admin/change", request.dump()));
+  AdminResponse response;
+  try {
+    response = session->Checked(session->client()->Call("POST", "/admin/change", request.dump()));
+  } catch (const CommandFailure& failure) {
+    if (failure.code() != ExitCode::kUnknown) {
+      throw;
+    }
+    // The secret was not shown, so a key that was granted all the same is of no use to anybody.
+    throw CommandFailure(ExitCode::kUnknown, std::string(failure.what()) + "; if `key list` shows " +
+                                                 digest.substr(0, kShortDigest) + ", withdraw it and grant another");
+  }
   if (session->options().json) {
     Json answer = Json::parse(response.body, nullptr, false);
     answer["secret"] = secret;
@@ -241,6 +261,10 @@
     FailUsage("check");
   }
   LoadSettings(words[1]);
+  if (session->options().json) {
+    session->out() << Json{{"file", words[1]}, {"valid", true}}.dump() << "\n";
+    return;
+  }
   session->out() << words[1] << " is valid\n";
 }
 
@@ -365,6 +389,18 @@
         << "; see: quetzalridgectl --help\n";
     return ExitCode::kUsage;
   }
+  if (command->info.arguments.empty() && words.size() > 1) {
+    err << "quetzalridgectl: " << words[0] << " takes no arguments; leave out '" << words[1] << "'\n";
+    return ExitCode::kUsage;
+  }
+  if (words[0] == "burn" && words.size() > 1) {
+    err << "quetzalridgectl: burn takes only the option --html FILE; leave out '" << words[1] << "'\n";
+    return ExitCode::kUsage;
+  }
+  if (words[0] != "burn" && !options.html_file.empty()) {
+    err << "quetzalridgectl: --html belongs to burn; leave it out\n";
+    return ExitCode::kUsage;
+  }
   Session session(client, options, out);
   try {
     command->function(&session, words);
--- a/src/ctl/quetzalridgectl_main.cc
+++ b/src/ctl/quetzalridgectl_main.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "base/ip_port.h"
 #include "base/log_event.h"
 #include "ctl/commands.h"
 
@@ -69,14 +70,25 @@
     }
   }
   const std::vector<std::string> words(argv + optind, argv + argc);
-  if (help && !words.empty() && !CommandHelp(words[0]).empty()) {
-    std::cout << CommandHelp(words[0]);
+  if (help && !words.empty()) {
+    const std::string text = CommandHelp(words[0]);
+    if (text.empty()) {
+      std::cerr << "quetzalridgectl: unknown command '" << words[0] << "'; see: quetzalridgectl --help\n";
+      return static_cast<int>(ExitCode::kUsage);
+    }
+    std::cout << text;
     return 0;
   }
   if (help || words.empty()) {
     PrintHelp();
     return help ? 0 : static_cast<int>(ExitCode::kUsage);
   }
+  const std::optional<IpPort> ip_port = ParseIpPort(address);
+  if (!ip_port.has_value() || ip_port->port == 0) {
+    std::cerr << "quetzalridgectl: '" << address
+              << "' is not an address; give --address an IPv4 number and a port, such as " << kDefaultAddress << "\n";
+    return static_cast<int>(ExitCode::kUsage);
+  }
   HttpAdminClient client(address, token);
   return static_cast<int>(RunCommand(words, options, &client, std::cout, std::cerr));
 }
--- a/src/ctl/table_printer.cc
+++ b/src/ctl/table_printer.cc
@@ -13,6 +13,9 @@
   if (value.is_string()) {
     return value.get<std::string>();
   }
+  if (value.is_structured() && value.empty()) {
+    return "none";
+  }
   if (value.is_number_float()) {
     std::string text = std::to_string(value.get<double>());
     text.erase(text.find_last_not_of('0') + 1);
@@ -103,7 +106,14 @@
     return json;
   }
   std::string text;
-  Render("", value, &text);
+  if (!value.is_object() || value.empty()) {
+    Render("", value, &text);
+    return text;
+  }
+  // The members of the whole answer are sections, also when each of them is an object.
+  for (const auto& [key, member] : value.items()) {
+    Render(key, member, &text);
+  }
   return text;
 }
 
--- a/tests/ctl/commands_test.cc
+++ b/tests/ctl/commands_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <sstream>
+#include <string>
+#include <vector>
 
 #include "base/hash.h"
 #include "ctl/burn_report.h"
@@ -13,6 +15,7 @@
 class FakeAdminClient : public AdminClient {
  public:
   AdminResponse Call(const std::string& method, const std::string& target, const std::string& body) override {
+    ++calls;
     if (target == "/admin/change") {
       change = body;
       return change_response;
@@ -26,6 +29,7 @@
   std::string config = R"({"version":4,"profile":{"p":{"staleness_bound":2}},"key":{"aa11":{"workspace":"w"},)"
                        R"("aa22":{"workspace":"w"}}})";
   std::string change;
+  int calls = 0;
   AdminResponse change_response = {200, true, R"({"version":5})", ""};
 };
 
@@ -84,6 +88,50 @@
   CHECK(f.Run({"zone", "set", "z"}) == ExitCode::kUsage);
 }
 
+// Guards against a list whose columns are the kinds instead of the members.
+TEST_CASE("entries are listed one a line") {
+  Fixture f;
+  CHECK(f.Run({"profile"}) == ExitCode::kOk);
+  CHECK(f.out.str() == "profile:\nname  staleness_bound\np     2\n");
+  f.out.str("");
+  CHECK(f.Run({"zone", "list"}) == ExitCode::kOk);
+  CHECK(f.out.str() == "zone: none\n");
+}
+
+// Guards against mistakes that look like success, or that are told only after the instance was asked.
+TEST_CASE("wrong arguments are refused before the instance is asked") {
+  Fixture f;
+  const std::vector<std::vector<std::string>> mistakes = {{"status", "i1"},
+                                                          {"drain", "i1"},
+                                                          {"config", "x"},
+                                                          {"burn", "x"},
+                                                          {"profile", "lst"},
+                                                          {"profile", "show"},
+                                                          {"profile", "list", "p"},
+                                                          {"profile", "delete", "p", "q"},
+                                                          {"profile", "set", "p", "cheap"},
+                                                          {"profile", "set", "p", "{"},
+                                                          {"key", "grant"},
+                                                          {"check"},
+                                                          {"names", "nonsense"}};
+  for (const std::vector<std::string>& words : mistakes) {
+    INFO(words[0] << " " << (words.size() > 1 ? words[1] : ""));
+    CHECK(f.Run(words) == ExitCode::kUsage);
+  }
+  f.options.html_file = "page.html";
+  CHECK(f.Run({"status"}) == ExitCode::kUsage);
+  CHECK(f.client.calls == 0);
+}
+
+// Guards against a granted key that nobody can use or find.
+TEST_CASE("a grant without an answer names the key") {
+  Fixture f;
+  f.client.change_response = {0, true, "", "timeout"};
+  CHECK(f.Run({"key", "grant", "w"}) == ExitCode::kUnknown);
+  CHECK(f.out.str().find("qr-") == std::string::npos);
+  CHECK(f.err.str().find("withdraw it and grant another") != std::string::npos);
+}
+
 // Guards against commands without help and names without completion.
 TEST_CASE("every command has help and is completed") {
   for (const CommandInfo& info : CommandCatalogue()) {
