Report a planned stop that has begun as a success

`quetzalridgectl drain` printed the answer as an error and ended with exit code 1, "refused; nothing changed", although the instance had begun its planned stop: only status 200 counted as success, and the answer is 202. 202 now counts too.

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -19,6 +19,9 @@
 using Json = nlohmann::json;
 using Words = std::vector<std::string>;
 
+constexpr int kStatusOk = 200;
+// The answer to a planned stop that has begun.
+constexpr int kStatusAccepted = 202;
 constexpr int kSecretBytes = 24;
 constexpr size_t kDigestDigits = 64;
 constexpr size_t kShortDigest = 12;
@@ -77,7 +80,7 @@
   }
 
   AdminResponse Checked(const AdminResponse& response) {
-    if (response.status == 200) {
+    if (response.status == kStatusOk || response.status == kStatusAccepted) {
       return response;
     }
     if (response.status == 0) {
--- a/tests/ctl/commands_test.cc
+++ b/tests/ctl/commands_test.cc
@@ -23,6 +23,9 @@
     if (target == "/admin/config") {
       return {200, true, config, ""};
     }
+    if (target == "/admin/drain") {
+      return {202, true, R"({"draining":true})", ""};
+    }
     return {200, true, R"({"state":"serving","peers":[{"id":"b","zone":"z"}]})", ""};
   }
 
@@ -98,6 +101,14 @@
   CHECK(f.out.str() == "zone: none\n");
 }
 
+// Guards against a planned stop that began and is reported as refused.
+TEST_CASE("a planned stop that has begun is a success") {
+  Fixture f;
+  CHECK(f.Run({"drain"}) == ExitCode::kOk);
+  CHECK(f.out.str() == "draining: true\n");
+  CHECK(f.err.str().empty());
+}
+
 // Guards against mistakes that look like success, or that are told only after the instance was asked.
 TEST_CASE("wrong arguments are refused before the instance is asked") {
   Fixture f;
