--- a/src/ctl/quetzalridgectl_main.cc
+++ b/src/ctl/quetzalridgectl_main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <memory>
 
+#include "base/ip_port.h"
 #include "base/log_event.h"
 #include "ctl/commands.h"
 
@@ -71,8 +72,13 @@
     }
   }
   const std::vector<std::string> words(argv + optind, argv + argc);
-  if (help && !words.empty() && !CommandHelp(words[0]).empty()) {
-    std::cout << CommandHelp(words[0]);
+  if (help && !words.empty()) {
+    const std::string text = CommandHelp(words[0]);
+    if (text.empty()) {
+      std::cerr << "quetzalridgectl: unknown command '" << words[0] << "'; see: quetzalridgectl --help\n";
+      return static_cast<int>(ExitCode::kUsage);
+    }
+    std::cout << text;
     return 0;
   }
   if (help || words.empty()) {
@@ -84,6 +90,12 @@
   }
   std::vector<std::unique_ptr<HttpAdminClient>> clients;
   for (const std::string& address : addresses) {
+    const std::optional<IpPort> ip_port = ParseIpPort(address);
+    if (!ip_port.has_value() || ip_port->port == 0) {
+      std::cerr << "quetzalridgectl: '" << address
+                << "' is not an address; give --address an IPv4 number and a port, such as " << kDefaultAddress << "\n";
+      return static_cast<int>(ExitCode::kUsage);
+    }
     clients.push_back(std::make_unique<HttpAdminClient>(address, token));
     if (clients.size() > 1) {
       options.other_instances.push_back(clients.back().get());
