Reserve test ports outside the range of automatic ports

Ports were reserved on TCP only, in the range from which the kernel takes automatic ports, so a UDP test beside it could get the same number.

Ruled out: a second reservation on UDP, since a bound UDP socket keeps the daemon from the port.

Now ports come from 20000 to 32767, and a number that another test program reserved is passed over; SO_REUSEADDR is set after the bind, so that a second reservation fails.

--- a/tests/history/process_harness.cc
+++ b/tests/history/process_harness.cc
@@ -34,24 +34,37 @@
   return &loop;
 }
 
+// Below the kernel's range of automatic ports (32768 and up), so that neither an outgoing connection nor a UDP socket
+// with an automatic port gets the number.
+constexpr int kFirstReservablePort = 20'000;
+constexpr int kReservablePorts = 12'768;
+constexpr int kPortsPerProgram = 97;
+
 std::string Loopback(int port) {
   return "127.0.0.1:" + std::to_string(port);
 }
 
 }  // namespace
 
+// A second reservation of the same number must fail, so SO_REUSEADDR is set only after the bind.
 ReservedPort::ReservedPort() : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-  const int one = 1;
-  setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  if (bind(m_fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-      getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-    throw std::runtime_error("cannot reserve a loopback port; check the range of local ports");
+  // Test programs beside this one begin elsewhere in the range.
+  static int next = getpid() * kPortsPerProgram;
+  for (int attempt = 0; attempt < kReservablePorts && m_port == 0; ++attempt) {
+    const int port = kFirstReservablePort + next++ % kReservablePorts;
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    if (bind(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+      m_port = port;
+    }
   }
-  m_port = ntohs(address.sin_port);
+  if (m_port == 0) {
+    throw std::runtime_error("cannot reserve a loopback port; end programs that hold ports 20000 to 32767");
+  }
+  const int one = 1;
+  setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 }
 
 ReservedPort::~ReservedPort() {
--- a/tests/history/process_harness.h
+++ b/tests/history/process_harness.h
@@ -43,8 +43,9 @@
   std::unique_ptr<TcpRelay> platform_relay;
 };
 
-// A loopback port that no other program and no outgoing connection gets while this lives: the socket is bound and does
-// not listen, which lets a server with SO_REUSEADDR listen on the port, also again after a restart.
+// A loopback port that no other test program and no outgoing connection gets while this lives: the socket is bound and
+// does not listen, which lets a server with SO_REUSEADDR listen on the port, also again after a restart. The UDP port
+// of the same number is free too, since all test programs reserve their ports in this way.
 class ReservedPort {
  public:
   ReservedPort();
