Measure the latency of one daemon without the load tool's own wait

Cause: after the change of the event loop, the daemon seemed to add nothing (p50 1.13 ms through it and 1.11 ms direct, also with a plain service that does no work). The latency mode let its loop wait up to 1 ms in each turn, and each answer took about 1.1 ms, direct or not. A client with blocking sockets showed 0.15 ms direct and 0.31 ms to 0.38 ms through the daemon.

Ruled out: the engine's token step (the plain service showed the same) and a shorter way around the daemon (the answers came with its key check).

The latency mode now polls. The script also measures a plain service. Why the answer waits for the end of the turn was not found.

--- a/scripts/measure_daemon.sh
+++ b/scripts/measure_daemon.sh
@@ -61,6 +61,18 @@
     "processor $((spent / 100)).$((spent / 10 % 10))$((spent % 10)) %," \
     "HTTP bytes read and written $((($(io_bytes "$pid") - bytes[$i]) / rest_seconds)) per s"
 done
+# The plain service does no work, so its share of the latency is the smallest.
+start "$bin/standin_plain_service" --port 19603 --id plain1 --work-ms 0
+ctl service set plain kind=plain profile=normal slots_per_replica=64
+ctl endpoint set plain1 service=plain address=127.0.0.1:19603 zone=a
+ctl route set plain service=plain
+sleep 2
+for run in 1 2 3; do
+  echo "run $run, plain service, direct:"
+  "$bin/quetzalridge_load" --mode latency --addresses 127.0.0.1:19603 --rate "$rate" --seconds "$seconds" --path /probe
+  echo "run $run, plain service, through one daemon:"
+  "$bin/quetzalridge_load" --mode latency --addresses 127.0.0.1:19611 --keys "w=$key" --rate "$rate" --seconds "$seconds" --path /s/plain/probe
+done
 for run in 1 2 3; do
   echo "run $run, direct:"
   "$bin/quetzalridge_load" --mode latency --addresses 127.0.0.1:19601 --rate "$rate" --seconds "$seconds" --model chat --tokens 1
--- a/tools/load/latency_mode.cc
+++ b/tools/load/latency_mode.cc
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr Duration kTurn = Duration::Milliseconds(1);
+// A turn that waits adds up to 1 ms to each answer, direct or not, and hides what a daemon adds; so this mode polls.
+constexpr Duration kTurn;
 constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
 // Connections are made and caches filled in the first second, which is not counted.
 constexpr int64_t kWarmUpSeconds = 1;
