--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -1,10 +1,12 @@
 #include "daemon/settings.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <sstream>
 
 #include "base/error.h"
+#include "tests/fakes/property.h"
 
 namespace quetzalridge {
 namespace {
@@ -71,6 +73,46 @@
   }
 }
 
+// Each number changes one byte, removes one, inserts one, or cuts off the rest.
+std::string Damage(std::string text, const CommandSequence& commands) {
+  constexpr uint32_t kOperations = 8;
+  constexpr uint32_t kByteValues = 256;
+  for (const uint32_t command : commands) {
+    const uint32_t operation = command % kOperations;
+    const char byte = static_cast<char>(command / kOperations % kByteValues);
+    const size_t at = text.empty() ? 0 : command / kOperations / kByteValues % text.size();
+    if (operation < 3 && !text.empty()) {
+      text[at] = byte;
+    } else if (operation < 5) {
+      text.insert(at, 1, byte);
+    } else if (operation < 7) {
+      text.erase(at, 1);
+    } else {
+      text.resize(at);
+    }
+  }
+  return text;
+}
+
+// Guards against damaged settings that end the daemon with an exception other than the one that names the remedy.
+TEST_CASE("damaged settings are read or refused with a message") {
+  int refused = 0;
+  const PropertyOutcome outcome =
+      CheckSequences(45, 2000, 100, Shrinking::kOn, [&](const CommandSequence& commands) -> std::optional<std::string> {
+        const size_t count = std::min<size_t>(commands.size(), 3);
+        const std::string text = Damage(kValid, CommandSequence(commands.begin(), commands.begin() + count));
+        try {
+          refused += ErrorOf(text).empty() ? 0 : 1;
+        } catch (const std::exception& error) {
+          return text + " gave " + error.what();
+        }
+        return std::nullopt;
+      });
+  INFO(outcome.message);
+  CHECK(outcome.holds);
+  CHECK(refused > 0);
+}
+
 // Guards against a reference page that lags behind the code.
 TEST_CASE("the settings reference lists each key with its type and default") {
   std::ifstream file(QUETZALRIDGE_SOURCE_DIR "/docs/operations/settings.md");
