--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -264,7 +264,7 @@
   size_t missing = 0;
   for (AdminClient* instance : session->options().other_instances) {
     const AdminResponse response = instance->Call("GET", "/admin/burn", "");
-    if (response.status == 200) {
+    if (response.status == kStatusOk) {
       reports.push_back(response.body);
     } else {
       ++missing;
