Read responses with own framing, and write logs to standard output without blocking

Cause: the users' endpoints answer without a length, with bytes after the answer, and with late answers to earlier requests. The library's client reports a reset and an orderly close alike, and hides bytes after an answer. Ruled out: a second client beside the present one (two copies of pools and timeouts). The client now reads on the library's sockets with the library's parser; idle connections are watched, so that stray bytes drop them. Log lines go to standard output and are dropped and counted when the reader is slow.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -1,8 +1,15 @@
 #include "base/log_event.h"
 
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <stdexcept>
+#include <utility>
+
+#include "base/clock.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -63,6 +70,53 @@
        "Rows whose retention period is over were deleted since the last such event."},
       {LogEvent::kCleanupDamaged, LogSeverity::kError, "cleanup_damaged",
        "A row of the cleanup duty is malformed; nothing is deleted. Delete the row."},
+      {LogEvent::kNodeSettingsRead, LogSeverity::kInfo, "node_settings_read",
+       "The settings file of the platform was read, at start or after a change."},
+      {LogEvent::kLogLinesDropped, LogSeverity::kWarning, "log_lines_dropped",
+       "Lines were dropped since the last such event, because their rate was too high or the reader too slow."},
+      {LogEvent::kPeerRowsUsed, LogSeverity::kInfo, "peer_rows_used",
+       "The store does not answer this instance; newer operator rows or endpoint entries came from a peer."},
+      {LogEvent::kRowRejected, LogSeverity::kWarning, "row_rejected",
+       "A row of another writer cannot be used; it is ignored and the last good one stays in force."},
+      {LogEvent::kOperatorConfigApplied, LogSeverity::kInfo, "operator_config_applied",
+       "A newer configuration of the operator is in force on this instance."},
+      {LogEvent::kModelVersionNamed, LogSeverity::kInfo, "model_version_named",
+       "A trainer named a new version of a model."},
+      {LogEvent::kStoreCallFailed, LogSeverity::kWarning, "store_call_failed",
+       "The metadata store refused a call or gave no answer."},
+      {LogEvent::kBatchAccepted, LogSeverity::kInfo, "batch_accepted", "A batch job is stored and was acknowledged."},
+      {LogEvent::kBatchRefused, LogSeverity::kWarning, "batch_refused", "A batch job was not accepted."},
+      {LogEvent::kBatchOwned, LogSeverity::kInfo, "batch_owned", "This instance runs a batch job from now on."},
+      {LogEvent::kBatchOwnerLost, LogSeverity::kInfo, "batch_owner_lost",
+       "This instance no longer runs a batch job: another instance took it over, or it has ended."},
+      {LogEvent::kBatchAppended, LogSeverity::kInfo, "batch_appended", "Results of a batch job were stored."},
+      {LogEvent::kBatchEnded, LogSeverity::kInfo, "batch_ended", "A caller ended a batch job."},
+      {LogEvent::kBatchItemSent, LogSeverity::kInfo, "batch_item_sent", "An item was sent to an endpoint."},
+      {LogEvent::kBatchItemInterrupted, LogSeverity::kInfo, "batch_item_interrupted",
+       "The run of an item ended before its last event; it is sent again."},
+      {LogEvent::kBatchItemDone, LogSeverity::kInfo, "batch_item_done",
+       "An item has its result: completed, or failed for good."},
+      {LogEvent::kBatchRowMalformed, LogSeverity::kError, "batch_row_malformed",
+       "A row of a batch job cannot be read; the job is not run."},
+      {LogEvent::kRequestAnswered, LogSeverity::kInfo, "request_answered", "A request was answered by an endpoint."},
+      {LogEvent::kRequestRefused, LogSeverity::kInfo, "request_refused",
+       "A request was answered by this instance with an error."},
+      {LogEvent::kRequestAttemptFailed, LogSeverity::kInfo, "request_attempt_failed",
+       "An endpoint did not serve a request; the line says whether it may have run."},
+      {LogEvent::kRequestAbandoned, LogSeverity::kInfo, "request_abandoned",
+       "The caller closed its connection before the answer."},
+      {LogEvent::kEndpointListed, LogSeverity::kInfo, "endpoint_listed",
+       "An endpoint is new in the registry, or its state there changed."},
+      {LogEvent::kEndpointGone, LogSeverity::kInfo, "endpoint_gone", "An endpoint left the registry."},
+      {LogEvent::kEndpointAvoided, LogSeverity::kInfo, "endpoint_avoided",
+       "An endpoint failed and gets no work for a while."},
+      {LogEvent::kUsageReported, LogSeverity::kInfo, "usage_reported", "The usage of one window was reported."},
+      {LogEvent::kModelOrderSent, LogSeverity::kInfo, "model_order_sent",
+       "An endpoint was told to load a version of a model."},
+      {LogEvent::kModelOrderAnswered, LogSeverity::kInfo, "model_order_answered",
+       "The answer of an endpoint to such an order."},
+      {LogEvent::kEndpointsOrdered, LogSeverity::kInfo, "endpoints_ordered",
+       "The number of endpoints of a service in an availability zone was ordered."},
   };
   return kCatalogue;
 }
@@ -80,13 +134,78 @@
 
 LogSeverity g_minimum_severity = LogSeverity::kInfo;
 
-// The library itself prints to standard output or files only; this sends each line to standard error.
-class StandardErrorDispatch : public el::LogDispatchCallback {
+// Bytes that wait for a slow reader of the log.
+constexpr size_t kMaxBufferedBytes = 256 << 10;
+// Lines a second, and the burst above that rate. About five lines for each request at the peak of one instance.
+constexpr int64_t kLinesPerSecond = 400;
+constexpr int64_t kBurstLines = 2000;
+constexpr int64_t kMsPerSecond = 1000;
+
+// Writes whole lines to a descriptor without blocking.
+class LogWriter {
+ public:
+  void Open(int fd) {
+    m_fd = fd;
+    struct stat status {};
+    // A regular file never blocks, and a terminal is shared with other programs.
+    if (fstat(fd, &status) == 0 && (S_ISFIFO(status.st_mode) || S_ISSOCK(status.st_mode))) {
+      fcntl(fd, F_SETFL, fcntl(fd, F_GETFL, 0) | O_NONBLOCK);
+    }
+  }
+
+  bool Admit() {
+    const int64_t now_ms = m_clock.Now().ms();
+    m_tokens_ms = std::min(m_tokens_ms + (now_ms - m_refilled_ms), kBurstLines * kMsPerSecond / kLinesPerSecond);
+    m_refilled_ms = now_ms;
+    if (m_tokens_ms < kMsPerSecond / kLinesPerSecond) {
+      ++m_dropped;
+      return false;
+    }
+    m_tokens_ms -= kMsPerSecond / kLinesPerSecond;
+    return true;
+  }
+
+  void Write(const std::string& line) {
+    Flush();
+    if (m_pending.size() + line.size() > kMaxBufferedBytes) {
+      ++m_dropped;
+      return;
+    }
+    m_pending += line;
+    Flush();
+  }
+
+  int64_t dropped() const { return m_dropped; }
+  int64_t TakeUnreported() { return m_dropped - std::exchange(m_reported, m_dropped); }
+
+ private:
+  void Flush() {
+    while (!m_pending.empty()) {
+      const ssize_t written = write(m_fd, m_pending.data(), m_pending.size());
+      if (written <= 0) {
+        return;
+      }
+      m_pending.erase(0, static_cast<size_t>(written));
+    }
+  }
+
+  BootClock m_clock;
+  int m_fd = STDERR_FILENO;
+  std::string m_pending;
+  int64_t m_tokens_ms = kBurstLines * kMsPerSecond / kLinesPerSecond;
+  int64_t m_refilled_ms = 0;
+  int64_t m_dropped = 0;
+  int64_t m_reported = 0;
+};
+
+LogWriter g_writer;
+
+// The library itself prints to standard output or files only, and waits for the reader.
+class WriterDispatch : public el::LogDispatchCallback {
  protected:
   void handle(const el::LogDispatchData* data) override {
-    const std::string line = data->logMessage()->logger()->logBuilder()->build(
-        data->logMessage(), data->dispatchAction() == el::base::DispatchAction::NormalLog);
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    g_writer.Write(data->logMessage()->logger()->logBuilder()->build(
+        data->logMessage(), data->dispatchAction() == el::base::DispatchAction::NormalLog));
   }
 };
 
@@ -107,27 +226,69 @@
 }  // namespace
 
 // Instances have no disk, and the library's default configuration writes a file.
-void ConfigureLogging(LogSeverity minimum) {
+void ConfigureLogging(LogSeverity minimum, LogStream stream) {
   g_minimum_severity = minimum;
+  g_writer.Open(stream == LogStream::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO);
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   configuration.setGlobally(el::ConfigurationType::Format, "%datetime %level %msg");
   el::Loggers::reconfigureAllLoggers(configuration);
-  el::Helpers::installLogDispatchCallback<StandardErrorDispatch>("standard_error");
+  el::Helpers::installLogDispatchCallback<WriterDispatch>("writer");
 }
 
+namespace {
+
+void WriteLine(const LogEventInfo& info, const std::string& details) {
+  std::string line = "E" + std::to_string(static_cast<int>(info.event)) + " " + std::string(info.name);
+  if (!details.empty()) {
+    line += ": " + details;
+  }
+  el::base::Writer(ToLibraryLevel(info.severity), "", 0, "").construct(1, "default") << line;
+}
+
+std::string QuotedIfNeeded(const std::string& value) {
+  if (!value.empty() && value.find_first_of(" \"=\n\r") == std::string::npos) {
+    return value;
+  }
+  std::string quoted = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      quoted.push_back('\\');
+    }
+    quoted.push_back(c == '\n' || c == '\r' ? ' ' : c);
+  }
+  return quoted + "\"";
+}
+
+}  // namespace
+
 void Log(LogEvent event, const std::string& details) {
   const LogEventInfo& info = FindLogEvent(event);
-  if (info.severity < g_minimum_severity) {
+  if (info.severity < g_minimum_severity || !g_writer.Admit()) {
     return;
   }
-  std::string line = "E" + std::to_string(static_cast<int>(event)) + " " + std::string(info.name);
-  if (!details.empty()) {
-    line += ": " + details;
+  const int64_t dropped = g_writer.TakeUnreported();
+  if (dropped > 0) {
+    WriteLine(FindLogEvent(LogEvent::kLogLinesDropped), "lines=" + std::to_string(dropped));
   }
-  el::base::Writer(ToLibraryLevel(info.severity), "", 0, "").construct(1, "default") << line;
+  WriteLine(info, details);
+}
+
+void Log(LogEvent event, const std::vector<LogField>& fields) {
+  if (FindLogEvent(event).severity < g_minimum_severity) {
+    return;
+  }
+  std::string details;
+  for (const LogField& field : fields) {
+    details += (details.empty() ? "" : " ") + std::string(field.name) + "=" + QuotedIfNeeded(field.value);
+  }
+  Log(event, details);
+}
+
+int64_t DroppedLogLines() {
+  return g_writer.dropped();
 }
 
 }  // namespace quetzalridge
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,34 @@
   kNoEndpointsToOrder = 6006,
   kOldStateRemoved = 6007,
   kCleanupDamaged = 6008,
+  kNodeSettingsRead = 1004,
+  kLogLinesDropped = 1005,
+  kPeerRowsUsed = 3012,
+  kRowRejected = 3013,
+  kOperatorConfigApplied = 3014,
+  kModelVersionNamed = 3015,
+  kStoreCallFailed = 3016,
+  kBatchAccepted = 4003,
+  kBatchRefused = 4004,
+  kBatchOwned = 4005,
+  kBatchOwnerLost = 4006,
+  kBatchAppended = 4007,
+  kBatchEnded = 4008,
+  kBatchItemSent = 4009,
+  kBatchItemInterrupted = 4010,
+  kBatchItemDone = 4011,
+  kBatchRowMalformed = 4012,
+  kRequestAnswered = 5000,
+  kRequestRefused = 5001,
+  kRequestAttemptFailed = 5002,
+  kRequestAbandoned = 5003,
+  kEndpointListed = 5004,
+  kEndpointGone = 5005,
+  kEndpointAvoided = 5006,
+  kUsageReported = 6009,
+  kModelOrderSent = 6010,
+  kModelOrderAnswered = 6011,
+  kEndpointsOrdered = 6012,
 };
 
 struct LogEventInfo {
@@ -58,10 +87,28 @@
 const std::vector<LogEventInfo>& LogEventCatalogue();
 const LogEventInfo& FindLogEvent(LogEvent event);
 
-// Sends log lines to standard error only and drops those below `minimum`. Call once, before the first line.
-void ConfigureLogging(LogSeverity minimum);
+// Where log lines go. Writing never blocks: what the reader does not take is buffered up to a limit, then dropped and
+// counted.
+enum class LogStream {
+  kStandardOutput,
+  kStandardError,
+};
+
+// Drops lines below `minimum`. Call once, before the first line.
+void ConfigureLogging(LogSeverity minimum, LogStream stream = LogStream::kStandardError);
 
-// Writes "E<number> <name> <details>".
+// Writes "E<number> <name>: <details>".
 void Log(LogEvent event, const std::string& details);
 
+struct LogField {
+  std::string_view name;
+  std::string value;
+};
+
+// Writes "E<number> <name>: <field>=<value> ...". Values with spaces or quotes are quoted.
+void Log(LogEvent event, const std::vector<LogField>& fields);
+
+// Lines that were not written because the reader was too slow or the rate limit was reached.
+int64_t DroppedLogLines();
+
 }  // namespace quetzalridge
--- a/src/daemon/quetzalridged_main.cc
+++ b/src/daemon/quetzalridged_main.cc
@@ -49,7 +49,7 @@
     }
   }
   // The loop's sockets refer to objects of the daemon, so the process ends without destroying either.
-  std::cerr.flush();
+  std::cout.flush();
   _exit(0);
 }
 
@@ -75,10 +75,10 @@
   }
   try {
     const Settings settings = LoadSettings(settings_file);
-    ConfigureLogging(settings.log.level);
+    ConfigureLogging(settings.log.level, LogStream::kStandardOutput);
     return Serve(settings);
   } catch (const Error& error) {
-    ConfigureLogging(LogSeverity::kInfo);
+    ConfigureLogging(LogSeverity::kInfo, LogStream::kStandardOutput);
     Log(LogEvent::kSettingsRejected, error.what());
     return 1;
   }
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,33 +1,44 @@
 #include "transport/http_client.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "base/error.h"
 #include "base/ip_port.h"
 #include "transport/detail_h2o.h"
+#include "transport/detail_http_parser.h"
 #include "transport/socket_address.h"
 
 namespace quetzalridge {
 
 namespace {
 
-constexpr size_t kPoolCapacity = 4096;
 // A pooled connection is dropped before common servers' keep-alive limits, since a request written to a connection that
 // the server closes at that moment has an unknown outcome.
-constexpr uint64_t kPoolIdleTimeoutMs = 4000;
-// h2o's own timeout is only a backstop; the deadlines of each call are kept on the event loop.
-constexpr uint64_t kBackstopTimeoutMs = 3'600'000;
+constexpr Duration kPoolIdleTimeout = Duration::Seconds(4);
+// The server's clock for its own limit started earlier than ours.
+constexpr Duration kKeepAliveMargin = Duration::Seconds(1);
+constexpr size_t kMaxHeaders = 100;
+constexpr size_t kMaxHeadBytes = 64 << 10;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr int kParseError = -1;
+constexpr int kParseIncomplete = -2;
 
 std::string BuildHead(const HttpCall& call) {
-  std::string head = call.method + " " + call.target + " HTTP/1.1\r\nhost: " + call.address + "\r\n";
+  std::string head = call.method + " " + call.target + " HTTP/1.1\r\n";
+  if (FindHeader(call.headers, "host") == nullptr) {
+    head += "host: " + call.address + "\r\n";
+  }
   for (const HttpHeader& header : call.headers) {
     head += header.name + ": " + header.value + "\r\n";
   }
@@ -40,13 +51,70 @@
   return head + "\r\n";
 }
 
+std::string ToLower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+  return text;
+}
+
 enum class BodyFraming {
   kNone,
   kContentLength,
   kChunked,
   kUntilClose,
+  // Lengths that contradict each other or are no numbers.
+  kInvalid,
+};
+
+struct ResponseHead {
+  int minor_version = 0;
+  int status = 0;
+  HttpHeaders headers;
+  BodyFraming framing = BodyFraming::kNone;
+  size_t content_length = 0;
 };
 
+// Sets `framing` and `content_length` from the status and the headers.
+void SetFraming(bool is_head_request, ResponseHead* head) {
+  if (is_head_request || head->status == kNoContent || head->status == kNotModified) {
+    head->framing = BodyFraming::kNone;
+    return;
+  }
+  if (FindHeader(head->headers, "transfer-encoding") != nullptr) {
+    const bool chunked = ToLower(*FindHeader(head->headers, "transfer-encoding")) == "chunked";
+    head->framing = chunked ? BodyFraming::kChunked : BodyFraming::kInvalid;
+    return;
+  }
+  head->framing = BodyFraming::kUntilClose;
+  for (const HttpHeader& header : head->headers) {
+    if (header.name != "content-length") {
+      continue;
+    }
+    char* end = nullptr;
+    const size_t length = std::strtoull(header.value.c_str(), &end, 10);
+    const bool repeated = head->framing == BodyFraming::kContentLength && length != head->content_length;
+    if (header.value.empty() || *end != '\0' || header.value[0] == '-' || repeated) {
+      head->framing = BodyFraming::kInvalid;
+      return;
+    }
+    head->framing = BodyFraming::kContentLength;
+    head->content_length = length;
+  }
+}
+
+// How long the peer keeps the connection open while it is idle, as far as its answer tells.
+Duration IdleTimeOf(const HttpHeaders& headers) {
+  const std::string* keep_alive = FindHeader(headers, "keep-alive");
+  if (keep_alive == nullptr) {
+    return kPoolIdleTimeout;
+  }
+  const size_t position = ToLower(*keep_alive).find("timeout=");
+  if (position == std::string::npos) {
+    return kPoolIdleTimeout;
+  }
+  const Duration stated = Duration::Seconds(std::atoi(keep_alive->c_str() + position + std::strlen("timeout=")));
+  return std::min(kPoolIdleTimeout, stated - kKeepAliveMargin);
+}
+
 }  // namespace
 
 std::string_view CallOutcomeName(CallOutcome outcome) {
@@ -65,14 +133,7 @@
 
 class HttpClient::Impl {
  public:
-  explicit Impl(EventLoop* loop) : m_loop(loop) {
-    h2o_timeout_init(loop->h2o_loop(), m_io_timeout, kBackstopTimeoutMs);
-    m_context.loop = loop->h2o_loop();
-    m_context.io_timeout = m_io_timeout;
-    m_context.websocket_timeout = nullptr;
-    m_context.ssl_ctx = nullptr;
-    m_context.getaddr_receiver = nullptr;
-  }
+  explicit Impl(EventLoop* loop) : m_loop(loop) {}
 
   ~Impl() {
     std::unordered_set<FetchCall*> fetches;
@@ -84,42 +145,93 @@
 
   std::unique_ptr<HttpExchange> Start(HttpCall call, HttpCallObserver* observer);
   void Fetch(HttpCall call, std::function<void(const HttpResponse&)> callback, size_t max_body_bytes);
+  int64_t connections_made() const { return m_connections_made; }
 
  private:
+  class Connection;
   class Call;
   class Handle;
   class FetchCall;
 
   static void DeleteFetch(FetchCall* fetch);
-
-  h2o_socketpool_t* PoolFor(const std::string& address, const IpPort& target) {
-    auto it = m_pools.find(address);
-    if (it != m_pools.end()) {
-      return it->second;
-    }
-    // Pools are kept for the life of the process: h2o's sockets refer to them until they close.
-    auto* pool = new h2o_socketpool_t;
-    sockaddr_in socket_address = ToSocketAddress(target);
-    h2o_socketpool_init_by_address(pool, reinterpret_cast<sockaddr*>(&socket_address), sizeof(socket_address), 0,
-                                   kPoolCapacity);
-    h2o_socketpool_set_timeout(pool, m_loop->h2o_loop(), kPoolIdleTimeoutMs);
-    m_pools.emplace(address, pool);
-    return pool;
-  }
+  std::unique_ptr<Connection> TakeIdle(const std::string& address);
+  void Keep(std::unique_ptr<Connection> connection, const std::string& address, Duration idle_time);
+  void Drop(const std::string& address, Connection* connection);
 
   EventLoop* m_loop;
-  h2o_http1client_ctx_t m_context{};
-  // Kept for the life of the process: the loop's list of timeouts refers to it.
-  h2o_timeout_t* m_io_timeout = new h2o_timeout_t{};
-  std::map<std::string, h2o_socketpool_t*> m_pools;
+  std::map<std::string, std::deque<std::unique_ptr<Connection>>> m_idle;
   std::unordered_set<FetchCall*> m_fetches;
+  int64_t m_connections_made = 0;
+};
+
+// A socket that closes with its owner.
+class HttpClient::Impl::Connection {
+ public:
+  explicit Connection(h2o_socket_t* socket) : m_socket(socket) {}
+  ~Connection() { h2o_socket_close(m_socket); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  h2o_socket_t* socket() { return m_socket; }
+
+  // While idle, a byte or the end of the connection drops it: such bytes answer no request.
+  void WatchIdle(Impl* owner, const std::string& address, Duration idle_time) {
+    m_owner = owner;
+    m_address = address;
+    m_socket->data = this;
+    h2o_socket_read_start(m_socket, [](h2o_socket_t* socket, const char*) {
+      auto* self = static_cast<Connection*>(socket->data);
+      self->m_owner->Drop(self->m_address, self);
+    });
+    m_expiry = owner->m_loop->After(idle_time, [this] { m_owner->Drop(m_address, this); });
+  }
+  void StopWatching() { m_expiry.reset(); }
+
+ private:
+  h2o_socket_t* m_socket;
+  Impl* m_owner = nullptr;
+  std::string m_address;
+  std::unique_ptr<Timer> m_expiry;
 };
 
+std::unique_ptr<HttpClient::Impl::Connection> HttpClient::Impl::TakeIdle(const std::string& address) {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end()) {
+    return nullptr;
+  }
+  std::unique_ptr<Connection> connection = std::move(found->second.back());
+  found->second.pop_back();
+  if (found->second.empty()) {
+    m_idle.erase(found);
+  }
+  connection->StopWatching();
+  return connection;
+}
+
+void HttpClient::Impl::Keep(std::unique_ptr<Connection> connection, const std::string& address, Duration idle_time) {
+  connection->WatchIdle(this, address, idle_time);
+  m_idle[address].push_back(std::move(connection));
+}
+
+void HttpClient::Impl::Drop(const std::string& address, Connection* connection) {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end()) {
+    return;
+  }
+  auto& connections = found->second;
+  connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                   [connection](const auto& candidate) { return candidate.get() == connection; }),
+                    connections.end());
+  if (connections.empty()) {
+    m_idle.erase(found);
+  }
+}
+
 // State of one call. Owned by itself: deleted after the end callback or a cancel, whichever is first and outermost.
 class HttpClient::Impl::Call {
  public:
   Call(Impl* client, HttpCall call, HttpCallObserver* observer)
-      : m_client(client), m_call(std::move(call)), m_observer(observer), m_head(BuildHead(m_call)) {}
+      : m_client(client), m_call(std::move(call)), m_observer(observer), m_head_bytes(BuildHead(m_call)) {}
 
   void SetHandle(Handle* handle) { m_handle = handle; }
 
@@ -127,25 +239,34 @@
     const std::optional<IpPort> target = ParseIpPort(m_call.address);
     if (!target.has_value() || target->port == 0) {
       // Addresses come from outside, and an exception in a callback would end the process.
-      m_total_timer = m_client->m_loop->After(Duration(), [this] {
-        Finish(CallOutcome::kNotSent,
-               "'" + m_call.address + "' is not an address; give an IPv4 number and a port, such as 127.0.0.1:8000");
-      });
+      FinishLater("'" + m_call.address + "' is not an address; give an IPv4 number and a port, such as 127.0.0.1:8000");
       return;
     }
     m_total_timer = m_client->m_loop->After(m_call.total_timeout, [this] { OnTimeout("total time"); });
+    if (!m_call.fresh_connection) {
+      m_connection = m_client->TakeIdle(m_call.address);
+    }
+    if (m_connection != nullptr) {
+      // The observer must not run before Start has returned.
+      m_stage_timer = m_client->m_loop->After(Duration(), [this] { Write(); });
+      m_connection->socket()->data = this;
+      h2o_socket_read_start(m_connection->socket(), &OnRead);
+      return;
+    }
     ArmStage(m_call.connect_timeout, "connect");
-    if (m_call.fresh_connection) {
-      m_host = target->ip;
-      h2o_http1client_connect(&m_h2o, this, &m_client->m_context, h2o_iovec_init(m_host.data(), m_host.size()),
-                              target->port, 0, &OnConnect);
-    } else {
-      h2o_http1client_connect_with_pool(&m_h2o, this, &m_client->m_context, m_client->PoolFor(m_call.address, *target),
-                                        &OnConnect);
+    sockaddr_in address = ToSocketAddress(*target);
+    h2o_socket_t* socket = h2o_socket_connect(m_client->m_loop->h2o_loop(), reinterpret_cast<sockaddr*>(&address),
+                                              sizeof(address), &OnConnect);
+    if (socket == nullptr) {
+      FinishLater("no socket could be made; raise the limit of open files");
+      return;
     }
+    ++m_client->m_connections_made;
+    m_connection = std::make_unique<Connection>(socket);
+    socket->data = this;
   }
 
-  // Called by the handle. Inside a callback h2o must close the connection itself, told by the return value.
+  // Called by the handle. Inside a callback the outermost frame deletes the call.
   void Cancel() {
     m_observer = nullptr;
     m_handle = nullptr;
@@ -154,135 +275,261 @@
       m_cancelled = true;
       return;
     }
-    if (m_h2o != nullptr) {
-      h2o_http1client_cancel(m_h2o);
-    }
     delete this;
   }
 
  private:
-  static Call* From(h2o_http1client_t* client) { return static_cast<Call*>(client->data); }
+  static Call* From(h2o_socket_t* socket) { return static_cast<Call*>(socket->data); }
+
+  void FinishLater(const std::string& detail) {
+    m_total_timer = m_client->m_loop->After(Duration(), [this, detail] { Finish(CallOutcome::kNotSent, detail); });
+  }
 
-  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client, const char* error, h2o_iovec_t** buffers,
-                                           size_t* buffer_count, int* method_is_head) {
-    Call* self = From(client);
-    self->m_h2o = client;
+  static void OnConnect(h2o_socket_t* socket, const char* error) {
+    Call* self = From(socket);
     if (error != nullptr) {
-      self->m_h2o = nullptr;
       self->Finish(CallOutcome::kNotSent, error);
-      return nullptr;
+      return;
+    }
+    h2o_socket_read_start(socket, &OnRead);
+    self->Write();
+  }
+
+  void Write() {
+    if (m_call.before_write && !m_call.before_write()) {
+      Finish(CallOutcome::kNotSent, "abandoned before the write");
+      return;
+    }
+    m_written = true;
+    m_writing = true;
+    ArmStage(m_call.head_timeout, "response head");
+    h2o_iovec_t buffers[2] = {h2o_iovec_init(m_head_bytes.data(), m_head_bytes.size()),
+                              h2o_iovec_init(m_call.body.data(), m_call.body.size())};
+    h2o_socket_write(m_connection->socket(), buffers, m_call.body.empty() ? 1 : 2, &OnWritten);
+  }
+
+  // An error of the write shows as an error of the read, after what the peer had still answered.
+  static void OnWritten(h2o_socket_t* socket, const char* error) { From(socket)->m_writing = error != nullptr; }
+
+  static void OnRead(h2o_socket_t* socket, const char* error) {
+    Call* self = From(socket);
+    if (!self->m_written) {
+      // The pooled connection ended, or sent what answers no request, before this call used it.
+      self->Finish(CallOutcome::kNotSent, "the kept connection was closed by the peer");
+      return;
     }
-    if (self->m_call.before_write && !self->m_call.before_write()) {
-      self->m_h2o = nullptr;
-      self->Finish(CallOutcome::kNotSent, "abandoned before the write");
-      return nullptr;
+    h2o_buffer_t** input = &socket->input;
+    self->m_input.append((*input)->bytes, (*input)->size);
+    h2o_buffer_consume(input, (*input)->size);
+    if (!self->Parse()) {
+      return;
     }
-    self->m_written = true;
-    self->ArmStage(self->m_call.head_timeout, "response head");
-    self->m_buffers[0] = h2o_iovec_init(self->m_head.data(), self->m_head.size());
-    self->m_buffers[1] = h2o_iovec_init(self->m_call.body.data(), self->m_call.body.size());
-    *buffers = self->m_buffers;
-    *buffer_count = self->m_call.body.empty() ? 1 : 2;
-    *method_is_head = self->m_call.method == "HEAD" ? 1 : 0;
-    return &OnHead;
-  }
-
-  static h2o_http1client_body_cb OnHead(h2o_http1client_t* client, const char* error, int minor_version, int status,
-                                        h2o_iovec_t message, h2o_header_t* headers, size_t header_count, int) {
-    Call* self = From(client);
-    const bool ended = error == h2o_http1client_error_is_eos;
-    if (error != nullptr && !ended) {
-      self->m_h2o = nullptr;
-      self->Finish(CallOutcome::kNoAnswer, error);
-      return nullptr;
+    if (error != nullptr) {
+      self->OnConnectionEnd(error);
     }
-    self->ArmStage(self->m_call.idle_timeout, "response body");
-    HttpHeaders received = ReadHeaders(headers, header_count);
-    self->m_framing = ended ? BodyFraming::kNone : FramingOf(received);
-    self->m_in_callback = true;
-    self->m_observer->OnHead(status, received);
-    self->m_in_callback = false;
-    if (self->m_cancelled) {
-      delete self;
-      return nullptr;
+  }
+
+  // False when the call has ended and was deleted.
+  bool Parse() {
+    while (true) {
+      if (!m_head.has_value()) {
+        if (m_input.empty()) {
+          return true;
+        }
+        ResponseHead head;
+        const int size = ParseHead(&head);
+        if (size == kParseError || (size == kParseIncomplete && m_input.size() > kMaxHeadBytes)) {
+          Finish(CallOutcome::kNoAnswer, "what the peer sent is not an HTTP response");
+          return false;
+        }
+        if (size == kParseIncomplete) {
+          return true;
+        }
+        m_input.erase(0, static_cast<size_t>(size));
+        if (head.status < kFirstFinalStatus) {
+          continue;
+        }
+        m_head = std::move(head);
+        m_skipping = m_call.is_own_answer && !m_call.is_own_answer(m_head->headers);
+        m_left = m_head->content_length;
+        m_decoder = {};
+        m_decoder.consume_trailer = 1;
+        if (!m_skipping && !ReportHead()) {
+          return false;
+        }
+      }
+      if (m_head->framing == BodyFraming::kInvalid) {
+        Finish(CallOutcome::kCut, "the length of the response body is not valid");
+        return false;
+      }
+      const std::optional<bool> ended = ParseBody();
+      if (!ended.has_value()) {
+        return false;
+      }
+      if (!*ended) {
+        return true;
+      }
+      if (!m_skipping) {
+        FinishWhole();
+        return false;
+      }
+      m_head.reset();
     }
-    if (ended) {
-      self->m_h2o = nullptr;
-      self->Finish(CallOutcome::kWhole, "");
-      return nullptr;
+  }
+
+  int ParseHead(ResponseHead* head) {
+    phr_header headers[kMaxHeaders];
+    size_t count = kMaxHeaders;
+    const char* message = nullptr;
+    size_t message_size = 0;
+    const int size = phr_parse_response(m_input.data(), m_input.size(), &head->minor_version, &head->status, &message,
+                                        &message_size, headers, &count, 0);
+    if (size < 0) {
+      return size;
     }
-    return &OnBody;
-  }
-
-  static int OnBody(h2o_http1client_t* client, const char* error) {
-    Call* self = From(client);
-    self->ArmStage(self->m_call.idle_timeout, "response body");
-    h2o_buffer_t** input = &client->sock->input;
-    // At the end of a chunked body this counter is 0 when the connection closed before the last chunk.
-    const bool last_chunk_read = client->sock->bytes_read > 0;
-    if ((*input)->size > 0 && (error == nullptr || error == h2o_http1client_error_is_eos)) {
-      self->m_in_callback = true;
-      const std::string data((*input)->bytes, (*input)->size);
-      h2o_buffer_consume(input, (*input)->size);
-      self->m_observer->OnBody(data);
-      self->m_in_callback = false;
-      if (self->m_cancelled) {
-        delete self;
-        return -1;
+    for (size_t i = 0; i < count; ++i) {
+      if (headers[i].name == nullptr) {
+        return kParseError;
       }
+      head->headers.push_back({ToLower(std::string(headers[i].name, headers[i].name_len)),
+                               std::string(headers[i].value, headers[i].value_len)});
     }
-    if (error == nullptr) {
-      return 0;
+    SetFraming(m_call.method == "HEAD", head);
+    return size;
+  }
+
+  // True at the end of the body, nothing when the call was deleted.
+  std::optional<bool> ParseBody() {
+    switch (m_head->framing) {
+      case BodyFraming::kNone:
+      case BodyFraming::kInvalid:
+        return true;
+      case BodyFraming::kUntilClose:
+        return Deliver(std::exchange(m_input, std::string())) ? std::optional<bool>(false) : std::nullopt;
+      case BodyFraming::kContentLength: {
+        const size_t size = std::min(m_left, m_input.size());
+        const std::string data = m_input.substr(0, size);
+        m_input.erase(0, size);
+        m_left -= size;
+        if (!Deliver(data)) {
+          return std::nullopt;
+        }
+        return m_left == 0;
+      }
+      case BodyFraming::kChunked:
+        return ParseChunks();
     }
-    self->m_h2o = nullptr;
-    if (error != h2o_http1client_error_is_eos) {
-      self->Finish(CallOutcome::kCut, error);
-    } else if (self->m_framing == BodyFraming::kUntilClose) {
-      self->Finish(CallOutcome::kCut, "the response has neither a length nor chunks, so its end cannot be told");
-    } else if (self->m_framing == BodyFraming::kChunked && !last_chunk_read) {
-      self->Finish(CallOutcome::kCut, "the connection closed before the last chunk");
-    } else {
-      self->Finish(CallOutcome::kWhole, "");
+    return true;
+  }
+
+  std::optional<bool> ParseChunks() {
+    std::string data = std::exchange(m_input, std::string());
+    size_t size = data.size();
+    if (size == 0) {
+      return false;
+    }
+    const ptrdiff_t rest = phr_decode_chunked(&m_decoder, data.data(), &size);
+    if (rest == kParseError) {
+      if (m_skipping) {
+        Finish(CallOutcome::kNoAnswer, "a response to another request is malformed");
+      } else {
+        Finish(CallOutcome::kCut, "a chunk of the response is malformed");
+      }
+      return std::nullopt;
+    }
+    if (rest > 0) {
+      m_input = data.substr(size, static_cast<size_t>(rest));
+    }
+    data.resize(size);
+    if (!Deliver(data)) {
+      return std::nullopt;
     }
-    return 0;
+    return rest != kParseIncomplete;
   }
 
-  static HttpHeaders ReadHeaders(const h2o_header_t* headers, size_t count) {
-    HttpHeaders result;
-    result.reserve(count);
-    for (size_t i = 0; i < count; ++i) {
-      result.push_back({std::string(headers[i].name->base, headers[i].name->len),
-                        std::string(headers[i].value.base, headers[i].value.len)});
+  // False when the observer cancelled the call.
+  bool ReportHead() {
+    ArmStage(m_call.idle_timeout, "response body");
+    m_in_callback = true;
+    m_observer->OnHead(m_head->status, m_head->headers);
+    return EndCallback();
+  }
+
+  bool Deliver(const std::string& data) {
+    if (data.empty() || m_skipping) {
+      return true;
+    }
+    ArmStage(m_call.idle_timeout, "response body");
+    m_in_callback = true;
+    m_observer->OnBody(data);
+    return EndCallback();
+  }
+
+  bool EndCallback() {
+    m_in_callback = false;
+    if (m_cancelled) {
+      delete this;
+      return false;
     }
-    return result;
+    return true;
   }
 
-  static BodyFraming FramingOf(const HttpHeaders& headers) {
-    if (FindHeader(headers, "transfer-encoding") != nullptr) {
-      return BodyFraming::kChunked;
+  void OnConnectionEnd(const char* error) {
+    if (!m_head.has_value() || m_skipping) {
+      Finish(CallOutcome::kNoAnswer, error);
+    } else if (m_head->framing != BodyFraming::kUntilClose) {
+      Finish(CallOutcome::kCut, "the connection closed in the response body");
+    } else if (!m_call.accepts_unframed_body) {
+      Finish(CallOutcome::kCut, "the response has neither a length nor chunks, so its end cannot be told");
+    } else if (error != h2o_socket_error_closed) {
+      Finish(CallOutcome::kCut, "the connection was reset in the response body");
+    } else {
+      Finish(CallOutcome::kWhole, "");
+    }
+  }
+
+  // Bytes after the response answer no request, so such a connection is not kept.
+  void FinishWhole() {
+    const std::string* header = FindHeader(m_head->headers, "connection");
+    const bool closes = header != nullptr && ToLower(*header).find("close") != std::string::npos;
+    const bool keeps = !m_call.fresh_connection && !closes && m_head->minor_version > 0 && m_input.empty() &&
+                       !m_writing && m_head->framing != BodyFraming::kUntilClose;
+    const Duration idle_time = IdleTimeOf(m_head->headers);
+    if (keeps && idle_time > Duration()) {
+      m_client->Keep(std::move(m_connection), m_call.address, idle_time);
     }
-    return FindHeader(headers, "content-length") != nullptr ? BodyFraming::kContentLength : BodyFraming::kUntilClose;
+    Finish(CallOutcome::kWhole, "");
   }
 
+  // Streams move their deadline with each piece, so the timer is set anew only when it fires early.
   void ArmStage(Duration timeout, const char* stage) {
-    m_stage_timer = m_client->m_loop->After(timeout, [this, stage] { OnTimeout(stage); });
+    m_stage = stage;
+    m_stage_deadline = m_client->m_loop->clock().Now() + timeout;
+    if (m_stage_timer == nullptr || m_stage_deadline < m_stage_timer_at) {
+      SetStageTimer();
+    }
+  }
+
+  void SetStageTimer() {
+    m_stage_timer_at = m_stage_deadline;
+    m_stage_timer = m_client->m_loop->After(m_stage_deadline - m_client->m_loop->clock().Now(), [this] {
+      if (m_client->m_loop->clock().Now() < m_stage_deadline) {
+        SetStageTimer();
+      } else {
+        OnTimeout(m_stage);
+      }
+    });
   }
 
   void OnTimeout(const char* stage) {
     m_timed_out = true;
-    if (m_h2o != nullptr) {
-      h2o_http1client_cancel(m_h2o);
-      m_h2o = nullptr;
-    }
     CallOutcome outcome = CallOutcome::kNotSent;
     if (m_written) {
-      outcome = IsHeadReceived() ? CallOutcome::kCut : CallOutcome::kNoAnswer;
+      outcome = m_head.has_value() && !m_skipping ? CallOutcome::kCut : CallOutcome::kNoAnswer;
     }
     Finish(outcome, std::string("timeout: ") + stage);
   }
 
-  bool IsHeadReceived() const { return m_framing != BodyFraming::kNone; }
-
   void StopTimers() {
     m_stage_timer.reset();
     m_total_timer.reset();
@@ -294,14 +541,22 @@
   HttpCall m_call;
   HttpCallObserver* m_observer;
   Handle* m_handle = nullptr;
-  std::string m_head;
-  std::string m_host;
-  h2o_http1client_t* m_h2o = nullptr;
-  h2o_iovec_t m_buffers[2]{};
+  std::string m_head_bytes;
+  std::unique_ptr<Connection> m_connection;
+  std::string m_input;
+  std::optional<ResponseHead> m_head;
+  // The present response answers another request.
+  bool m_skipping = false;
+  size_t m_left = 0;
+  phr_chunked_decoder m_decoder{};
   std::unique_ptr<Timer> m_stage_timer;
   std::unique_ptr<Timer> m_total_timer;
-  BodyFraming m_framing = BodyFraming::kNone;
+  const char* m_stage = "";
+  TimePoint m_stage_deadline;
+  TimePoint m_stage_timer_at;
   bool m_written = false;
+  // The request is not wholly written yet.
+  bool m_writing = false;
   bool m_timed_out = false;
   bool m_in_callback = false;
   bool m_cancelled = false;
@@ -408,4 +663,8 @@
   m_impl->Fetch(std::move(call), std::move(callback), max_body_bytes);
 }
 
+int64_t HttpClient::connections_made() const {
+  return m_impl->connections_made();
+}
+
 }  // namespace quetzalridge
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,7 +13,7 @@
 namespace quetzalridge {
 
 struct HttpCall {
-  // "ip:port"
+  // "ip:port"; also the host header, unless `headers` holds one.
   std::string address;
   std::string method = "GET";
   // Path and query.
@@ -27,8 +28,12 @@
   // Between two pieces of the body.
   Duration idle_timeout = Duration::Seconds(30);
   Duration total_timeout = Duration::Seconds(600);
+  // Takes a body with neither length nor chunks as whole when the peer closes the connection in order.
+  bool accepts_unframed_body = false;
   // Runs as the last step before the first byte is written; false abandons the call as not sent.
   std::function<bool()> before_write;
+  // False for a response that answers another request; it is skipped, and the next one on the connection is awaited.
+  std::function<bool(const HttpHeaders&)> is_own_answer;
 };
 
 enum class CallOutcome {
@@ -84,6 +89,8 @@
   // Collects the whole response, at most `max_body_bytes` of it. The call goes on until it ends or the client is
   // destroyed.
   void Fetch(HttpCall call, std::function<void(const HttpResponse&)> callback, size_t max_body_bytes = 64 << 20);
+  // Connections made since the start.
+  int64_t connections_made() const;
 
  private:
   class Impl;
--- a/tests/mutants/quetzalridged_mutant_main.cc
+++ b/tests/mutants/quetzalridged_mutant_main.cc
@@ -62,7 +62,7 @@
   mechanisms.*(mechanism->second) = false;
   try {
     const Settings settings = LoadSettings(argv[2]);
-    ConfigureLogging(settings.log.level);
+    ConfigureLogging(settings.log.level, LogStream::kStandardOutput);
     Serve(settings, mechanisms);
     return 0;
   } catch (const Error& error) {
