--- a/src/transport/http_message.cc
+++ b/src/base/http_header.cc
@@ -1,4 +1,4 @@
-#include "transport/http_message.h"
+#include "base/http_header.h"
 
 namespace quetzalridge {
 
--- /dev/null
+++ b/src/coordination/batch_coordinator.cc
@@ -0,0 +1,624 @@
+#include "coordination/batch_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log_event.h"
+
+namespace quetzalridge {
+
+namespace {
+
+// Jobs are looked for, and their owners' rows read again, this often.
+constexpr Duration kTick = Duration::Milliseconds(700);
+// Waiting items are offered to endpoints at least this often; most starts follow an event.
+constexpr Duration kPumpInterval = Duration::Milliseconds(50);
+// Rows of jobs of other owners are read again after this time, to learn of their end and of new owners.
+constexpr Duration kForeignRefresh = Duration::Seconds(4);
+// An instance that is not the first choice to take a job over waits this long for each one before it.
+constexpr Duration kTakeoverStep = Duration::Milliseconds(1500);
+constexpr int kRowsPerScan = 400;
+constexpr size_t kMaxRowBytes = 48'000;
+// Of one transaction; see BatchRunner.
+constexpr size_t kMaxChunksAtOnce = 12;
+constexpr size_t kMaxPageBytes = 700'000;
+constexpr Duration kReadPoll = Duration::Milliseconds(300);
+constexpr Duration kDrainPoll = Duration::Milliseconds(50);
+constexpr int kIdentityBytes = 8;
+
+}  // namespace
+
+BatchCoordinator::BatchCoordinator(BatchContext context, BatchFleet fleet)
+    : m_context(std::move(context)),
+      m_fleet(std::move(fleet)),
+      m_resolving_store(m_context.store, m_context.scheduler) {}
+
+void BatchCoordinator::Start() {
+  Tick();
+  Pump();
+}
+
+int BatchCoordinator::owned() const {
+  return static_cast<int>(
+      std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto& entry) { return entry.second.runner != nullptr; }));
+}
+
+int64_t BatchCoordinator::VersionLag(const std::string& model) const {
+  const auto found = m_version_lags.find(model);
+  return found == m_version_lags.end() ? 0 : found->second;
+}
+
+void BatchCoordinator::Tick() {
+  m_tick_timer = m_context.scheduler->After(kTick, [this] { Tick(); });
+  m_context.store->ListPartitions(kBatchTable,
+                                  m_guard.Wrap([this](const PartitionsResult& result) { OnPartitions(result); }));
+  std::vector<std::string> due;
+  for (auto& [id, job] : m_jobs) {
+    if (job.runner != nullptr && job.runner->IsDone() && job.runner->IsQuiet()) {
+      DropRunner(&job, job.runner->lost() ? "taken over" : "done");
+    }
+    const bool open = !job.rows.ended && job.rows.tail.listed.size() < job.rows.head.item_count;
+    if (job.runner != nullptr || (open && Now() - job.read_at >= kForeignRefresh)) {
+      due.push_back(id);
+    }
+  }
+  for (const std::string& id : due) {
+    RefreshJob(id);
+  }
+  for (auto& [id, job] : m_jobs) {
+    ReviewOwner(id, &job);
+  }
+}
+
+void BatchCoordinator::OnPartitions(const PartitionsResult& result) {
+  if (!result.ok) {
+    return;
+  }
+  for (const std::string& partition : result.partitions) {
+    const std::string id = BatchOfPartition(partition);
+    if (m_jobs.count(id) == 0) {
+      RefreshJob(id);
+    }
+  }
+}
+
+void BatchCoordinator::RefreshJob(const std::string& id) {
+  const auto known = m_jobs.find(id);
+  if (known != m_jobs.end()) {
+    if (known->second.reading) {
+      return;
+    }
+    known->second.reading = true;
+  }
+  m_context.store->Scan(BatchPrefix(id), "", kRowsPerScan,
+                        m_guard.Wrap([this, id, read_at = Now()](const ReadResult& read) {
+                          const auto job = m_jobs.find(id);
+                          if (job != m_jobs.end()) {
+                            job->second.reading = false;
+                          }
+                          OnJobRows(id, read_at, read);
+                        }));
+}
+
+void BatchCoordinator::OnJobRows(const std::string& id, TimePoint read_at, const ReadResult& read) {
+  bool malformed = false;
+  std::optional<BatchRows> rows = read.ok ? ReadBatchRows(read.rows, &malformed) : std::nullopt;
+  if (!rows.has_value()) {
+    return;
+  }
+  const auto [entry, is_new] = m_jobs.try_emplace(id);
+  Job& job = entry->second;
+  if (is_new && rows->head.spec.newest_version > 0) {
+    m_version_lags[rows->head.spec.model] =
+        std::max<int64_t>(rows->head.spec.newest_version - rows->head.spec.oldest_version, 0);
+  }
+  if (job.runner != nullptr) {
+    job.runner->OnRows(*rows, read_at);
+  }
+  // Reads may overtake each other; the versions of rows only grow.
+  if (is_new || rows->owner_version >= job.rows.owner_version) {
+    const bool ended = job.rows.ended || rows->ended;
+    if (rows->owner_version > job.rows.owner_version) {
+      job.orphaned_at.reset();
+    }
+    job.rows = std::move(*rows);
+    job.rows.ended = ended;
+  }
+  job.read_at = std::max(job.read_at, read_at);
+  ReviewOwner(id, &job);
+}
+
+void BatchCoordinator::ReviewOwner(const std::string& id, Job* job) {
+  const bool open = !job->rows.ended && job->rows.tail.listed.size() < job->rows.head.item_count;
+  const BatchOwner& owner = job->rows.owner;
+  if (m_draining || job->runner != nullptr || job->taking_over || !open || m_fleet.is_alive(owner)) {
+    job->orphaned_at.reset();
+    return;
+  }
+  if (!job->orphaned_at.has_value()) {
+    job->orphaned_at = Now();
+  }
+  const int rank = TakeoverRank(id);
+  if (rank >= 0 && Now() - *job->orphaned_at >= kTakeoverStep * rank) {
+    TakeOver(id, job);
+  }
+}
+
+// Rendezvous hashing spreads the jobs of a lost instance and lets one instance try first.
+int BatchCoordinator::TakeoverRank(const std::string& id) const {
+  const std::vector<std::string> live = m_fleet.live_instances();
+  if (std::find(live.begin(), live.end(), m_context.instance) == live.end()) {
+    return -1;
+  }
+  const uint64_t seed = Hash64(id);
+  const uint64_t own = Hash64(m_context.instance, seed);
+  return static_cast<int>(std::count_if(live.begin(), live.end(),
+                                        [&](const std::string& instance) { return Hash64(instance, seed) > own; }));
+}
+
+void BatchCoordinator::TakeOver(const std::string& id, Job* job) {
+  job->taking_over = true;
+  BatchOwner owner;
+  owner.instance = m_context.instance;
+  owner.incarnation = m_context.incarnation;
+  owner.epoch = job->rows.owner.epoch + 1;
+  const std::string key = BatchOwnerKey(id);
+  TableTransaction transaction;
+  transaction.id = RandomHex(kIdentityBytes);
+  transaction.checks = {{key, job->rows.owner_version}};
+  transaction.writes = {{key, EncodeBatchOwner(owner)}};
+  Log(LogEvent::kBatchOwned, {{"job", id},
+                              {"step", "claiming"},
+                              {"previous_owner", job->rows.owner.instance},
+                              {"epoch", std::to_string(owner.epoch)}});
+  m_resolving_store.Transact(std::move(transaction), key, [this, id, sent_at = Now()](const TransactResult& result) {
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end()) {
+      return;
+    }
+    if (result.outcome != TransactOutcome::kCommitted) {
+      found->second.taking_over = false;
+      RefreshJob(id);
+      return;
+    }
+    // The rows are read after the claim, so that nothing of the previous owner is missed.
+    m_context.store->Scan(BatchPrefix(id), "", kRowsPerScan, m_guard.Wrap([this, id, sent_at](const ReadResult& read) {
+      bool malformed = false;
+      std::optional<BatchRows> rows = read.ok ? ReadBatchRows(read.rows, &malformed) : std::nullopt;
+      const auto job = m_jobs.find(id);
+      if (job == m_jobs.end()) {
+        return;
+      }
+      if (!rows.has_value()) {
+        // This process is the owner without running the job; the next tick finds it so and claims it again.
+        job->second.taking_over = false;
+        job->second.rows.owner = {};
+        RefreshJob(id);
+        return;
+      }
+      job->second.rows = std::move(*rows);
+      LoadItems(id, [this, id, sent_at](const std::shared_ptr<std::vector<BatchItem>>& items) {
+        const auto loaded = m_jobs.find(id);
+        if (loaded == m_jobs.end()) {
+          return;
+        }
+        loaded->second.taking_over = false;
+        if (items == nullptr) {
+          loaded->second.rows.owner = {};
+          return;
+        }
+        const BatchOwner& now = loaded->second.rows.owner;
+        if (now.instance == m_context.instance && now.incarnation == m_context.incarnation) {
+          BeginRunning(id, *items, sent_at);
+        }
+      });
+    }));
+  });
+}
+
+void BatchCoordinator::LoadItems(const std::string& id,
+                                 std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)> callback) {
+  const std::string prefix = BatchItemsPrefix(id, m_jobs.at(id).rows.head.submission);
+  LoadItemsAfter(id, prefix, "", std::make_shared<std::string>(), std::move(callback));
+}
+
+void BatchCoordinator::LoadItemsAfter(const std::string& id, const std::string& prefix, const std::string& after,
+                                      const std::shared_ptr<std::string>& bytes,
+                                      std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)> callback) {
+  m_context.store->Scan(prefix, after, kRowsPerScan,
+                        m_guard.Wrap([this, id, prefix, bytes, callback](const ReadResult& read) {
+                          if (!read.ok) {
+                            callback(nullptr);
+                            return;
+                          }
+                          for (const TableRow& row : read.rows) {
+                            *bytes += row.value;
+                          }
+                          if (read.has_more && !read.rows.empty()) {
+                            LoadItemsAfter(id, prefix, read.rows.back().key, bytes, callback);
+                            return;
+                          }
+                          std::optional<std::vector<BatchItem>> items = DecodeBatchItems(*bytes);
+                          if (!items.has_value()) {
+                            Log(LogEvent::kBatchRowMalformed, {{"job", id}, {"rows", prefix}});
+                            callback(nullptr);
+                            return;
+                          }
+                          callback(std::make_shared<std::vector<BatchItem>>(std::move(*items)));
+                        }));
+}
+
+void BatchCoordinator::BeginRunning(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at) {
+  Job& job = m_jobs.at(id);
+  Log(LogEvent::kBatchOwned, {{"job", id},
+                              {"step", "running"},
+                              {"epoch", std::to_string(job.rows.owner.epoch)},
+                              {"items", std::to_string(items.size())},
+                              {"listed", std::to_string(job.rows.tail.listed.size())},
+                              {"model", job.rows.head.spec.model},
+                              {"oldest_version", std::to_string(job.rows.head.spec.oldest_version)}});
+  job.items.reset();
+  job.runner = std::make_unique<BatchRunner>(&m_context, job.rows, std::move(items), confirmed_at);
+  job.runner->SetWorkCallback([this] {
+    if (m_pump_timer == nullptr || !m_pumping) {
+      m_pumping = true;
+      m_pump_timer = m_context.scheduler->After(Duration(), [this] { Pump(); });
+    }
+  });
+  Pump();
+}
+
+void BatchCoordinator::DropRunner(Job* job, const char* reason) {
+  Log(LogEvent::kBatchOwnerLost, {{"job", job->rows.head.spec.id},
+                                  {"reason", reason},
+                                  {"listed", std::to_string(job->runner->listed_count())},
+                                  {"of", std::to_string(job->runner->progress().size())}});
+  job->rows.ended = job->rows.ended || job->runner->ended();
+  job->runner.reset();
+}
+
+// One item of each job in turn, so that jobs share free places.
+void BatchCoordinator::Pump() {
+  m_pumping = false;
+  m_pump_timer = m_context.scheduler->After(kPumpInterval, [this] { Pump(); });
+  bool started = true;
+  while (started) {
+    started = false;
+    for (auto& [id, job] : m_jobs) {
+      started = (job.runner != nullptr && job.runner->StartNext()) || started;
+    }
+  }
+}
+
+void BatchCoordinator::Submit(BatchSpec spec, Duration patience, std::function<void(SubmitOutcome)> callback) {
+  if (m_jobs.count(spec.id) > 0) {
+    callback(m_jobs.at(spec.id).rows.head.spec.workspace == spec.workspace ? SubmitOutcome::kAccepted
+                                                                           : SubmitOutcome::kRefused);
+    return;
+  }
+  // Called once, by the outcome or by the patience running out.
+  auto answer = std::make_shared<std::function<void(SubmitOutcome)>>(std::move(callback));
+  const uint64_t timer = m_next_timer++;
+  const auto answer_once = [this, answer, timer](SubmitOutcome outcome) {
+    const std::unique_ptr<Timer> ended = std::move(m_timers[timer]);
+    m_timers.erase(timer);
+    if (*answer) {
+      const std::function<void(SubmitOutcome)> function = std::move(*answer);
+      *answer = nullptr;
+      function(outcome);
+    }
+  };
+  m_timers[timer] = m_context.scheduler->After(patience, [answer_once] { answer_once(SubmitOutcome::kUnknown); });
+  const std::string submission = RandomHex(kIdentityBytes);
+  auto chunks = std::make_shared<std::vector<std::string>>(SplitValue(EncodeBatchItems(spec.items), kMaxRowBytes));
+  StoreItems(std::make_shared<BatchSpec>(std::move(spec)), submission, chunks, 0, answer_once);
+}
+
+// The last transaction also writes the head, and with it accepts the job. A job that fits into one transaction is
+// stored by that one alone.
+void BatchCoordinator::StoreItems(std::shared_ptr<BatchSpec> spec, const std::string& submission,
+                                  std::shared_ptr<std::vector<std::string>> chunks, size_t begin,
+                                  std::function<void(SubmitOutcome)> callback) {
+  const size_t end = std::min(begin + kMaxChunksAtOnce, chunks->size());
+  TableTransaction transaction;
+  transaction.id = RandomHex(kIdentityBytes);
+  for (size_t number = begin; number < end; ++number) {
+    transaction.writes.push_back({BatchItemsKey(spec->id, submission, number), (*chunks)[number]});
+  }
+  if (end < chunks->size()) {
+    const std::string witness = BatchItemsKey(spec->id, submission, begin);
+    transaction.checks = {{witness, 0}};
+    m_resolving_store.Transact(std::move(transaction), witness,
+                               [this, spec, submission, chunks, end, callback](const TransactResult& result) {
+                                 if (result.outcome != TransactOutcome::kCommitted) {
+                                   callback(SubmitOutcome::kRefused);
+                                   return;
+                                 }
+                                 StoreItems(spec, submission, chunks, end, callback);
+                               });
+    return;
+  }
+  BatchHead head;
+  head.spec = *spec;
+  head.spec.items.clear();
+  head.item_count = spec->items.size();
+  head.item_rows = chunks->size();
+  head.submission = submission;
+  // While this process stops, another instance finds the job without an owner and runs it.
+  const BatchOwner owner =
+      m_draining ? BatchOwner{"", "", 1} : BatchOwner{m_context.instance, m_context.incarnation, 1};
+  transaction.checks = {{BatchHeadKey(spec->id), 0}};
+  transaction.writes.push_back({BatchHeadKey(spec->id), EncodeBatchHead(head)});
+  transaction.writes.push_back({BatchOwnerKey(spec->id), EncodeBatchOwner(owner)});
+  transaction.writes.push_back({BatchTailKey(spec->id), EncodeBatchTail({})});
+  m_resolving_store.Transact(std::move(transaction), BatchHeadKey(spec->id),
+                             [this, spec, head, owner, callback, sent_at = Now()](const TransactResult& result) {
+                               if (result.outcome == TransactOutcome::kCommitted) {
+                                 Job& job = m_jobs[spec->id];
+                                 job.rows.head = head;
+                                 job.rows.owner = owner;
+                                 job.rows.owner_version = result.revision;
+                                 job.rows.tail_version = result.revision;
+                                 job.read_at = sent_at;
+                                 if (head.spec.newest_version > 0) {
+                                   m_version_lags[head.spec.model] =
+                                       std::max<int64_t>(head.spec.newest_version - head.spec.oldest_version, 0);
+                                 }
+                               }
+                               OnHeadStored(spec, sent_at, result, callback);
+                             });
+}
+
+void BatchCoordinator::OnHeadStored(const std::shared_ptr<BatchSpec>& spec, TimePoint sent_at,
+                                    const TransactResult& result, const std::function<void(SubmitOutcome)>& callback) {
+  switch (result.outcome) {
+    case TransactOutcome::kCommitted:
+      Log(LogEvent::kBatchAccepted, {{"job", spec->id},
+                                     {"items", std::to_string(spec->items.size())},
+                                     {"stored_ms", std::to_string((Now() - sent_at).ms())}});
+      callback(SubmitOutcome::kAccepted);
+      if (m_jobs.at(spec->id).rows.owner.instance == m_context.instance && !m_draining) {
+        BeginRunning(spec->id, std::move(spec->items), sent_at);
+      }
+      return;
+    case TransactOutcome::kConflict:
+      Log(LogEvent::kBatchAccepted, {{"job", spec->id}, {"repeated", "yes"}});
+      RefreshJob(spec->id);
+      callback(SubmitOutcome::kAccepted);
+      return;
+    case TransactOutcome::kUnavailable:
+      Log(LogEvent::kBatchRefused, {{"job", spec->id}, {"reason", "the store does not answer"}});
+      callback(SubmitOutcome::kRefused);
+      return;
+    case TransactOutcome::kUnknown:
+      callback(SubmitOutcome::kUnknown);
+      return;
+  }
+}
+
+void BatchCoordinator::WithJob(const std::string& id, const std::string& workspace,
+                               std::function<void(BatchAnswer, Job*)> callback) {
+  const auto known = m_jobs.find(id);
+  if (known != m_jobs.end()) {
+    const bool own = known->second.rows.head.spec.workspace == workspace;
+    callback(own ? BatchAnswer::kOk : BatchAnswer::kNotFound, own ? &known->second : nullptr);
+    return;
+  }
+  m_context.store->Scan(BatchPrefix(id), "", kRowsPerScan,
+                        m_guard.Wrap([this, id, workspace, callback, read_at = Now()](const ReadResult& read) {
+                          if (!read.ok) {
+                            callback(BatchAnswer::kUnavailable, nullptr);
+                            return;
+                          }
+                          OnJobRows(id, read_at, read);
+                          const auto found = m_jobs.find(id);
+                          if (found == m_jobs.end()) {
+                            // Rows that cannot be read are no proof that the job does not exist.
+                            callback(read.rows.empty() ? BatchAnswer::kNotFound : BatchAnswer::kUnavailable, nullptr);
+                            return;
+                          }
+                          const bool own = found->second.rows.head.spec.workspace == workspace;
+                          callback(own ? BatchAnswer::kOk : BatchAnswer::kNotFound, own ? &found->second : nullptr);
+                        }));
+}
+
+void BatchCoordinator::ReadResults(const std::string& id, const std::string& workspace, size_t position, Duration wait,
+                                   std::function<void(const BatchPage&)> callback) {
+  const TimePoint deadline = Now() + wait;
+  WithJob(id, workspace, [this, id, position, deadline, callback](BatchAnswer answer, Job* job) {
+    if (answer != BatchAnswer::kOk) {
+      BatchPage page;
+      page.answer = answer;
+      callback(page);
+      return;
+    }
+    const size_t total = job->rows.head.item_count;
+    BatchRunner* runner = job->runner.get();
+    if (runner == nullptr || runner->lost() || runner->ended()) {
+      ReadStored(id, position, total, deadline, callback);
+      return;
+    }
+    if (position >= runner->listed_count() && !runner->IsDone() && Now() < deadline) {
+      const uint64_t timer = m_next_timer++;
+      auto done = std::make_shared<bool>(false);
+      const auto finish = [this, id, position, total, deadline, callback, done, timer] {
+        if (std::exchange(*done, true)) {
+          return;
+        }
+        const std::unique_ptr<Timer> ended = std::move(m_timers[timer]);
+        m_timers.erase(timer);
+        ReadStored(id, position, total, Now(), callback);
+      };
+      m_timers[timer] = m_context.scheduler->After(deadline - Now(), finish);
+      runner->WaitForResult(position, m_guard.Wrap([finish] { finish(); }));
+      return;
+    }
+    ReadStored(id, position, total, Now(), callback);
+  });
+}
+
+// Results that this process stored itself are in memory; the others are read from the table.
+void BatchCoordinator::ReadStored(const std::string& id, size_t position, size_t total, TimePoint deadline,
+                                  std::function<void(const BatchPage&)> callback) {
+  const auto known = m_jobs.find(id);
+  if (known != m_jobs.end() && known->second.runner != nullptr && !known->second.runner->lost()) {
+    const BatchRunner& runner = *known->second.runner;
+    BatchPage page;
+    page.answer = BatchAnswer::kOk;
+    page.total = total;
+    size_t bytes = 0;
+    for (size_t at = position; at < runner.listed_count() && bytes < kMaxPageBytes; ++at) {
+      const BatchResult* result = runner.ResultAt(at);
+      if (result == nullptr) {
+        break;
+      }
+      bytes += result->text.size();
+      page.results.push_back(*result);
+    }
+    if (!page.results.empty() || position >= runner.listed_count()) {
+      callback(page);
+      return;
+    }
+  }
+  m_context.store->Scan(BatchResultsPrefix(id), BeforeBatchResult(id, position), kRowsPerScan,
+                        m_guard.Wrap([this, id, position, total, deadline, callback](const ReadResult& read) {
+                          BatchPage page;
+                          if (!read.ok) {
+                            callback(page);
+                            return;
+                          }
+                          std::optional<std::vector<BatchResult>> results = DecodeBatchResultRows(read.rows);
+                          if (!results.has_value()) {
+                            Log(LogEvent::kBatchRowMalformed, {{"job", id}, {"position", std::to_string(position)}});
+                            callback(page);
+                            return;
+                          }
+                          if (results->empty() && Now() + kReadPoll < deadline) {
+                            const uint64_t timer = m_next_timer++;
+                            m_timers[timer] = m_context.scheduler->After(
+                                kReadPoll, [this, id, position, total, deadline, callback, timer] {
+                                  const std::unique_ptr<Timer> ended = std::move(m_timers[timer]);
+                                  m_timers.erase(timer);
+                                  ReadStored(id, position, total, deadline, callback);
+                                });
+                            return;
+                          }
+                          page.answer = BatchAnswer::kOk;
+                          page.total = total;
+                          size_t bytes = 0;
+                          for (BatchResult& result : *results) {
+                            if (!page.results.empty() && bytes + result.text.size() > kMaxPageBytes) {
+                              break;
+                            }
+                            bytes += result.text.size();
+                            page.results.push_back(std::move(result));
+                          }
+                          callback(page);
+                        }));
+}
+
+void BatchCoordinator::ReadItemBody(const std::string& id, const std::string& workspace, const std::string& item,
+                                    std::function<void(BatchAnswer, const std::string&)> callback) {
+  WithJob(id, workspace, [this, id, item, callback](BatchAnswer answer, Job* job) {
+    if (answer != BatchAnswer::kOk) {
+      callback(answer, "");
+      return;
+    }
+    const auto find = [item, callback](const std::vector<BatchItem>& items) {
+      const auto found = std::find_if(items.begin(), items.end(),
+                                      [&item](const BatchItem& candidate) { return candidate.id == item; });
+      const bool exists = found != items.end();
+      callback(exists ? BatchAnswer::kOk : BatchAnswer::kNotFound, exists ? found->body : "");
+    };
+    if (job->runner != nullptr) {
+      find(job->runner->spec().items);
+      return;
+    }
+    if (job->items != nullptr) {
+      find(*job->items);
+      return;
+    }
+    LoadItems(id, [this, id, find, callback](const std::shared_ptr<std::vector<BatchItem>>& items) {
+      if (items == nullptr) {
+        callback(BatchAnswer::kUnavailable, "");
+        return;
+      }
+      // The next reader of a body asks for the same job; one job is kept.
+      for (auto& [other, job] : m_jobs) {
+        job.items = other == id ? items : nullptr;
+      }
+      find(*items);
+    });
+  });
+}
+
+void BatchCoordinator::End(const std::string& id, const std::string& workspace,
+                           std::function<void(BatchAnswer)> callback) {
+  WithJob(id, workspace, [this, id, callback](BatchAnswer answer, Job* job) {
+    if (answer != BatchAnswer::kOk || job->rows.ended) {
+      callback(answer);
+      return;
+    }
+    // From here on the job is to end, whatever becomes of the write.
+    if (job->runner != nullptr) {
+      job->runner->End();
+    }
+    const std::string key = BatchEndKey(id);
+    TableTransaction transaction;
+    transaction.id = RandomHex(kIdentityBytes);
+    transaction.checks = {{key, 0}};
+    transaction.writes = {{key, "ended"}};
+    m_resolving_store.Transact(std::move(transaction), key, [this, id, callback](const TransactResult& result) {
+      const bool stored = result.outcome == TransactOutcome::kCommitted || result.outcome == TransactOutcome::kConflict;
+      const auto found = m_jobs.find(id);
+      if (stored && found != m_jobs.end()) {
+        found->second.rows.ended = true;
+      }
+      Log(LogEvent::kBatchEnded, {{"job", id}, {"outcome", std::string(TransactOutcomeName(result.outcome))}});
+      callback(stored ? BatchAnswer::kOk : BatchAnswer::kUnavailable);
+    });
+  });
+}
+
+void BatchCoordinator::Drain(std::function<void()> callback) {
+  m_draining = true;
+  m_drained = std::move(callback);
+  CheckDrained();
+}
+
+// A job whose append is under way is given up after its outcome is known. Releasing the owner row lets another
+// instance take the job at its next tick.
+void BatchCoordinator::CheckDrained() {
+  bool waiting = false;
+  for (auto& [id, job] : m_jobs) {
+    if (job.runner == nullptr) {
+      continue;
+    }
+    if (!job.runner->IsQuiet()) {
+      waiting = true;
+      continue;
+    }
+    if (!job.runner->IsDone()) {
+      const std::string key = BatchOwnerKey(id);
+      TableTransaction transaction;
+      transaction.id = RandomHex(kIdentityBytes);
+      transaction.checks = {{key, job.runner->owner_version()}};
+      transaction.writes = {{key, EncodeBatchOwner({"", "", job.runner->owner().epoch})}};
+      m_context.store->Transact(std::move(transaction), [](const TransactResult&) {});
+    }
+    DropRunner(&job, "planned stop");
+  }
+  if (waiting) {
+    const uint64_t timer = m_next_timer++;
+    m_timers[timer] = m_context.scheduler->After(kDrainPoll, [this] { CheckDrained(); });
+    return;
+  }
+  if (m_drained) {
+    const std::function<void()> drained = std::move(m_drained);
+    m_drained = nullptr;
+    drained();
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/batch_coordinator.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/batch_runner.h"
+#include "coordination/callback_guard.h"
+#include "coordination/resolving_store.h"
+
+namespace quetzalridge {
+
+// The instances that can own jobs.
+struct BatchFleet {
+  // The process that owns a job still runs, as far as the instance table tells.
+  std::function<bool(const BatchOwner&)> is_alive;
+  // Ids of the live instances, this one included.
+  std::function<std::vector<std::string>()> live_instances;
+};
+
+enum class SubmitOutcome {
+  // The job is stored; also when it was stored before.
+  kAccepted,
+  // Nothing of it is stored, and nothing will run.
+  kRefused,
+  // It may be stored.
+  kUnknown,
+};
+
+enum class BatchAnswer {
+  kOk,
+  // The table has no such job of this workspace.
+  kNotFound,
+  // The table gave no answer.
+  kUnavailable,
+};
+
+struct BatchPage {
+  BatchAnswer answer = BatchAnswer::kUnavailable;
+  // Items of the job.
+  size_t total = 0;
+  std::vector<BatchResult> results;
+};
+
+// The batch jobs of the fleet as one instance sees them: accepts jobs, runs those that it owns, takes over those whose
+// owner has gone, and answers callers from the table.
+class BatchCoordinator {
+ public:
+  BatchCoordinator(BatchContext context, BatchFleet fleet);
+  BatchCoordinator(const BatchCoordinator&) = delete;
+  BatchCoordinator& operator=(const BatchCoordinator&) = delete;
+
+  void Start();
+  // Gives up all jobs to other instances; the callback runs when that is done.
+  void Drain(std::function<void()> callback);
+
+  // The callback gets kUnknown when the outcome is open after `patience`.
+  void Submit(BatchSpec spec, Duration patience, std::function<void(SubmitOutcome)> callback);
+  // Results from `position` on, at least one if one exists. Waits up to `wait` for the first one.
+  void ReadResults(const std::string& job, const std::string& workspace, size_t position, Duration wait,
+                   std::function<void(const BatchPage&)> callback);
+  void ReadItemBody(const std::string& job, const std::string& workspace, const std::string& item,
+                    std::function<void(BatchAnswer, const std::string&)> callback);
+  void End(const std::string& job, const std::string& workspace, std::function<void(BatchAnswer)> callback);
+
+  // Starts items on free endpoints; called after endpoints or routes changed.
+  void Pump();
+
+  int owned() const;
+  // By how much the versions that the latest job of a model accepts lag behind the newest one at its submission.
+  int64_t VersionLag(const std::string& model) const;
+
+ private:
+  // What this instance knows of a job.
+  struct Job {
+    BatchRows rows;
+    TimePoint read_at;
+    // When its owner was first found gone.
+    std::optional<TimePoint> orphaned_at;
+    bool reading = false;
+    bool taking_over = false;
+    std::unique_ptr<BatchRunner> runner;
+    // Items for reads of bodies, on instances that do not own the job.
+    std::shared_ptr<const std::vector<BatchItem>> items;
+  };
+
+  TimePoint Now() const { return m_context.scheduler->clock().Now(); }
+  void Tick();
+  void OnPartitions(const PartitionsResult& result);
+  void RefreshJob(const std::string& id);
+  void OnJobRows(const std::string& id, TimePoint read_at, const ReadResult& read);
+  void ReviewOwner(const std::string& id, Job* job);
+  int TakeoverRank(const std::string& id) const;
+  void TakeOver(const std::string& id, Job* job);
+  void LoadItems(const std::string& id, std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)> callback);
+  void LoadItemsAfter(const std::string& id, const std::string& prefix, const std::string& after,
+                      const std::shared_ptr<std::string>& bytes,
+                      std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)> callback);
+  void BeginRunning(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at);
+  void DropRunner(Job* job, const char* reason);
+  void StoreItems(std::shared_ptr<BatchSpec> spec, const std::string& submission,
+                  std::shared_ptr<std::vector<std::string>> chunks, size_t begin,
+                  std::function<void(SubmitOutcome)> callback);
+  void OnHeadStored(const std::shared_ptr<BatchSpec>& spec, TimePoint sent_at, const TransactResult& result,
+                    const std::function<void(SubmitOutcome)>& callback);
+  // Runs the callback with the job's facts, read from the table unless known.
+  void WithJob(const std::string& id, const std::string& workspace, std::function<void(BatchAnswer, Job*)> callback);
+  void ReadStored(const std::string& id, size_t position, size_t total, TimePoint deadline,
+                  std::function<void(const BatchPage&)> callback);
+  void CheckDrained();
+
+  BatchContext m_context;
+  BatchFleet m_fleet;
+  ResolvingStore m_resolving_store;
+  std::map<std::string, Job> m_jobs;
+  std::map<std::string, int64_t> m_version_lags;
+  std::unique_ptr<Timer> m_tick_timer;
+  std::unique_ptr<Timer> m_pump_timer;
+  std::map<uint64_t, std::unique_ptr<Timer>> m_timers;
+  uint64_t m_next_timer = 0;
+  bool m_pumping = false;
+  bool m_draining = false;
+  std::function<void()> m_drained;
+  CallbackGuard m_guard;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/batch_records.cc
@@ -0,0 +1,259 @@
+#include "coordination/batch_records.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace quetzalridge {
+
+// Found by the serialization library through the types' namespace.
+template <typename Archive>
+void serialize(Archive& archive, HttpHeader& header) {  // NOLINT(google-runtime-references)
+  archive(header.name, header.value);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BatchItem& item) {  // NOLINT(google-runtime-references)
+  archive(item.id, item.target, item.headers, item.body, item.group, item.length_hint);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BatchResult& result) {  // NOLINT(google-runtime-references)
+  archive(result.item, result.state, result.text, result.model_versions);
+}
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kKeyBytes = 32;
+
+// Job ids come from callers; a slash or an at sign would break the form of keys.
+std::string EscapeJob(const std::string& job) {
+  std::string escaped;
+  for (const char c : job) {
+    switch (c) {
+      case '%':
+        escaped += "%25";
+        break;
+      case '/':
+        escaped += "%2f";
+        break;
+      case '@':
+        escaped += "%40";
+        break;
+      default:
+        escaped.push_back(c);
+    }
+  }
+  return escaped;
+}
+
+std::string Partitioned(const std::string& table, const std::string& job) {
+  return table + "@" + EscapeJob(job) + "/";
+}
+
+template <typename Value>
+std::string EncodeBinary(const Value& value) {
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(value);
+  return stream.str();
+}
+
+template <typename Value>
+std::optional<Value> DecodeBinary(const std::string& bytes) {
+  try {
+    std::istringstream stream(bytes);
+    cereal::PortableBinaryInputArchive archive(stream);
+    Value value;
+    archive(value);
+    return value;
+  } catch (const std::exception&) {
+    // Each caller logs the row.
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+const char kBatchTable[] = "batch";
+
+std::string BatchPrefix(const std::string& job) {
+  return Partitioned(kBatchTable, job);
+}
+
+std::string BatchHeadKey(const std::string& job) {
+  return BatchPrefix(job) + "head";
+}
+
+std::string BatchOwnerKey(const std::string& job) {
+  return BatchPrefix(job) + "owner";
+}
+
+std::string BatchTailKey(const std::string& job) {
+  return BatchPrefix(job) + "tail";
+}
+
+std::string BatchEndKey(const std::string& job) {
+  return BatchPrefix(job) + "end";
+}
+
+std::string BatchItemsPrefix(const std::string& job, const std::string& submission) {
+  return Partitioned("batch-items", job) + submission + ".";
+}
+
+std::string BatchItemsKey(const std::string& job, const std::string& submission, size_t number) {
+  char text[kKeyBytes];
+  std::snprintf(text, sizeof(text), "%05zu", number);
+  return BatchItemsPrefix(job, submission) + text;
+}
+
+std::string BatchResultsPrefix(const std::string& job) {
+  return Partitioned("batch-results", job);
+}
+
+std::string BatchResultKey(const std::string& job, size_t position, size_t part) {
+  char text[kKeyBytes];
+  std::snprintf(text, sizeof(text), "%07zu.%03zu", position, part);
+  return BatchResultsPrefix(job) + text;
+}
+
+std::string BeforeBatchResult(const std::string& job, size_t position) {
+  char text[kKeyBytes];
+  std::snprintf(text, sizeof(text), "%07zu", position);
+  return BatchResultsPrefix(job) + text;
+}
+
+std::string BatchOfPartition(const std::string& partition) {
+  std::string job;
+  for (size_t i = 0; i < partition.size(); ++i) {
+    if (partition[i] != '%' || i + 2 >= partition.size()) {
+      job.push_back(partition[i]);
+      continue;
+    }
+    job.push_back(static_cast<char>(std::stoi(partition.substr(i + 1, 2), nullptr, 16)));
+    i += 2;
+  }
+  return job;
+}
+
+std::string EncodeBatchHead(const BatchHead& head) {
+  return Json{{"id", head.spec.id},
+              {"workspace", head.spec.workspace},
+              {"host", head.spec.host},
+              {"path", head.spec.path},
+              {"model", head.spec.model},
+              {"oldest_version", head.spec.oldest_version},
+              {"newest_version", head.spec.newest_version},
+              {"desired_groups", head.spec.desired_groups},
+              {"submitted_at_ms", head.spec.submitted_at_ms},
+              {"item_count", head.item_count},
+              {"item_rows", head.item_rows},
+              {"submission", head.submission}}
+      .dump();
+}
+
+std::optional<BatchHead> DecodeBatchHead(const std::string& value) {
+  try {
+    const Json json = Json::parse(value);
+    BatchHead head;
+    head.spec.id = json.at("id").get<std::string>();
+    head.spec.workspace = json.at("workspace").get<std::string>();
+    head.spec.host = json.at("host").get<std::string>();
+    head.spec.path = json.at("path").get<std::string>();
+    head.spec.model = json.at("model").get<std::string>();
+    head.spec.oldest_version = json.at("oldest_version").get<int64_t>();
+    head.spec.newest_version = json.at("newest_version").get<int64_t>();
+    head.spec.desired_groups = json.at("desired_groups").get<int>();
+    head.spec.submitted_at_ms = json.at("submitted_at_ms").get<int64_t>();
+    head.item_count = json.at("item_count").get<size_t>();
+    head.item_rows = json.at("item_rows").get<size_t>();
+    head.submission = json.at("submission").get<std::string>();
+    return head;
+  } catch (const Json::exception&) {
+    // Each caller logs the row.
+    return std::nullopt;
+  }
+}
+
+std::string EncodeBatchOwner(const BatchOwner& owner) {
+  return Json{{"instance", owner.instance}, {"incarnation", owner.incarnation}, {"epoch", owner.epoch}}.dump();
+}
+
+std::optional<BatchOwner> DecodeBatchOwner(const std::string& value) {
+  try {
+    const Json json = Json::parse(value);
+    return BatchOwner{json.at("instance").get<std::string>(), json.at("incarnation").get<std::string>(),
+                      json.at("epoch").get<int64_t>()};
+  } catch (const Json::exception&) {
+    // Each caller logs the row.
+    return std::nullopt;
+  }
+}
+
+std::string EncodeBatchTail(const BatchTail& tail) {
+  return Json(tail.listed).dump();
+}
+
+std::optional<BatchTail> DecodeBatchTail(const std::string& value) {
+  try {
+    return BatchTail{Json::parse(value).get<std::vector<size_t>>()};
+  } catch (const Json::exception&) {
+    // Each caller logs the row.
+    return std::nullopt;
+  }
+}
+
+std::vector<std::string> SplitValue(const std::string& value, size_t max_bytes) {
+  std::vector<std::string> parts;
+  for (size_t begin = 0; begin < value.size() || parts.empty(); begin += max_bytes) {
+    parts.push_back(value.substr(begin, max_bytes));
+  }
+  return parts;
+}
+
+std::string EncodeBatchItems(const std::vector<BatchItem>& items) {
+  return EncodeBinary(items);
+}
+
+std::optional<std::vector<BatchItem>> DecodeBatchItems(const std::string& value) {
+  return DecodeBinary<std::vector<BatchItem>>(value);
+}
+
+std::string EncodeBatchResult(const BatchResult& result) {
+  return EncodeBinary(result);
+}
+
+std::optional<BatchResult> DecodeBatchResult(const std::string& value) {
+  return DecodeBinary<BatchResult>(value);
+}
+
+// A result of several parts ends where the next position begins; the parts before the last have the same size, so the
+// last result may lack parts only when more rows follow the scan.
+std::optional<std::vector<BatchResult>> DecodeBatchResultRows(const std::vector<TableRow>& rows) {
+  std::vector<BatchResult> results;
+  std::string value;
+  for (size_t i = 0; i < rows.size(); ++i) {
+    value += rows[i].value;
+    const std::string& key = rows[i].key;
+    const std::string position = key.substr(0, key.rfind('.'));
+    const bool continues = i + 1 < rows.size() && rows[i + 1].key.compare(0, position.size(), position) == 0;
+    if (continues) {
+      continue;
+    }
+    std::optional<BatchResult> result = DecodeBatchResult(value);
+    value.clear();
+    if (!result.has_value()) {
+      return i + 1 == rows.size() && !results.empty() ? std::optional<std::vector<BatchResult>>(std::move(results))
+                                                      : std::nullopt;
+    }
+    results.push_back(std::move(*result));
+  }
+  return results;
+}
+
+}  // namespace quetzalridge
--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -69,7 +69,8 @@
     return false;
   }
   if (m_record.holder.empty()) {
-    return true;
+    // A lease that nobody ever held has no former holder.
+    return m_row_version == 0 || now - m_unchanged_since >= m_options.release_wait;
   }
   return now - m_unchanged_since >= m_options.takeover_wait;
 }
--- a/src/coordination/lease.h
+++ b/src/coordination/lease.h
@@ -21,6 +21,9 @@
   // How long a candidate must see the row unchanged: the holder may rely on the lease until its time to live has passed
   // since it sent the renewal, and a request that it sent at the end may be in flight for the request timeout.
   Duration takeover_wait = Duration::Seconds(15);
+  // How long a candidate must see a released lease before it takes it. Half the time within which a holder may not act
+  // again after another one has acted, where the platform has such a rule.
+  Duration release_wait;
   // Names this process: instance and incarnation. Not empty.
   std::string holder;
 };
--- /dev/null
+++ b/src/coordination/model_version_duty.cc
@@ -0,0 +1,169 @@
+#include "coordination/model_version_duty.h"
+
+#include <utility>
+#include <vector>
+
+#include "base/log_event.h"
+
+namespace quetzalridge {
+
+namespace {
+
+constexpr Duration kPoll = Duration::Milliseconds(100);
+// A load takes about a second, and longer when many load; after this time the order counts as lost.
+constexpr Duration kLongestLoad = Duration::Seconds(6);
+// Until an order that failed is sent again.
+constexpr Duration kRetryAfterFailure = Duration::Milliseconds(500);
+
+std::string_view OutcomeName(ModelOrderOutcome outcome) {
+  switch (outcome) {
+    case ModelOrderOutcome::kAccepted:
+      return "accepted";
+    case ModelOrderOutcome::kConflict:
+      return "conflict";
+    case ModelOrderOutcome::kStale:
+      return "stale";
+    case ModelOrderOutcome::kRefused:
+      return "refused";
+    case ModelOrderOutcome::kNotSent:
+      return "not_sent";
+    case ModelOrderOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+ModelVersionDuty::ModelVersionDuty(ModelVersionContext context, Duration request_timeout)
+    : m_context(std::move(context)),
+      m_gate(std::make_shared<RequestGate>(&m_context.scheduler->clock(), request_timeout)) {}
+
+void ModelVersionDuty::OnAcquired(const Lease* lease) {
+  m_lease = lease;
+  m_loading.clear();
+  m_gate->Open(lease);
+  Poll();
+}
+
+void ModelVersionDuty::OnLost() {
+  m_lease = nullptr;
+  m_gate->Close();
+  m_timer.reset();
+}
+
+void ModelVersionDuty::Stop() {
+  OnLost();
+}
+
+void ModelVersionDuty::Poll() {
+  m_timer = m_context.scheduler->After(kPoll, [this] { Poll(); });
+  ForgetLoaded();
+  for (const BackendService& service : m_context.routes->config().services) {
+    if (!service.models.empty()) {
+      PlanService(service);
+    }
+  }
+}
+
+void ModelVersionDuty::ForgetLoaded() {
+  for (auto it = m_loading.begin(); it != m_loading.end();) {
+    const DirectoryEndpoint* endpoint = m_context.endpoints->Find(it->first);
+    bool is_loaded = endpoint == nullptr;
+    if (endpoint != nullptr) {
+      const auto version = endpoint->entry.model_versions.find(it->second.model);
+      is_loaded = version != endpoint->entry.model_versions.end() && version->second >= it->second.version;
+    }
+    it = is_loaded || Now() - it->second.since >= kLongestLoad ? m_loading.erase(it) : std::next(it);
+  }
+}
+
+void ModelVersionDuty::PlanService(const BackendService& service) {
+  std::vector<ModelTarget> targets;
+  bool any_named = false;
+  for (const std::string& model : service.models) {
+    ModelTarget target;
+    target.model = model;
+    target.newest_version = m_context.newest_version(model);
+    target.lag = m_context.lag(model);
+    any_named = any_named || target.newest_version > 0;
+    targets.push_back(target);
+  }
+  if (!any_named) {
+    return;
+  }
+  std::vector<PlacementEndpoint> endpoints;
+  for (const auto& [id, endpoint] : m_context.endpoints->endpoints()) {
+    if (endpoint.entry.service != service.name || endpoint.entry.phase != EndpointPhase::kReady || endpoint.missing) {
+      continue;
+    }
+    endpoints.push_back({id, endpoint.entry.zone, endpoint.entry.model_versions, m_loading.count(id) > 0});
+  }
+  const std::map<std::string, std::string> assignment = AssignModels(endpoints, targets);
+  for (const ModelLoad& load :
+       PlanLoads(endpoints, assignment, targets, MaxLoading(static_cast<int>(endpoints.size())))) {
+    Order(load);
+  }
+}
+
+// The state is read first for the number of orders; with it, an order that arrives late is refused.
+void ModelVersionDuty::Order(const ModelLoad& load) {
+  const DirectoryEndpoint* endpoint = m_context.endpoints->Find(load.endpoint);
+  m_loading[load.endpoint] = {load.model, load.version, Now()};
+  ++m_orders_in_flight;
+  m_context.orders->ReadState(
+      load.endpoint, endpoint->entry.address,
+      m_guard.Wrap([this, load, fence = m_lease->epoch()](const EngineState& state) { OnState(load, fence, state); }));
+}
+
+void ModelVersionDuty::OnState(const ModelLoad& load, int64_t fence, const EngineState& state) {
+  const DirectoryEndpoint* endpoint = m_context.endpoints->Find(load.endpoint);
+  for (const auto& [model, version] : state.versions) {
+    m_context.endpoints->OnModelVersion(load.endpoint, model, version);
+  }
+  const auto version = state.versions.find(load.model);
+  const bool is_loaded = version != state.versions.end() && version->second >= load.version;
+  if (endpoint == nullptr || m_lease == nullptr || !state.ok || state.is_busy || is_loaded) {
+    OnOutcome(load, is_loaded ? ModelOrderOutcome::kAccepted : ModelOrderOutcome::kNotSent);
+    return;
+  }
+  ModelOrder order;
+  order.endpoint_id = load.endpoint;
+  order.address = endpoint->entry.address;
+  order.model = load.model;
+  order.version = load.version;
+  order.holder = m_lease->holder();
+  order.fence = fence;
+  order.expected_order_count = state.order_count;
+  Log(LogEvent::kModelOrderSent,
+      {{"endpoint", load.endpoint},
+       {"model", load.model},
+       {"version", std::to_string(load.version)},
+       {"held_version", std::to_string(version == state.versions.end() ? 0 : version->second)},
+       {"fence", std::to_string(fence)},
+       {"order_count", std::to_string(state.order_count)}});
+  m_context.orders->Load(
+      order, [gate = m_gate, fence] { return gate->MayWrite(fence); },
+      m_guard.Wrap([this, load](ModelOrderOutcome outcome) {
+        if (outcome != ModelOrderOutcome::kUnknown && outcome != ModelOrderOutcome::kNotSent) {
+          m_gate->OnAnswered();
+        }
+        OnOutcome(load, outcome);
+      }));
+}
+
+void ModelVersionDuty::OnOutcome(const ModelLoad& load, ModelOrderOutcome outcome) {
+  --m_orders_in_flight;
+  Log(LogEvent::kModelOrderAnswered, {{"endpoint", load.endpoint},
+                                      {"model", load.model},
+                                      {"version", std::to_string(load.version)},
+                                      {"outcome", std::string(OutcomeName(outcome))}});
+  const auto loading = m_loading.find(load.endpoint);
+  if (loading == m_loading.end() || outcome == ModelOrderOutcome::kAccepted || outcome == ModelOrderOutcome::kUnknown) {
+    return;
+  }
+  // Counts as under way until the time to send it again.
+  loading->second.since = Now() - kLongestLoad + kRetryAfterFailure;
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/coordination/model_version_duty.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "coordination/callback_guard.h"
+#include "coordination/duty.h"
+#include "coordination/model_orders.h"
+#include "coordination/request_gate.h"
+#include "coordination/scheduler.h"
+#include "state/endpoint_directory.h"
+#include "state/model_placement.h"
+#include "state/serving_config.h"
+
+namespace quetzalridge {
+
+struct ModelVersionContext {
+  Scheduler* scheduler = nullptr;
+  const RouteTable* routes = nullptr;
+  EndpointDirectory* endpoints = nullptr;
+  ModelOrders* orders = nullptr;
+  // The newest version that a trainer named; 0 when none was.
+  std::function<int64_t(const std::string& model)> newest_version;
+  // See ModelTarget.
+  std::function<int64_t(const std::string& model)> lag;
+};
+
+// The duty that brings new versions of the models to the endpoints.
+class ModelVersionDuty : public Duty {
+ public:
+  ModelVersionDuty(ModelVersionContext context, Duration request_timeout);
+
+  void OnAcquired(const Lease* lease) override;
+  void OnLost() override;
+  void Stop() override;
+  bool IsIdle() const override { return m_orders_in_flight == 0 && m_gate->IsIdle(); }
+
+ private:
+  // An order that is not known to be carried out yet.
+  struct Loading {
+    std::string model;
+    int64_t version = 0;
+    TimePoint since;
+  };
+
+  TimePoint Now() const { return m_context.scheduler->clock().Now(); }
+  void Poll();
+  void PlanService(const BackendService& service);
+  void ForgetLoaded();
+  void Order(const ModelLoad& load);
+  void OnState(const ModelLoad& load, int64_t fence, const EngineState& state);
+  void OnOutcome(const ModelLoad& load, ModelOrderOutcome outcome);
+
+  ModelVersionContext m_context;
+  std::shared_ptr<RequestGate> m_gate;
+  const Lease* m_lease = nullptr;
+  std::map<std::string, Loading> m_loading;
+  int m_orders_in_flight = 0;
+  std::unique_ptr<Timer> m_timer;
+  CallbackGuard m_guard;
+};
+
+}  // namespace quetzalridge
--- a/src/coordination/roster.cc
+++ b/src/coordination/roster.cc
@@ -13,6 +13,8 @@
 constexpr int kTransactionIdBytes = 8;
 constexpr Duration kLongestLeaveWait = Duration::Seconds(2);
 constexpr int kRowsPerScan = 128;
+// A scan that is later than this was held up by the table.
+constexpr int64_t kRenewalsInGap = 3;
 // Reading the roster costs about 150 bytes a row. With this interval for each row it stays near 1 KB/s, half of the
 // traffic that a node may use.
 constexpr Duration kScanIntervalPerRow = Duration::Milliseconds(150);
@@ -123,6 +125,8 @@
 
 void Roster::OnScanned(const std::vector<TableRow>& rows, bool own_row_in_place) {
   const TimePoint now = m_scheduler->clock().Now();
+  // While the table could not be read or written, unchanged rows say nothing about their instances.
+  const bool after_gap = now > m_next_scan + m_options.renewal * kRenewalsInGap;
   m_next_scan = now + kScanIntervalPerRow * static_cast<int64_t>(rows.size());
   std::map<std::string, RosterEntry> others;
   for (const TableRow& row : rows) {
@@ -136,7 +140,7 @@
     entry.row_version = row.version;
     entry.unchanged_since = now;
     const auto known = m_others.find(entry.instance);
-    if (known != m_others.end() && known->second.row_version == entry.row_version) {
+    if (!after_gap && known != m_others.end() && known->second.row_version == entry.row_version) {
       entry.unchanged_since = known->second.unchanged_since;
     }
     others[entry.instance] = entry;
--- a/src/coordination/table_store.cc
+++ b/src/coordination/table_store.cc
@@ -18,4 +18,17 @@
   throw std::logic_error("unknown value of TransactOutcome; add it to TransactOutcomeName");
 }
 
+TableKeyParts SplitTableKey(const std::string& key) {
+  const size_t slash = key.find('/');
+  TableKeyParts parts;
+  parts.table = key.substr(0, slash);
+  parts.name = slash == std::string::npos ? "" : key.substr(slash + 1);
+  const size_t at = parts.table.find('@');
+  if (at != std::string::npos) {
+    parts.partition = parts.table.substr(at + 1);
+    parts.table.resize(at);
+  }
+  return parts;
+}
+
 }  // namespace quetzalridge
--- a/src/coordination/table_store.h
+++ b/src/coordination/table_store.h
@@ -9,7 +9,9 @@
 
 namespace quetzalridge {
 
-// A row of the platform's table service. `version` is the table revision that last wrote the row; 0 means absent.
+// A row of the platform's table service. A key has the form `table/name` or `table@partition/name`; the rows of one
+// transaction are in one partition, where the table service has partitions. `version` is the table revision that last
+// wrote the row; 0 means absent.
 struct TableRow {
   std::string key;
   int64_t version = 0;
@@ -61,6 +63,13 @@
   int64_t revision = 0;
   // One row for each key asked for, in order; version 0 for absent rows. For scans: the rows found, by key.
   std::vector<TableRow> rows;
+  // For scans: more rows follow, since the limit or the size of an answer was reached.
+  bool has_more = false;
+};
+
+struct PartitionsResult {
+  bool ok = false;
+  std::vector<std::string> partitions;
 };
 
 // The platform's transactional table service. Callbacks run on the event loop, later than the call.
@@ -68,12 +77,24 @@
  public:
   using TransactCallback = std::function<void(const TransactResult&)>;
   using ReadCallback = std::function<void(const ReadResult&)>;
+  using PartitionsCallback = std::function<void(const PartitionsResult&)>;
 
   virtual ~TableStore() = default;
   virtual void Transact(TableTransaction transaction, TransactCallback callback) = 0;
   virtual void Read(std::vector<std::string> keys, ReadCallback callback) = 0;
   // Rows whose key starts with `prefix` and is greater than `after`, in key order.
   virtual void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) = 0;
+  // The partitions of a table that hold rows, in order.
+  virtual void ListPartitions(std::string table, PartitionsCallback callback) = 0;
 };
 
+// `table` and `partition` of a key, and the rest after the slash.
+struct TableKeyParts {
+  std::string table;
+  std::string partition;
+  std::string name;
+};
+
+TableKeyParts SplitTableKey(const std::string& key);
+
 }  // namespace quetzalridge
--- a/src/coordination/usage_duty.cc
+++ b/src/coordination/usage_duty.cc
@@ -14,11 +14,11 @@
 
 }  // namespace
 
-UsageDuty::UsageDuty(TableStore* store, Scheduler* scheduler, Platform* platform, std::function<int64_t()> wall_ms,
-                     UsageDutyOptions options)
+UsageDuty::UsageDuty(TableStore* store, Scheduler* scheduler, WindowReporter* reporter,
+                     std::function<int64_t()> wall_ms, UsageDutyOptions options)
     : PlatformDuty(scheduler, options.poll, options.request_timeout),
       m_store(store),
-      m_platform(platform),
+      m_reporter(reporter),
       m_wall_ms(std::move(wall_ms)),
       m_options(options),
       m_resolving_store(store, scheduler) {}
@@ -106,7 +106,7 @@
   } else if (record->state == WindowState::kClosed) {
     Sum("", row.version, std::make_shared<UsageByWorkspace>());
   } else {
-    BeginReports(record->usage);
+    SendReport(record->usage);
   }
 }
 
@@ -153,32 +153,13 @@
   m_resolving_store.Transact(std::move(transaction), key, [this](const TransactResult&) { EndStep(); });
 }
 
-void UsageDuty::BeginReports(const UsageByWorkspace& usage) {
-  m_reports.clear();
-  for (const auto& [workspace, entry] : usage) {
-    m_reports.push_back({workspace, entry});
-  }
-  SendReport();
-}
-
-void UsageDuty::SendReport() {
-  if (!IsActive()) {
-    EndStep();
-    return;
-  }
-  if (m_reports.empty()) {
-    RecordProgress();
-    return;
-  }
-  const Report& next = m_reports.back();
-  UsageReport report;
-  report.workspace = next.workspace;
+void UsageDuty::SendReport(const UsageByWorkspace& usage) {
+  WindowReport report;
   report.window = m_next_window;
-  report.figures = next.usage.figures;
-  report.late_figures = next.usage.late;
+  report.usage = usage;
   report.fence = lease()->epoch();
   report.holder = lease()->holder();
-  m_platform->ReportUsage(
+  m_reporter->ReportWindow(
       report, [gate = gate(), epoch = report.fence] { return gate->MayWrite(epoch); },
       m_guard.Wrap([this](ReportOutcome outcome) { OnReported(outcome); }));
 }
@@ -194,13 +175,9 @@
     EndStep();
     return;
   }
-  if (outcome == ReportOutcome::kDiffers) {
-    ++m_differing;
-    Log(LogEvent::kUsageDiffers,
-        "window " + std::to_string(m_next_window) + ", workspace " + m_reports.back().workspace);
-  }
-  m_reports.pop_back();
-  SendReport();
+  Log(outcome == ReportOutcome::kDiffers ? LogEvent::kUsageDiffers : LogEvent::kUsageReported,
+      "window=" + std::to_string(m_next_window));
+  RecordProgress();
 }
 
 void UsageDuty::RecordProgress() {
--- a/src/coordination/usage_record.cc
+++ b/src/coordination/usage_record.cc
@@ -41,8 +41,8 @@
 
 }  // namespace
 
-const char kFirstUsageWindowKey[] = "usage-first";
-const char kReportedUsageWindowKey[] = "usage-reported";
+const char kFirstUsageWindowKey[] = "usage-first/window";
+const char kReportedUsageWindowKey[] = "usage-reported/window";
 
 int64_t ParseWindow(const std::string& text) {
   return std::strtoll(text.c_str(), nullptr, 10);
--- /dev/null
+++ b/src/coordination/window_reporter.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coordination/callback_guard.h"
+#include "coordination/platform.h"
+#include "coordination/usage_record.h"
+
+namespace quetzalridge {
+
+// The frozen figures of one window, for all workspaces.
+struct WindowReport {
+  int64_t window = 0;
+  UsageByWorkspace usage;
+  int64_t fence = 0;
+  std::string holder;
+};
+
+// Reports the usage of a window to the platform. Callbacks run on the event loop, later than the call.
+class WindowReporter {
+ public:
+  virtual ~WindowReporter() = default;
+  // `before_write` is asked as the last step before each call of the report is written. kAccepted and kDiffers mean
+  // that the report is through; after kNotSent and kUnknown it is to be sent again with the same figures.
+  virtual void ReportWindow(const WindowReport& report, Platform::BeforeWrite before_write,
+                            std::function<void(ReportOutcome)> callback) = 0;
+};
+
+// Reports each workspace by a call of its own, one after the other.
+class PerWorkspaceReporter : public WindowReporter {
+ public:
+  explicit PerWorkspaceReporter(Platform* platform) : m_platform(platform) {}
+
+  void ReportWindow(const WindowReport& report, Platform::BeforeWrite before_write,
+                    std::function<void(ReportOutcome)> callback) override;
+
+ private:
+  struct Progress;
+
+  void SendNext(const std::shared_ptr<Progress>& progress);
+
+  Platform* m_platform;
+  CallbackGuard m_guard;
+};
+
+}  // namespace quetzalridge
--- a/src/daemon/duty_set.cc
+++ b/src/daemon/duty_set.cc
@@ -27,8 +27,8 @@
                  CleanupOptions cleanup_options)
     : m_collaborators(collaborators),
       m_order_options(order_options),
-      m_usage(collaborators.table, collaborators.scheduler, collaborators.platform, &WallClockMilliseconds,
-              usage_options),
+      m_usage_reporter(collaborators.platform),
+      m_usage(collaborators.table, collaborators.scheduler, &m_usage_reporter, &WallClockMilliseconds, usage_options),
       m_cleanup(collaborators.table, collaborators.objects, collaborators.scheduler, cleanup_options) {}
 
 void DutySet::Start() {
--- a/src/daemon/duty_set.h
+++ b/src/daemon/duty_set.h
@@ -43,6 +43,7 @@
 
   Collaborators m_collaborators;
   OrderDutyOptions m_order_options;
+  PerWorkspaceReporter m_usage_reporter;
   UsageDuty m_usage;
   CleanupDuty m_cleanup;
   std::map<std::string, std::unique_ptr<OrderDuty>> m_orders;
--- a/src/protocol/sse_parser.cc
+++ b/src/protocol/sse_parser.cc
@@ -1,5 +1,7 @@
 #include "protocol/sse_parser.h"
 
+#include <utility>
+
 namespace quetzalridge {
 
 namespace {
@@ -24,7 +26,7 @@
       continue;
     }
     m_line.push_back(c);
-    m_overflowed = m_line.size() + m_data.size() > m_max_event_bytes;
+    m_overflowed = m_line.size() + m_event.data.size() > m_max_event_bytes;
   }
   return events;
 }
@@ -39,10 +41,12 @@
   if (line.empty()) {
     // An event without data lines is dropped, as the format's definition says.
     if (m_has_data) {
-      events->push_back({m_type.empty() ? "message" : m_type, m_data});
+      if (m_event.type.empty()) {
+        m_event.type = "message";
+      }
+      events->push_back(std::move(m_event));
     }
-    m_type.clear();
-    m_data.clear();
+    m_event = {};
     m_has_data = false;
     return;
   }
@@ -54,12 +58,16 @@
   }
   if (field == "data") {
     if (m_has_data) {
-      m_data.push_back('\n');
+      m_event.data.push_back('\n');
     }
-    m_data += value;
+    m_event.data += value;
     m_has_data = true;
   } else if (field == "event") {
-    m_type = value;
+    m_event.type = value;
+  } else if (field == "id") {
+    m_event.id = value;
+  } else if (!field.empty()) {
+    m_event.other_fields.emplace_back(field, value);
   }
 }
 
--- a/src/protocol/sse_parser.h
+++ b/src/protocol/sse_parser.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace quetzalridge {
@@ -12,6 +13,9 @@
   std::string type;
   // The data lines, joined by line feeds.
   std::string data;
+  std::string id;
+  // Other fields, which the format's definition leaves to the application.
+  std::vector<std::pair<std::string, std::string>> other_fields;
 };
 
 // Reads server-sent events from pieces of any size. Lines end in CR, LF or CR LF.
@@ -23,15 +27,14 @@
   std::vector<SseEvent> Feed(std::string_view piece);
   bool overflowed() const { return m_overflowed; }
   // True in the middle of an event, so that the end of the stream there is a cut.
-  bool HasPartialEvent() const { return !m_line.empty() || m_has_data || !m_type.empty(); }
+  bool HasPartialEvent() const { return !m_line.empty() || m_has_data || !m_event.type.empty(); }
 
  private:
   void EndLine(std::vector<SseEvent>* events);
 
   size_t m_max_event_bytes;
   std::string m_line;
-  std::string m_type;
-  std::string m_data;
+  SseEvent m_event;
   bool m_has_data = false;
   bool m_after_cr = false;
   bool m_at_start = true;
--- /dev/null
+++ b/src/state/batch_job.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/http_header.h"
+
+namespace quetzalridge {
+
+// One request of a batch job.
+struct BatchItem {
+  std::string id;
+  // Path and query.
+  std::string target;
+  HttpHeaders headers;
+  std::string body;
+  // Items of a group share their prompt and count for the trainer together.
+  std::string group;
+  // The caller's estimate of the generated tokens; 0 when unknown.
+  int64_t length_hint = 0;
+};
+
+// What a caller submitted. It never changes.
+struct BatchSpec {
+  std::string id;
+  std::string workspace;
+  std::string host;
+  // The path of the submission; selects the route.
+  std::string path;
+  std::string model;
+  // The oldest version of the model that may generate text of this job.
+  int64_t oldest_version = 0;
+  // The newest version of the model that was known at the submission; 0 when unknown.
+  int64_t newest_version = 0;
+  // Groups after which the trainer goes on.
+  int desired_groups = 0;
+  // Unix time of the submission.
+  int64_t submitted_at_ms = 0;
+  std::vector<BatchItem> items;
+};
+
+enum class BatchResultState {
+  kCompleted,
+  kFailed,
+};
+
+// The result of one item; it never changes once it is stored.
+struct BatchResult {
+  std::string item;
+  BatchResultState state = BatchResultState::kFailed;
+  std::string text;
+  std::vector<int64_t> model_versions;
+};
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/endpoint_directory.cc
@@ -0,0 +1,140 @@
+#include "state/endpoint_directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace quetzalridge {
+
+namespace {
+
+// An endpoint that gives no answer is tried again after this time, doubled with each further failure.
+constexpr Duration kFirstAvoidance = Duration::Milliseconds(500);
+constexpr Duration kLongestAvoidance = Duration::Seconds(4);
+constexpr int kMaxDoublings = 3;
+// A full endpoint has a free place after about one plain request.
+constexpr Duration kAvoidanceWhenFull = Duration::Milliseconds(50);
+// Longer than the address of an endpoint that has gone stays in the registry.
+constexpr Duration kAvoidanceOfWrongInstance = Duration::Seconds(10);
+
+}  // namespace
+
+std::vector<EndpointDirectory::Change> EndpointDirectory::Update(const std::vector<EndpointEntry>& entries,
+                                                                 bool in_grace) {
+  m_known = true;
+  std::vector<Change> changes;
+  std::set<std::string> listed;
+  for (const EndpointEntry& entry : entries) {
+    listed.insert(entry.id);
+    const auto [found, is_new] = m_endpoints.try_emplace(entry.id);
+    DirectoryEndpoint& endpoint = found->second;
+    if (is_new || endpoint.entry.started_at_ms != entry.started_at_ms || endpoint.entry.address != entry.address) {
+      // A new start holds nothing of before.
+      const int in_flight = endpoint.in_flight;
+      endpoint = {};
+      endpoint.in_flight = in_flight;
+      changes.push_back({entry.id, is_new ? "new" : "restarted"});
+    } else if (endpoint.entry.phase != entry.phase) {
+      changes.push_back({entry.id, entry.phase == EndpointPhase::kReady ? "ready" : "draining"});
+    }
+    std::map<std::string, int64_t> versions = entry.model_versions;
+    // The registry lags behind what answers told.
+    for (auto& [model, version] : versions) {
+      const auto own = endpoint.entry.model_versions.find(model);
+      if (own != endpoint.entry.model_versions.end()) {
+        version = std::max(version, own->second);
+      }
+    }
+    endpoint.entry = entry;
+    endpoint.entry.model_versions = std::move(versions);
+    endpoint.missing = false;
+  }
+  for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
+    DirectoryEndpoint& endpoint = it->second;
+    if (listed.count(it->first) > 0 || in_grace) {
+      ++it;
+      continue;
+    }
+    if (!endpoint.missing) {
+      endpoint.missing = true;
+      endpoint.missing_since = m_clock->Now();
+      changes.push_back({it->first, "gone"});
+    }
+    // Calls in flight still refer to it.
+    it = endpoint.in_flight == 0 ? m_endpoints.erase(it) : std::next(it);
+  }
+  return changes;
+}
+
+const DirectoryEndpoint* EndpointDirectory::Find(const std::string& id) const {
+  const auto found = m_endpoints.find(id);
+  return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+DirectoryEndpoint* EndpointDirectory::FindMutable(const std::string& id) {
+  const auto found = m_endpoints.find(id);
+  return found == m_endpoints.end() ? nullptr : &found->second;
+}
+
+bool EndpointDirectory::IsUsable(const DirectoryEndpoint& endpoint) const {
+  return endpoint.entry.phase == EndpointPhase::kReady && !endpoint.missing && m_clock->Now() >= endpoint.avoid_until;
+}
+
+std::vector<const DirectoryEndpoint*> EndpointDirectory::Usable(const std::string& service) const {
+  std::vector<const DirectoryEndpoint*> usable;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.entry.service == service && IsUsable(endpoint)) {
+      usable.push_back(&endpoint);
+    }
+  }
+  return usable;
+}
+
+void EndpointDirectory::OnCallStarted(const std::string& id) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    ++endpoint->in_flight;
+  }
+}
+
+void EndpointDirectory::OnCallEnded(const std::string& id) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    endpoint->in_flight = std::max(endpoint->in_flight - 1, 0);
+  }
+}
+
+void EndpointDirectory::OnAnswer(const std::string& id) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    endpoint->failures = 0;
+  }
+}
+
+Duration EndpointDirectory::OnNoAnswer(const std::string& id) {
+  DirectoryEndpoint* endpoint = FindMutable(id);
+  if (endpoint == nullptr) {
+    return Duration();
+  }
+  const int doublings = std::min(endpoint->failures++, kMaxDoublings);
+  const Duration avoidance = std::min(kFirstAvoidance * (int64_t{1} << doublings), kLongestAvoidance);
+  endpoint->avoid_until = std::max(endpoint->avoid_until, m_clock->Now() + avoidance);
+  return avoidance;
+}
+
+void EndpointDirectory::OnFull(const std::string& id) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    endpoint->avoid_until = std::max(endpoint->avoid_until, m_clock->Now() + kAvoidanceWhenFull);
+  }
+}
+
+void EndpointDirectory::OnWrongInstance(const std::string& id) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    endpoint->avoid_until = std::max(endpoint->avoid_until, m_clock->Now() + kAvoidanceOfWrongInstance);
+  }
+}
+
+void EndpointDirectory::OnModelVersion(const std::string& id, const std::string& model, int64_t version) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    int64_t& known = endpoint->entry.model_versions[model];
+    known = std::max(known, version);
+  }
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/event_transcript.cc
@@ -0,0 +1,36 @@
+#include "state/event_transcript.h"
+
+namespace quetzalridge {
+
+void EventTranscript::BeginRun(std::optional<int64_t> model_version) {
+  m_present_version = model_version.value_or(0);
+}
+
+EventTranscript::Append EventTranscript::Add(std::optional<int64_t> id, const std::string& data,
+                                             std::optional<int64_t> model_version) {
+  if (model_version.has_value()) {
+    m_present_version = *model_version;
+  }
+  if (m_last_id.has_value()) {
+    if (!id.has_value() || *id > *m_last_id + 1) {
+      return Append::kGap;
+    }
+    if (*id <= *m_last_id) {
+      return Append::kRepeated;
+    }
+  }
+  if (m_count > 0) {
+    m_text.push_back('\n');
+  }
+  m_text += data;
+  ++m_count;
+  m_last_id = id;
+  m_versions.insert(m_present_version);
+  return Append::kAdded;
+}
+
+void EventTranscript::Clear() {
+  *this = EventTranscript();
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/event_transcript.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace quetzalridge {
+
+// The events of one generation, gathered from one or more runs.
+class EventTranscript {
+ public:
+  enum class Append {
+    kAdded,
+    // Held already from an earlier run.
+    kRepeated,
+    // An event between the last one and this is missing.
+    kGap,
+  };
+
+  // A run begins that goes on after the last event held.
+  void BeginRun(std::optional<int64_t> model_version);
+  Append Add(std::optional<int64_t> id, const std::string& data, std::optional<int64_t> model_version);
+  void Clear();
+
+  bool empty() const { return m_count == 0; }
+  int64_t event_count() const { return m_count; }
+  // The event after which another run goes on; absent before the first event.
+  std::optional<int64_t> last_id() const { return m_last_id; }
+  // The data of all events, separated by line feeds.
+  const std::string& text() const { return m_text; }
+  // Versions of the model that generated an event. An event of an unknown version counts as version 0.
+  const std::set<int64_t>& model_versions() const { return m_versions; }
+  // No event comes from a version below `oldest`.
+  bool IsFresh(int64_t oldest) const { return m_versions.empty() || *m_versions.begin() >= oldest; }
+
+ private:
+  std::string m_text;
+  int64_t m_count = 0;
+  std::optional<int64_t> m_last_id;
+  std::set<int64_t> m_versions;
+  int64_t m_present_version = 0;
+};
+
+}  // namespace quetzalridge
--- a/src/transport/http_message.h
+++ b/src/transport/http_message.h
@@ -1,24 +1,15 @@
 #pragma once
 
 #include <string>
-#include <string_view>
-#include <vector>
 
-namespace quetzalridge {
-
-struct HttpHeader {
-  // Lower case.
-  std::string name;
-  std::string value;
-};
+#include "base/http_header.h"
 
-using HttpHeaders = std::vector<HttpHeader>;
-
-// The first header with the given lower-case name, or nullptr.
-const std::string* FindHeader(const HttpHeaders& headers, std::string_view name);
+namespace quetzalridge {
 
 struct HttpRequest {
   std::string method;
+  // The host header.
+  std::string host;
   // Without the query.
   std::string path;
   // Without the question mark.
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -263,6 +263,7 @@
 HttpRequest ReadRequest(h2o_req_t* request) {
   HttpRequest result;
   result.method = ToString(request->method);
+  result.host = ToString(request->authority);
   const std::string target = ToString(request->path);
   const size_t question_mark = target.find('?');
   result.path = target.substr(0, question_mark);
@@ -329,9 +330,11 @@
 
   void BeginShutdown() {
     CloseListener();
-    h2o_context_request_shutdown(&m_context);
+    StopKeepAlive();
   }
 
+  void StopKeepAlive() { h2o_context_request_shutdown(&m_context); }
+
   int open_connections() const { return static_cast<int>(m_connections.size()); }
 
   bool ReloadTls() {
@@ -545,6 +548,10 @@
   m_impl->BeginShutdown();
 }
 
+void HttpServer::StopKeepAlive() {
+  m_impl->StopKeepAlive();
+}
+
 int HttpServer::open_connections() const {
   return m_impl->open_connections();
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -65,6 +65,8 @@
   int port() const;
   // Stops accepting connections and ends each connection after its present request.
   void BeginShutdown();
+  // Still accepts connections, but ends each one after its present request.
+  void StopKeepAlive();
   int open_connections() const;
   // Reads the certificate files again; false, with the old ones still in use, when they are not usable.
   bool ReloadTls();
--- a/src/transport/http_table_store.cc
+++ b/src/transport/http_table_store.cc
@@ -6,6 +6,12 @@
 
 namespace quetzalridge {
 
+namespace {
+
+constexpr int kRowsPerPartitionScan = 1000;
+
+}  // namespace
+
 HttpTableStore::HttpTableStore(HttpClient* client, PlatformClientOptions options)
     : m_client(client), m_options(std::move(options)) {}
 
@@ -55,4 +61,19 @@
   });
 }
 
+// This table service has no partitions; the keys hold them.
+void HttpTableStore::ListPartitions(std::string table, PartitionsCallback callback) {
+  Scan(table + "@", "", kRowsPerPartitionScan, [callback = std::move(callback)](const ReadResult& read) {
+    PartitionsResult result;
+    result.ok = read.ok;
+    for (const TableRow& row : read.rows) {
+      const std::string partition = SplitTableKey(row.key).partition;
+      if (result.partitions.empty() || result.partitions.back() != partition) {
+        result.partitions.push_back(partition);
+      }
+    }
+    callback(result);
+  });
+}
+
 }  // namespace quetzalridge
--- a/src/transport/http_table_store.h
+++ b/src/transport/http_table_store.h
@@ -17,6 +17,7 @@
   void Transact(TableTransaction transaction, TransactCallback callback) override;
   void Read(std::vector<std::string> keys, ReadCallback callback) override;
   void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override;
+  void ListPartitions(std::string table, PartitionsCallback callback) override;
 
  private:
   HttpCall Call(const std::string& target, std::string body, Duration timeout) const;
--- a/tests/coordination/delivery_model.h
+++ b/tests/coordination/delivery_model.h
@@ -59,6 +59,9 @@
   void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
     m_store->Scan(std::move(prefix), std::move(after), limit, std::move(callback));
   }
+  void ListPartitions(std::string table, PartitionsCallback callback) override {
+    m_store->ListPartitions(std::move(table), std::move(callback));
+  }
 
  private:
   TableStore* m_store;
--- a/tests/coordination/usage_test.cc
+++ b/tests/coordination/usage_test.cc
@@ -94,7 +94,8 @@
         platform(intake, &process),
         recorder(
             &store, &process, [this] { return process.clock().Now().ms(); }, RecorderOptions(name)),
-        duty(&store, &process, &platform, [this] { return process.clock().Now().ms(); }, {}),
+        reporter(&platform),
+        duty(&store, &process, &reporter, [this] { return process.clock().Now().ms(); }, {}),
         manager(&store, &process, ManagerOptions(name)) {
     manager.SetInstanceCount([] { return kInstances; });
     manager.AddDuty("usage", &duty);
@@ -117,6 +118,7 @@
   CheckFilterStore store;
   FakeUsagePlatform platform;
   UsageRecorder recorder;
+  PerWorkspaceReporter reporter;
   UsageDuty duty;
   DutyManager manager;
 };
--- a/tests/daemon/caller_fixture.h
+++ b/tests/daemon/caller_fixture.h
@@ -119,6 +119,8 @@
   void Transact(TableTransaction transaction, TransactCallback callback) override;
   void Read(std::vector<std::string> keys, ReadCallback callback) override;
   void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override;
+  // No test reads partitions.
+  void ListPartitions(std::string, PartitionsCallback) override {}
 
   bool unavailable = false;
   // Transactions that are applied and then answered as unknown.
--- a/tests/fakes/fake_table_store.h
+++ b/tests/fakes/fake_table_store.h
@@ -88,7 +88,11 @@
     ++reads;
     ReadResult result{true, m_revision, {}};
     for (auto it = m_rows.lower_bound(std::max(prefix, after)); it != m_rows.end(); ++it) {
-      if (it->first.compare(0, prefix.size(), prefix) != 0 || static_cast<int>(result.rows.size()) == limit) {
+      if (it->first.compare(0, prefix.size(), prefix) != 0) {
+        break;
+      }
+      if (static_cast<int>(result.rows.size()) == limit) {
+        result.has_more = true;
         break;
       }
       if (it->first > after) {
@@ -98,6 +102,21 @@
     return result;
   }
 
+  PartitionsResult Partitions(const std::string& table) {
+    ++reads;
+    PartitionsResult result{true, {}};
+    for (auto it = m_rows.lower_bound(table + "@"); it != m_rows.end(); ++it) {
+      const TableKeyParts parts = SplitTableKey(it->first);
+      if (parts.table != table) {
+        break;
+      }
+      if (result.partitions.empty() || result.partitions.back() != parts.partition) {
+        result.partitions.push_back(parts.partition);
+      }
+    }
+    return result;
+  }
+
   ManualScheduler* world() { return m_world; }
 
   bool DrawLostAnswer() {
@@ -160,13 +179,19 @@
   }
 
   void Read(std::vector<std::string> keys, ReadCallback callback) override {
-    ReadWith([keys = std::move(keys)](FakeTable* table) { return table->ReadRows(keys); }, std::move(callback));
+    ReadWith<ReadResult>([keys = std::move(keys)](FakeTable* table) { return table->ReadRows(keys); },
+                         std::move(callback));
   }
 
   void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
-    ReadWith([prefix = std::move(prefix), after = std::move(after),
-              limit](FakeTable* table) { return table->ScanRows(prefix, after, limit); },
-             std::move(callback));
+    ReadWith<ReadResult>([prefix = std::move(prefix), after = std::move(after),
+                          limit](FakeTable* table) { return table->ScanRows(prefix, after, limit); },
+                         std::move(callback));
+  }
+
+  void ListPartitions(std::string table_name, PartitionsCallback callback) override {
+    ReadWith<PartitionsResult>([name = std::move(table_name)](FakeTable* table) { return table->Partitions(name); },
+                               std::move(callback));
   }
 
  private:
@@ -177,16 +202,17 @@
 
   bool Unreachable() const { return partitioned || m_table->unavailable; }
 
-  void ReadWith(std::function<ReadResult(FakeTable*)> read, ReadCallback callback) {
+  template <typename Result>
+  void ReadWith(std::function<Result(FakeTable*)> read, std::function<void(const Result&)> callback) {
     if (Unreachable()) {
-      Answer<ReadResult>(m_table->latency, {}, std::move(callback));
+      Answer<Result>(m_table->latency, {}, std::move(callback));
       return;
     }
     m_table->world()->Post(m_table->latency, [this, state = std::weak_ptr<State>(m_state), table = m_table,
                                               read = std::move(read), callback = std::move(callback)]() mutable {
-      const ReadResult result = read(table);
+      const Result result = read(table);
       if (!state.expired()) {
-        Answer<ReadResult>(table->latency, result, std::move(callback));
+        Answer<Result>(table->latency, result, std::move(callback));
       }
     });
   }
--- a/tools/experiment/duty_slopes.cc
+++ b/tools/experiment/duty_slopes.cc
@@ -69,6 +69,10 @@
     ++requests;
     m_store->Scan(std::move(prefix), std::move(after), limit, Counted(std::move(callback)));
   }
+  void ListPartitions(std::string table, PartitionsCallback callback) override {
+    ++requests;
+    m_store->ListPartitions(std::move(table), std::move(callback));
+  }
 
  private:
   ReadCallback Counted(ReadCallback callback) {
@@ -240,8 +244,9 @@
     for (int i = 0; i < instances; ++i) {
       world.Put(UsagePrefix(window) + "instance-" + std::to_string(i) + "-0123456789abcdef", EncodeUsage(usage));
     }
+    PerWorkspaceReporter reporter(&world.platform);
     UsageDuty duty(
-        &world.store, &world.scheduler, &world.platform, [&world] { return world.scheduler.Now().ms(); }, options);
+        &world.store, &world.scheduler, &reporter, [&world] { return world.scheduler.Now().ms(); }, options);
     duty.OnAcquired(&world.lease);
     const Duration until_end = Duration::Milliseconds((window + 1) * options.window.ms() - world.scheduler.Now().ms());
     world.Advance(until_end + options.grace - options.poll);
