Reach the store through peers while it does not serve an instance

Ruled out: longer confirmation alone, which would run items of ended jobs on a frozen owner. Calls now go through a peer's internal port; a write that may have arrived is never sent twice. SharedRows loses its own way to ask peers.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -74,8 +74,6 @@
        "The settings file of the platform was read, at start or after a change."},
       {LogEvent::kLogLinesDropped, LogSeverity::kWarning, "log_lines_dropped",
        "Lines were dropped since the last such event, because their rate was too high or the reader too slow."},
-      {LogEvent::kPeerRowsUsed, LogSeverity::kInfo, "peer_rows_used",
-       "The store does not answer this instance; newer operator rows or endpoint entries came from a peer."},
       {LogEvent::kRowRejected, LogSeverity::kWarning, "row_rejected",
        "A row of another writer cannot be used; it is ignored and the last good one stays in force."},
       {LogEvent::kOperatorConfigApplied, LogSeverity::kInfo, "operator_config_applied",
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -49,7 +49,6 @@
   kCleanupDamaged = 6008,
   kNodeSettingsRead = 1004,
   kLogLinesDropped = 1005,
-  kPeerRowsUsed = 3012,
   kRowRejected = 3013,
   kOperatorConfigApplied = 3014,
   kModelVersionNamed = 3015,
--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -100,6 +100,9 @@
                           const auto job = m_jobs.find(id);
                           if (job != m_jobs.end()) {
                             job->second.reading = false;
+                            if (!read.ok && job->second.runner != nullptr) {
+                              job->second.runner->OnTableUnreachable(read_at);
+                            }
                           }
                           OnJobRows(id, read_at, read);
                         }));
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -16,6 +16,8 @@
 // Items start only this long after the job's rows were known to name this process and no end. With the time of one
 // read and the way to the endpoint it stays below the 3 s within which an ended job's items must stop.
 constexpr Duration kConfirmationLife = Duration::Seconds(2);
+// Longer outages of the table are rare, and an instance that is cut off from everything looks like one.
+constexpr Duration kLongestOutage = Duration::Seconds(15);
 // Results that finish within this time are stored together.
 constexpr Duration kAppendWindow = Duration::Milliseconds(40);
 constexpr Duration kAppendRetry = Duration::Milliseconds(250);
@@ -162,8 +164,16 @@
   return m_context->routes->FindRoute(m_spec.host, m_spec.path);
 }
 
+// While the table answers nobody, no caller can end the job either, and its trainer waits for the results that are
+// missing. An attempt to read the rows must have failed lately, so that an instance that wakes from a freeze asks first.
 bool BatchRunner::MayStartItems() const {
-  return !m_ended && !m_lost && Now() - m_confirmed_at <= kConfirmationLife;
+  if (m_ended || m_lost) {
+    return false;
+  }
+  const TimePoint now = Now();
+  const bool nobody_is_answered =
+      now - m_unreachable_at <= kConfirmationLife && now - m_confirmed_at <= kLongestOutage;
+  return now - m_confirmed_at <= kConfirmationLife || nobody_is_answered;
 }
 
 // An item may be given up a while after the submission; until then its failures leave hope.
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -58,6 +58,8 @@
   bool StartNext();
   // The rows as read again; `read_at` is when that read began.
   void OnRows(const BatchRows& rows, TimePoint read_at);
+  // The rows could not be read, by any way to the table; `asked_at` is when that attempt began.
+  void OnTableUnreachable(TimePoint asked_at) { m_unreachable_at = asked_at; }
   // A caller ended the job: no further item runs.
   void End();
   // Stops all runs; called before the job is given up.
@@ -106,6 +108,7 @@
   BatchSpec m_spec;
   BatchProgress m_progress;
   TimePoint m_confirmed_at;
+  TimePoint m_unreachable_at;
   std::map<size_t, std::unique_ptr<ItemRun>> m_runs;
   // The endpoint that read the shared prompt of a group last.
   std::map<std::string, std::string> m_group_endpoints;
--- a/tests/platform/metadata_store_test.cc
+++ b/tests/platform/metadata_store_test.cc
@@ -79,7 +79,8 @@
   StoreStandIn stand_in;
   HttpServer server{&loop, {}, &stand_in};
   HttpClient client{&loop};
-  MetadataStore store{&client, &loop.clock(), "127.0.0.1:" + std::to_string(server.port())};
+  StoreTransport transport{&client, &loop, "127.0.0.1:" + std::to_string(server.port())};
+  MetadataStore store{&transport};
 
   TransactResult Transact(TableTransaction transaction) {
     std::optional<TransactResult> result;
