Move stragglers to faster endpoints, and start long items on fast ones

Cause: a step ends with its last long items. Ruled out: places (72 items start at once on 72 places), loads of weights (running generations go on). The speed of an endpoint is now measured from the events of this instance's own runs.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -302,6 +302,11 @@
 void BatchCoordinator::Pump() {
   m_pumping = false;
   m_pump_timer = m_context.scheduler->After(kPumpInterval, [this] { Pump(); });
+  for (auto& [id, job] : m_jobs) {
+    if (job.runner != nullptr) {
+      job.runner->MoveStragglers();
+    }
+  }
   bool started = true;
   while (started) {
     started = false;
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -7,7 +7,6 @@
 
 #include "base/hash.h"
 #include "base/log_event.h"
-#include "state/endpoint_choice.h"
 
 namespace quetzalridge {
 
@@ -108,6 +107,11 @@
     if (m_stale || m_gap || !m_head.has_value() || m_head->status != kStatusOk) {
       return;
     }
+    const TimePoint now = m_owner->Now();
+    if (m_last_event_at.has_value()) {
+      m_owner->m_context->endpoints->OnEventGap(m_endpoint, now - *m_last_event_at);
+    }
+    m_last_event_at = now;
     ItemProgress& item = m_owner->m_progress.item(m_index);
     const EventTranscript::Append append = item.transcript.Add(event.id, event.data, event.model_version);
     m_gap = append == EventTranscript::Append::kGap;
@@ -119,6 +123,7 @@
     m_owner->OnRunEnded(m_index, m_endpoint, result);
   }
 
+  const std::string& endpoint() const { return m_endpoint; }
   const std::optional<EndpointAnswerHead>& head() const { return m_head; }
   bool stale() const { return m_stale; }
   bool gap() const { return m_gap; }
@@ -134,6 +139,7 @@
   // An event is missing.
   bool m_gap = false;
   int m_new_events = 0;
+  std::optional<TimePoint> m_last_event_at;
   std::unique_ptr<EndpointExchange> m_exchange;
 };
 
@@ -165,14 +171,14 @@
 }
 
 // While the table answers nobody, no caller can end the job either, and its trainer waits for the results that are
-// missing. An attempt to read the rows must have failed lately, so that an instance that wakes from a freeze asks first.
+// missing. An attempt to read the rows must have failed lately, so that an instance that wakes from a freeze asks
+// first.
 bool BatchRunner::MayStartItems() const {
   if (m_ended || m_lost) {
     return false;
   }
   const TimePoint now = Now();
-  const bool nobody_is_answered =
-      now - m_unreachable_at <= kConfirmationLife && now - m_confirmed_at <= kLongestOutage;
+  const bool nobody_is_answered = now - m_unreachable_at <= kConfirmationLife && now - m_confirmed_at <= kLongestOutage;
   return now - m_confirmed_at <= kConfirmationLife || nobody_is_answered;
 }
 
@@ -205,17 +211,74 @@
 
 bool BatchRunner::StartItem(size_t index, const ServiceRoute& route) {
   const BatchItem& item = m_spec.items[index];
-  ItemProgress& progress = m_progress.item(index);
-  ItemPlacement placement;
-  placement.model = m_spec.model;
-  placement.oldest_version = m_spec.oldest_version;
-  placement.preferred = m_group_endpoints[item.group];
-  placement.avoided = m_last_endpoints[index];
   const std::string& service = ChooseService(route, Hash64(item.id));
-  const DirectoryEndpoint* endpoint = ChooseForItem(m_context->endpoints->Usable(service), placement, m_context->zone);
+  const DirectoryEndpoint* endpoint = ChooseForItem(CandidatesFor(service), PlacementOf(index), m_context->zone);
   if (endpoint == nullptr) {
     return false;
   }
+  StartItemAt(index, *endpoint);
+  return true;
+}
+
+std::vector<ItemCandidate> BatchRunner::CandidatesFor(const std::string& service) const {
+  std::vector<ItemCandidate> candidates;
+  for (const DirectoryEndpoint* endpoint : m_context->endpoints->Usable(service)) {
+    candidates.push_back({endpoint, m_context->endpoints->EventMs(*endpoint)});
+  }
+  return candidates;
+}
+
+ItemPlacement BatchRunner::PlacementOf(size_t index) const {
+  ItemPlacement placement;
+  placement.model = m_spec.model;
+  placement.oldest_version = m_spec.oldest_version;
+  const auto preferred = m_group_endpoints.find(m_spec.items[index].group);
+  placement.preferred = preferred == m_group_endpoints.end() ? "" : preferred->second;
+  const auto avoided = m_last_endpoints.find(index);
+  placement.avoided = avoided == m_last_endpoints.end() ? "" : avoided->second;
+  return placement;
+}
+
+void BatchRunner::MoveStragglers() {
+  const ServiceRoute* route = Route();
+  if (!MayStartItems() || route == nullptr || route->single_version) {
+    return;
+  }
+  for (const auto& [index, run] : m_runs) {
+    const EventTranscript& transcript = m_progress.item(index).transcript;
+    const DirectoryEndpoint* present = m_context->endpoints->Find(run->endpoint());
+    if (present == nullptr || transcript.empty()) {
+      continue;
+    }
+    const std::string& service = ChooseService(*route, Hash64(m_spec.items[index].id));
+    const ItemCandidate holder{present, m_context->endpoints->EventMs(*present)};
+    const DirectoryEndpoint* target =
+        ChooseForMove(CandidatesFor(service), PlacementOf(index), holder, transcript.event_count());
+    if (target == nullptr) {
+      continue;
+    }
+    MoveItem(index, *target);
+    // Each move takes a free place, which the next choice must see.
+    return;
+  }
+}
+
+void BatchRunner::MoveItem(size_t index, const DirectoryEndpoint& target) {
+  Log(LogEvent::kBatchItemInterrupted, {{"job", m_spec.id},
+                                        {"item", m_spec.items[index].id},
+                                        {"endpoint", m_runs.at(index)->endpoint()},
+                                        {"events", std::to_string(m_progress.item(index).transcript.event_count())},
+                                        {"detail", "moved to the faster " + target.entry.id}});
+  // Closing the connection ends the run at the slow endpoint.
+  m_runs.erase(index);
+  m_progress.SetPhase(index, ItemPhase::kWaiting);
+  StartItemAt(index, target);
+}
+
+void BatchRunner::StartItemAt(size_t index, const DirectoryEndpoint& target) {
+  const BatchItem& item = m_spec.items[index];
+  const ItemProgress& progress = m_progress.item(index);
+  const DirectoryEndpoint* endpoint = &target;
   EndpointCall call;
   call.endpoint_id = endpoint->entry.id;
   call.address = endpoint->entry.address;
@@ -244,7 +307,6 @@
   ItemRun* started = run.get();
   m_runs[index] = std::move(run);
   started->Begin(std::move(call));
-  return true;
 }
 
 void BatchRunner::OnRunEnded(size_t index, const std::string& endpoint, const EndpointCallResult& result) {
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -13,6 +13,7 @@
 #include "coordination/scheduler.h"
 #include "coordination/table_store.h"
 #include "state/batch_progress.h"
+#include "state/endpoint_choice.h"
 #include "state/endpoint_directory.h"
 #include "state/serving_config.h"
 
@@ -56,6 +57,8 @@
 
   // Starts the next item if one is waiting and an endpoint has a free place for it.
   bool StartNext();
+  // Moves running items from slow endpoints to fast ones that have a free place.
+  void MoveStragglers();
   // The rows as read again; `read_at` is when that read began.
   void OnRows(const BatchRows& rows, TimePoint read_at);
   // The rows could not be read, by any way to the table; `asked_at` is when that attempt began.
@@ -93,7 +96,11 @@
   const ServiceRoute* Route() const;
   bool MayStartItems() const;
   void GiveUpOldItems();
+  std::vector<ItemCandidate> CandidatesFor(const std::string& service) const;
+  ItemPlacement PlacementOf(size_t index) const;
   bool StartItem(size_t index, const ServiceRoute& route);
+  void MoveItem(size_t index, const DirectoryEndpoint& target);
+  void StartItemAt(size_t index, const DirectoryEndpoint& endpoint);
   void OnRunEnded(size_t index, const std::string& endpoint, const EndpointCallResult& result);
   void Retry(size_t index, Duration delay);
   void FinishItem(size_t index, BatchResultState state, const std::string& reason);
--- a/src/state/endpoint_choice.cc
+++ b/src/state/endpoint_choice.cc
@@ -7,10 +7,33 @@
 
 namespace {
 
+// Endpoints of one kind differ by less while they work alike.
+constexpr double kSlowRatio = 1.2;
+// A move costs the reading of the text so far and a new connection, some dozen milliseconds.
+constexpr double kLeastMoveGainMs = 250.0;
+
 double LoadOf(const DirectoryEndpoint& endpoint) {
   return static_cast<double>(endpoint.in_flight) / std::max(endpoint.entry.slots, 1);
 }
 
+bool CanTake(const ItemCandidate& candidate, const ItemPlacement& placement) {
+  const EndpointEntry& entry = candidate.endpoint->entry;
+  const auto version = entry.model_versions.find(placement.model);
+  return candidate.endpoint->in_flight < entry.slots && version != entry.model_versions.end() &&
+         version->second >= placement.oldest_version;
+}
+
+// The least time between two events among the candidates whose speed is known; 0 when none is.
+double FastestOf(const std::vector<ItemCandidate>& candidates) {
+  double fastest = 0.0;
+  for (const ItemCandidate& candidate : candidates) {
+    if (candidate.event_ms > 0.0 && (fastest == 0.0 || candidate.event_ms < fastest)) {
+      fastest = candidate.event_ms;
+    }
+  }
+  return fastest;
+}
+
 }  // namespace
 
 const DirectoryEndpoint* ChooseForRequest(const std::vector<const DirectoryEndpoint*>& candidates,
@@ -29,27 +52,44 @@
   return best;
 }
 
-const DirectoryEndpoint* ChooseForItem(const std::vector<const DirectoryEndpoint*>& candidates,
-                                       const ItemPlacement& placement, const std::string& own_zone) {
+const DirectoryEndpoint* ChooseForItem(const std::vector<ItemCandidate>& candidates, const ItemPlacement& placement,
+                                       const std::string& own_zone) {
+  const double fastest = FastestOf(candidates);
   const DirectoryEndpoint* best = nullptr;
-  std::tuple<bool, bool, double, bool> best_rank;
-  for (const DirectoryEndpoint* candidate : candidates) {
-    const EndpointEntry& entry = candidate->entry;
-    if (candidate->in_flight >= entry.slots) {
+  std::tuple<bool, bool, bool, double, bool> best_rank;
+  for (const ItemCandidate& candidate : candidates) {
+    if (!CanTake(candidate, placement)) {
       continue;
     }
-    const auto version = entry.model_versions.find(placement.model);
-    if (version == entry.model_versions.end() || version->second < placement.oldest_version) {
-      continue;
-    }
-    const std::tuple<bool, bool, double, bool> rank{entry.id == placement.avoided, entry.id != placement.preferred,
-                                                    LoadOf(*candidate), entry.zone != own_zone};
+    const EndpointEntry& entry = candidate.endpoint->entry;
+    const std::tuple<bool, bool, bool, double, bool> rank{
+        entry.id == placement.avoided, candidate.event_ms > fastest * kSlowRatio, entry.id != placement.preferred,
+        LoadOf(*candidate.endpoint), entry.zone != own_zone};
     if (best == nullptr || rank < best_rank) {
-      best = candidate;
+      best = candidate.endpoint;
       best_rank = rank;
     }
   }
   return best;
 }
 
+const DirectoryEndpoint* ChooseForMove(const std::vector<ItemCandidate>& candidates, const ItemPlacement& placement,
+                                       const ItemCandidate& present, int64_t events_made) {
+  if (present.event_ms <= 0.0) {
+    return nullptr;
+  }
+  const ItemCandidate* best = nullptr;
+  for (const ItemCandidate& candidate : candidates) {
+    const bool known = candidate.event_ms > 0.0 && candidate.endpoint != present.endpoint;
+    if (known && CanTake(candidate, placement) && (best == nullptr || candidate.event_ms < best->event_ms)) {
+      best = &candidate;
+    }
+  }
+  if (best == nullptr || present.event_ms < best->event_ms * kSlowRatio) {
+    return nullptr;
+  }
+  const double gain_ms = static_cast<double>(events_made) * (present.event_ms - best->event_ms);
+  return gain_ms >= kLeastMoveGainMs ? best->endpoint : nullptr;
+}
+
 }  // namespace quetzalridge
--- a/src/state/endpoint_choice.h
+++ b/src/state/endpoint_choice.h
@@ -27,12 +27,28 @@
   std::string avoided;
 };
 
-// The endpoint for an item of a batch job: one with a free place and a version of the model that the job accepts; the
-// preferred one, else the one with the largest share of free places. Nullptr when none is free.
+// An endpoint that may take an item, with its measured speed; see EndpointDirectory::EventMs.
+struct ItemCandidate {
+  const DirectoryEndpoint* endpoint = nullptr;
+  double event_ms = 0.0;
+};
+
+// The endpoint for an item of a batch job: one with a free place and a version of the model that the job accepts. Fast
+// ones come first, then the preferred one, then the one with the largest share of free places. Nullptr when none is
+// free.
+//
+// The load it answers: a job brings as many items at once as its model has places, and its last long item decides when
+// the step ends. Waiting here instead of at a full endpoint keeps the choice open until a place is free; items start in
+// the order of their estimated length, so the long ones get the fast endpoints.
+const DirectoryEndpoint* ChooseForItem(const std::vector<ItemCandidate>& candidates, const ItemPlacement& placement,
+                                       const std::string& own_zone);
+
+// The endpoint to which a running item should move, or nullptr.
 //
-// The load it answers: a job brings as many items at once as its model has places. Waiting here instead of at a full
-// endpoint keeps the choice open until a place is free.
-const DirectoryEndpoint* ChooseForItem(const std::vector<const DirectoryEndpoint*>& candidates,
-                                       const ItemPlacement& placement, const std::string& own_zone);
+// The load it answers: a third of the endpoints is 1.3 times slower than the rest, and now and then some are several
+// times slower. Going on elsewhere costs the reading of the text so far, a few dozen milliseconds. Lengths are
+// heavy-tailed, so an item that has made many events is expected to make about as many more.
+const DirectoryEndpoint* ChooseForMove(const std::vector<ItemCandidate>& candidates, const ItemPlacement& placement,
+                                       const ItemCandidate& present, int64_t events_made);
 
 }  // namespace quetzalridge
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -13,6 +13,10 @@
 constexpr int kMaxDoublings = 3;
 // A full endpoint has a free place after about one plain request.
 constexpr Duration kAvoidanceWhenFull = Duration::Milliseconds(50);
+// Of one gap in the mean. With one generation the mean follows a change within about ten events.
+constexpr double kEventGapWeight = 0.1;
+// An endpoint gets no work while it is slow, so its speed must be forgotten before it is tried again.
+constexpr Duration kEventSpeedLife = Duration::Seconds(4);
 // Longer than the address of an endpoint that has gone stays in the registry.
 constexpr Duration kAvoidanceOfWrongInstance = Duration::Seconds(10);
 
@@ -89,6 +93,21 @@
   return usable;
 }
 
+void EndpointDirectory::OnEventGap(const std::string& id, Duration gap) {
+  DirectoryEndpoint* endpoint = FindMutable(id);
+  if (endpoint == nullptr) {
+    return;
+  }
+  const double known = EventMs(*endpoint);
+  const auto measured = static_cast<double>(gap.ms());
+  endpoint->event_ms = known > 0.0 ? known + kEventGapWeight * (measured - known) : measured;
+  endpoint->event_seen_at = m_clock->Now();
+}
+
+double EndpointDirectory::EventMs(const DirectoryEndpoint& endpoint) const {
+  return m_clock->Now() - endpoint.event_seen_at <= kEventSpeedLife ? endpoint.event_ms : 0.0;
+}
+
 void EndpointDirectory::OnCallStarted(const std::string& id) {
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     ++endpoint->in_flight;
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -38,6 +38,9 @@
   EndpointEntry entry;
   // Requests of this instance that it holds now.
   int in_flight = 0;
+  // Mean time between two events of one generation, as seen lately; 0 when unknown.
+  double event_ms = 0.0;
+  TimePoint event_seen_at;
   // Calls in a row that failed without an answer.
   int failures = 0;
   // Gets no work before.
@@ -68,6 +71,10 @@
   // Usable endpoints of one service.
   std::vector<const DirectoryEndpoint*> Usable(const std::string& service) const;
 
+  // The time between two events of a generation at the endpoint.
+  void OnEventGap(const std::string& id, Duration gap);
+  // As measured lately; 0 when unknown.
+  double EventMs(const DirectoryEndpoint& endpoint) const;
   void OnCallStarted(const std::string& id);
   void OnCallEnded(const std::string& id);
   // The endpoint answered something.
