--- a/tests/coordination/batch_test.cc
+++ b/tests/coordination/batch_test.cc
@@ -221,6 +221,42 @@
   CHECK(other_runs);
 }
 
+// Plays a step with long items on endpoints of which one is four times slower, as during the users' incidents
+// with slow replicas. The trainer gets all groups before its deadline of 7.5 s. Where items stay at their endpoint, a
+// long one that began at the slow endpoint needs 16 s.
+TEST_CASE("long items leave a slow endpoint, and the step is whole in time") {
+  BatchWorld world(14);
+  world.engines.event_gap = Duration::Milliseconds(40);
+  world.engines.events_per_item = 10;
+  world.engines.slow_endpoints = {{"engine-0", 4}};
+  // Each endpoint has four places, so at least one long item begins at the slow one.
+  for (int i = 0; i < 13; ++i) {
+    world.engines.long_items["job-item-" + std::to_string(i)] = 100;
+  }
+  world.StartInstance("one");
+  REQUIRE(world.Submit("one", BatchWorld::MakeJob("job", 16)) == SubmitOutcome::kAccepted);
+  world.scheduler.Advance(Duration::Milliseconds(7400));
+  const BatchPage page = world.Read("one", "job", 0);
+  REQUIRE(page.results.size() == 16);
+  for (const BatchResult& result : page.results) {
+    CHECK(result.text == world.engines.WholeText(result.item));
+  }
+}
+
+// Guards against a step that stands still while the table is away: nobody can end its job then.
+TEST_CASE("items go on while the table answers nobody") {
+  BatchWorld world(15);
+  world.engines.event_gap = Duration::Milliseconds(200);
+  world.StartInstance("one");
+  REQUIRE(world.Submit("one", BatchWorld::MakeJob("job", 60)) == SubmitOutcome::kAccepted);
+  world.table.unavailable = true;
+  world.scheduler.Advance(Duration::Seconds(6));
+  world.table.unavailable = false;
+  world.scheduler.Advance(Duration::Seconds(1));
+  // 16 places, a bit over one second an item.
+  CHECK(world.Read("one", "job", 0).results.size() >= 48);
+}
+
 // Guards against a 404 that is not sure.
 TEST_CASE("a job that cannot be looked up is not reported as missing") {
   BatchWorld world(11);
--- a/tests/coordination/batch_world.h
+++ b/tests/coordination/batch_world.h
@@ -38,6 +38,10 @@
   Duration event_gap = Duration::Milliseconds(20);
   int events_per_item = 5;
   int64_t model_version = 1;
+  // Endpoints that take this many times as long for an event.
+  std::map<std::string, int> slow_endpoints;
+  // Items that make more events than others.
+  std::map<std::string, int> long_items;
   double cut_chance = 0.0;
   double refusal_chance = 0.0;
   // Items that fail with this status at each run.
@@ -47,11 +51,19 @@
   static std::string EventData(const std::string& item, int event) { return item + " event " + std::to_string(event); }
   std::string WholeText(const std::string& item) const {
     std::string text;
-    for (int event = 1; event <= events_per_item; ++event) {
+    for (int event = 1; event <= EventsOf(item); ++event) {
       text += (event == 1 ? "" : "\n") + EventData(item, event);
     }
     return text;
   }
+  int EventsOf(const std::string& item) const {
+    const auto found = long_items.find(item);
+    return found == long_items.end() ? events_per_item : found->second;
+  }
+  Duration GapAt(const std::string& endpoint) const {
+    const auto slow = slow_endpoints.find(endpoint);
+    return slow == slow_endpoints.end() ? event_gap : event_gap * slow->second;
+  }
   Random* random() { return &m_random; }
 
  private:
@@ -99,14 +111,14 @@
       Continue();
     }
     void Continue() {
-      m_timer = m_process->After(m_engines->event_gap, [this] { SendEvent(); });
+      m_timer = m_process->After(m_engines->GapAt(m_call.endpoint_id), [this] { SendEvent(); });
     }
     void SendEvent() {
       if (m_engines->random()->Chance(m_engines->cut_chance)) {
         End(EndpointCallEnd::kCut);
         return;
       }
-      if (m_next > m_engines->events_per_item) {
+      if (m_next > m_engines->EventsOf(m_call.request_id)) {
         End(EndpointCallEnd::kWhole);
         return;
       }
--- /dev/null
+++ b/tests/state/endpoint_choice_test.cc
@@ -0,0 +1,75 @@
+#include "state/endpoint_choice.h"
+
+#include <catch2/catch.hpp>
+
+namespace quetzalridge {
+namespace {
+
+DirectoryEndpoint MakeEndpoint(const std::string& id, int in_flight) {
+  DirectoryEndpoint endpoint;
+  endpoint.entry.id = id;
+  endpoint.entry.zone = "a";
+  endpoint.entry.slots = 4;
+  endpoint.entry.model_versions["m"] = 5;
+  endpoint.in_flight = in_flight;
+  return endpoint;
+}
+
+ItemPlacement MakePlacement() {
+  ItemPlacement placement;
+  placement.model = "m";
+  placement.oldest_version = 4;
+  return placement;
+}
+
+// Guards against requests that queue at one endpoint while others are free.
+TEST_CASE("a plain request goes to the least loaded endpoint, then to one in the own zone") {
+  Random random(1);
+  const DirectoryEndpoint busy = MakeEndpoint("busy", 3);
+  DirectoryEndpoint far = MakeEndpoint("far", 1);
+  far.entry.zone = "b";
+  const DirectoryEndpoint near = MakeEndpoint("near", 1);
+  CHECK(ChooseForRequest({&busy, &far, &near}, "a", {}, &random) == &near);
+  CHECK(ChooseForRequest({&busy, &far, &near}, "a", {"near"}, &random) == &far);
+  CHECK(ChooseForRequest({}, "a", {}, &random) == nullptr);
+}
+
+TEST_CASE("an item goes only to an endpoint with a place and a version that its job accepts") {
+  const DirectoryEndpoint full = MakeEndpoint("full", 4);
+  DirectoryEndpoint old = MakeEndpoint("old", 0);
+  old.entry.model_versions["m"] = 3;
+  const DirectoryEndpoint good = MakeEndpoint("good", 3);
+  CHECK(ChooseForItem({{&full, 0}, {&old, 0}, {&good, 0}}, MakePlacement(), "a") == &good);
+  CHECK(ChooseForItem({{&full, 0}, {&old, 0}}, MakePlacement(), "a") == nullptr);
+}
+
+// Guards against long items on slow endpoints while fast ones have places.
+TEST_CASE("an item prefers fast endpoints, then the one that holds its prompt") {
+  const DirectoryEndpoint slow = MakeEndpoint("slow", 0);
+  const DirectoryEndpoint fast = MakeEndpoint("fast", 2);
+  const DirectoryEndpoint warm = MakeEndpoint("warm", 3);
+  ItemPlacement placement = MakePlacement();
+  CHECK(ChooseForItem({{&slow, 130}, {&fast, 37}, {&warm, 38}}, placement, "a") == &fast);
+  placement.preferred = "warm";
+  CHECK(ChooseForItem({{&slow, 130}, {&fast, 37}, {&warm, 38}}, placement, "a") == &warm);
+  // An endpoint whose speed is not known counts as fast, so that it gets work and is measured.
+  const DirectoryEndpoint unknown = MakeEndpoint("unknown", 1);
+  CHECK(ChooseForItem({{&slow, 130}, {&fast, 37}, {&unknown, 0}}, MakePlacement(), "a") == &unknown);
+}
+
+// Guards against moves that cost more than they save, and against items that stay at a slow endpoint.
+TEST_CASE("a running item moves when its expected rest is much faster elsewhere") {
+  const DirectoryEndpoint slow = MakeEndpoint("slow", 1);
+  const DirectoryEndpoint fast = MakeEndpoint("fast", 1);
+  const ItemCandidate present{&slow, 130};
+  const std::vector<ItemCandidate> candidates = {{&slow, 130}, {&fast, 37}};
+  CHECK(ChooseForMove(candidates, MakePlacement(), present, 10) == &fast);
+  CHECK(ChooseForMove(candidates, MakePlacement(), present, 1) == nullptr);
+  CHECK(ChooseForMove(candidates, MakePlacement(), {&fast, 37}, 100) == nullptr);
+  CHECK(ChooseForMove({{&slow, 40}, {&fast, 37}}, MakePlacement(), {&slow, 40}, 1000) == nullptr);
+  const DirectoryEndpoint full = MakeEndpoint("full", 4);
+  CHECK(ChooseForMove({{&slow, 130}, {&full, 37}}, MakePlacement(), present, 100) == nullptr);
+}
+
+}  // namespace
+}  // namespace quetzalridge
