Let items that come again go on after their stored text

Cause: a trainer ends a step with a tenth of its groups unfinished; these hold the longest items and are waited for in the next step, where they began anew. The owner now stores their text at the end of the job, and the next owner reads it. The instance that stores an end tells the owner at once. Ruled out: keeping the text in memory only, since the next job mostly arrives at another instance.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -1,6 +1,7 @@
 #include "coordination/batch_coordinator.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "base/hash.h"
@@ -26,6 +27,10 @@
 constexpr size_t kMaxRowBytes = 48'000;
 // Of one transaction; see BatchRunner.
 constexpr size_t kMaxChunksAtOnce = 12;
+// A trainer asks for unfinished items again in its next steps.
+constexpr Duration kPartialTextLife = Duration::Seconds(120);
+// Of one transaction.
+constexpr size_t kMaxRemovals = 90;
 constexpr size_t kMaxPageBytes = 700'000;
 constexpr Duration kReadPoll = Duration::Milliseconds(300);
 constexpr Duration kDrainPoll = Duration::Milliseconds(50);
@@ -230,7 +235,7 @@
         }
         const BatchOwner& now = loaded->second.rows.owner;
         if (now.instance == m_context.instance && now.incarnation == m_context.incarnation) {
-          BeginRunning(id, *items, sent_at);
+          BeginWithEarlierTexts(id, *items, sent_at);
         }
       });
     }));
@@ -269,7 +274,56 @@
                         }));
 }
 
-void BatchCoordinator::BeginRunning(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at) {
+void BatchCoordinator::BeginWithEarlierTexts(const std::string& id, std::vector<BatchItem> items,
+                                             TimePoint confirmed_at) {
+  const std::string prefix = PartialTextPrefix(m_jobs.at(id).rows.head.spec.model);
+  auto kept_items = std::make_shared<std::vector<BatchItem>>(std::move(items));
+  m_jobs.at(id).taking_over = true;
+  m_context.store->Scan(prefix, "", kRowsPerScan,
+                        m_guard.Wrap([this, id, kept_items, confirmed_at](const ReadResult& read) {
+                          const auto job = m_jobs.find(id);
+                          if (job == m_jobs.end()) {
+                            return;
+                          }
+                          job->second.taking_over = false;
+                          if (m_draining || job->second.runner != nullptr) {
+                            return;
+                          }
+                          // Without an answer the items are generated from their beginning.
+                          RemovePartialTexts(read.rows, *kept_items);
+                          BeginRunning(id, std::move(*kept_items), confirmed_at, DecodePartialTextRows(read.rows));
+                        }));
+}
+
+// Texts that this job uses, and those that no job asked for in time.
+void BatchCoordinator::RemovePartialTexts(const std::vector<TableRow>& rows, const std::vector<BatchItem>& items) {
+  std::set<std::string> known;
+  for (const BatchItem& item : items) {
+    known.insert(item.id);
+  }
+  std::set<std::string> done;
+  for (const PartialText& partial : DecodePartialTextRows(rows)) {
+    const bool expired = m_context.wall_ms() - partial.stored_at_ms > kPartialTextLife.ms();
+    if (expired || known.count(partial.item) > 0) {
+      done.insert(partial.item);
+    }
+  }
+  TableTransaction transaction;
+  transaction.id = RandomHex(kIdentityBytes);
+  for (const TableRow& row : rows) {
+    const std::string name = SplitTableKey(row.key).name;
+    if (done.count(name.substr(0, name.find('.'))) > 0 && transaction.writes.size() < kMaxRemovals) {
+      transaction.writes.push_back({row.key, std::nullopt});
+    }
+  }
+  if (!transaction.writes.empty()) {
+    // A removal that is lost is made up for by the next job.
+    m_context.store->Transact(std::move(transaction), [](const TransactResult&) {});
+  }
+}
+
+void BatchCoordinator::BeginRunning(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
+                                    const std::vector<PartialText>& texts) {
   Job& job = m_jobs.at(id);
   Log(LogEvent::kBatchOwned, {{"job", id},
                               {"step", "running"},
@@ -280,6 +334,7 @@
                               {"oldest_version", std::to_string(job.rows.head.spec.oldest_version)}});
   job.items.reset();
   job.runner = std::make_unique<BatchRunner>(&m_context, job.rows, std::move(items), confirmed_at);
+  job.runner->UsePartialTexts(texts);
   job.runner->SetWorkCallback([this] {
     if (m_pump_timer == nullptr || !m_pumping) {
       m_pumping = true;
@@ -404,7 +459,7 @@
                                      {"stored_ms", std::to_string((Now() - sent_at).ms())}});
       callback(SubmitOutcome::kAccepted);
       if (m_jobs.at(spec->id).rows.owner.instance == m_context.instance && !m_draining) {
-        BeginRunning(spec->id, std::move(spec->items), sent_at);
+        BeginWithEarlierTexts(spec->id, std::move(spec->items), sent_at);
       }
       return;
     case TransactOutcome::kConflict:
@@ -599,6 +654,10 @@
       const auto found = m_jobs.find(id);
       if (stored && found != m_jobs.end()) {
         found->second.rows.ended = true;
+        const std::string& owner = found->second.rows.owner.instance;
+        if (m_fleet.notify_end && !owner.empty() && owner != m_context.instance) {
+          m_fleet.notify_end(owner, id);
+        }
       }
       Log(LogEvent::kBatchEnded, {{"job", id}, {"outcome", std::string(TransactOutcomeName(result.outcome))}});
       callback(stored ? BatchAnswer::kOk : BatchAnswer::kUnavailable);
@@ -606,6 +665,17 @@
   });
 }
 
+void BatchCoordinator::OnEndedElsewhere(const std::string& id) {
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end()) {
+    return;
+  }
+  found->second.rows.ended = true;
+  if (found->second.runner != nullptr) {
+    found->second.runner->End();
+  }
+}
+
 void BatchCoordinator::Drain(std::function<void()> callback) {
   m_draining = true;
   m_drained = std::move(callback);
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -19,6 +19,8 @@
   std::function<bool(const BatchOwner&)> is_alive;
   // Ids of the live instances, this one included.
   std::function<std::vector<std::string>()> live_instances;
+  // Tells the owner of a job that a caller has ended it, before its next read of the rows. May be absent.
+  std::function<void(const std::string& instance, const std::string& job)> notify_end;
 };
 
 enum class SubmitOutcome {
@@ -66,6 +68,8 @@
                     std::function<void(BatchAnswer, const std::string&)> callback);
   void End(const std::string& job, const std::string& workspace, std::function<void(BatchAnswer)> callback);
 
+  // Another instance has stored the end of a job.
+  void OnEndedElsewhere(const std::string& job);
   // Starts items on free endpoints; called after endpoints or routes changed.
   void Pump();
 
@@ -101,7 +105,11 @@
   void LoadItemsAfter(const std::string& id, const std::string& prefix, const std::string& after,
                       const std::shared_ptr<std::string>& bytes,
                       std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)> callback);
-  void BeginRunning(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at);
+  // Reads what earlier jobs of the model generated of the job's items, then runs it.
+  void BeginWithEarlierTexts(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at);
+  void RemovePartialTexts(const std::vector<TableRow>& rows, const std::vector<BatchItem>& items);
+  void BeginRunning(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
+                    const std::vector<PartialText>& texts);
   void DropRunner(Job* job, const char* reason);
   void StoreItems(std::shared_ptr<BatchSpec> spec, const std::string& submission,
                   std::shared_ptr<std::vector<std::string>> chunks, size_t begin,
--- a/src/coordination/batch_records.cc
+++ b/src/coordination/batch_records.cc
@@ -25,6 +25,12 @@
   archive(result.item, result.state, result.text, result.model_versions);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, PartialText& partial) {  // NOLINT(google-runtime-references)
+  archive(partial.item, partial.text, partial.event_count, partial.last_id, partial.model_versions,
+          partial.stored_at_ms);
+}
+
 namespace {
 
 using Json = nlohmann::json;
@@ -260,4 +266,38 @@
   return results;
 }
 
+std::string PartialTextPrefix(const std::string& model) {
+  return Partitioned("batch-partial", model);
+}
+
+std::string PartialTextKey(const std::string& model, const std::string& item, const std::string& write, size_t part) {
+  char text[kKeyBytes];
+  std::snprintf(text, sizeof(text), ".%03zu", part);
+  return PartialTextPrefix(model) + EscapeJob(item) + "." + write + text;
+}
+
+std::string EncodePartialText(const PartialText& partial) {
+  return EncodeBinary(partial);
+}
+
+std::vector<PartialText> DecodePartialTextRows(const std::vector<TableRow>& rows) {
+  std::vector<PartialText> texts;
+  std::string value;
+  for (size_t i = 0; i < rows.size(); ++i) {
+    value += rows[i].value;
+    const std::string text_key = rows[i].key.substr(0, rows[i].key.rfind('.'));
+    const bool continues = i + 1 < rows.size() && rows[i + 1].key.compare(0, text_key.size(), text_key) == 0;
+    if (continues) {
+      continue;
+    }
+    // A text whose parts are not all there is generated again.
+    std::optional<PartialText> partial = DecodeBinary<PartialText>(value);
+    value.clear();
+    if (partial.has_value()) {
+      texts.push_back(std::move(*partial));
+    }
+  }
+  return texts;
+}
+
 }  // namespace quetzalridge
--- a/src/coordination/batch_records.h
+++ b/src/coordination/batch_records.h
@@ -7,6 +7,7 @@
 
 #include "coordination/table_store.h"
 #include "state/batch_job.h"
+#include "state/event_transcript.h"
 
 namespace quetzalridge {
 
@@ -68,6 +69,14 @@
 std::string EncodeBatchResult(const BatchResult& result);
 std::optional<BatchResult> DecodeBatchResult(const std::string& value);
 
+// Texts of unfinished items of ended jobs, by model: a later job of the trainer may ask for the same items. `write`
+// names the transaction, since the parts of one text must not be mixed with those of another.
+std::string PartialTextPrefix(const std::string& model);
+std::string PartialTextKey(const std::string& model, const std::string& item, const std::string& write, size_t part);
+std::string EncodePartialText(const PartialText& partial);
+// The whole texts in rows, as a scan returned them.
+std::vector<PartialText> DecodePartialTextRows(const std::vector<TableRow>& rows);
+
 // The results in rows of consecutive positions, as a scan returned them; an unfinished last one is left out. Nothing
 // when a row is malformed.
 std::optional<std::vector<BatchResult>> DecodeBatchResultRows(const std::vector<TableRow>& rows);
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -35,6 +35,9 @@
 // spread over its time.
 constexpr int kFruitlessRunsToSuspect = 3;
 constexpr Duration kSuspectDelay = Duration::Seconds(20);
+constexpr int kIdentityBytes = 8;
+// Shorter texts are generated again faster than they are read.
+constexpr int64_t kLeastStoredEvents = 8;
 constexpr int kStatusOk = 200;
 constexpr int kStatusNeverPossible = 422;
 constexpr int kStatusRunFailed = 500;
@@ -436,7 +439,7 @@
     appended.push_back(i);
   }
   transaction.writes.push_back({BatchTailKey(m_spec.id), EncodeBatchTail(tail)});
-  transaction.id = RandomHex(8);
+  transaction.id = RandomHex(kIdentityBytes);
   m_appending = true;
   m_context->store->Transact(std::move(transaction), m_guard.Wrap([this, appended](const TransactResult& result) {
     OnAppended(appended, result);
@@ -512,9 +515,64 @@
     return;
   }
   m_ended = true;
+  StorePartialTexts();
   Stop();
 }
 
+// What a lost write costs is generated again, so its outcome does not matter.
+void BatchRunner::StorePartialTexts() {
+  std::vector<PartialText> texts;
+  for (size_t i = 0; i < m_progress.size(); ++i) {
+    std::optional<PartialText> partial = m_progress.item(i).transcript.Save();
+    if (!partial.has_value() || partial->event_count < kLeastStoredEvents) {
+      continue;
+    }
+    partial->item = m_spec.items[i].id;
+    partial->stored_at_ms = m_context->wall_ms();
+    texts.push_back(std::move(*partial));
+  }
+  std::sort(texts.begin(), texts.end(),
+            [](const PartialText& a, const PartialText& b) { return a.event_count > b.event_count; });
+  TableTransaction transaction;
+  transaction.id = RandomHex(kIdentityBytes);
+  size_t bytes = 0;
+  for (const PartialText& partial : texts) {
+    const std::vector<std::string> parts = SplitValue(EncodePartialText(partial), kMaxRowBytes);
+    bytes += partial.text.size();
+    if (transaction.writes.size() + parts.size() > kMaxAppendRows || bytes > kMaxAppendBytes) {
+      break;
+    }
+    for (size_t part = 0; part < parts.size(); ++part) {
+      transaction.writes.push_back({PartialTextKey(m_spec.model, partial.item, transaction.id, part), parts[part]});
+    }
+  }
+  if (transaction.writes.empty()) {
+    return;
+  }
+  transaction.checks = {{transaction.writes.front().key, 0}};
+  m_context->store->Transact(std::move(transaction), [](const TransactResult&) {});
+}
+
+void BatchRunner::UsePartialTexts(const std::vector<PartialText>& texts) {
+  const ServiceRoute* route = Route();
+  int used = 0;
+  for (const PartialText& partial : texts) {
+    const std::optional<size_t> index = m_progress.FindItem(partial.item);
+    if (!index.has_value() || m_progress.item(*index).phase != ItemPhase::kWaiting) {
+      continue;
+    }
+    EventTranscript transcript;
+    transcript.Restore(partial);
+    const bool mixed = route != nullptr && route->single_version;
+    const bool longer = transcript.event_count() > m_progress.item(*index).transcript.event_count();
+    if (transcript.IsFresh(m_spec.oldest_version) && !mixed && longer) {
+      m_progress.item(*index).transcript = std::move(transcript);
+      ++used;
+    }
+  }
+  Log(LogEvent::kBatchOwned, {{"job", m_spec.id}, {"step", "earlier texts"}, {"used", std::to_string(used)}});
+}
+
 void BatchRunner::Stop() {
   m_runs.clear();
   for (size_t i = 0; i < m_progress.size(); ++i) {
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -55,6 +55,8 @@
   BatchRunner(const BatchRunner&) = delete;
   BatchRunner& operator=(const BatchRunner&) = delete;
 
+  // Items go on after what an earlier job generated of them, where its versions fit.
+  void UsePartialTexts(const std::vector<PartialText>& texts);
   // Starts the next item if one is waiting and an endpoint has a free place for it.
   bool StartNext();
   // Moves running items from slow endpoints to fast ones that have a free place.
@@ -104,6 +106,7 @@
   void OnRunEnded(size_t index, const std::string& endpoint, const EndpointCallResult& result);
   void Retry(size_t index, Duration delay);
   void FinishItem(size_t index, BatchResultState state, const std::string& reason);
+  void StorePartialTexts();
   void ScheduleAppend(Duration delay);
   void Append();
   void OnAppended(const std::vector<size_t>& appended, const TransactResult& result);
--- a/src/state/event_transcript.cc
+++ b/src/state/event_transcript.cc
@@ -29,6 +29,25 @@
   return Append::kAdded;
 }
 
+std::optional<PartialText> EventTranscript::Save() const {
+  if (m_count == 0 || !m_last_id.has_value()) {
+    return std::nullopt;
+  }
+  PartialText partial;
+  partial.text = m_text;
+  partial.event_count = m_count;
+  partial.last_id = *m_last_id;
+  partial.model_versions.assign(m_versions.begin(), m_versions.end());
+  return partial;
+}
+
+void EventTranscript::Restore(const PartialText& partial) {
+  m_text = partial.text;
+  m_count = partial.event_count;
+  m_last_id = partial.last_id;
+  m_versions = std::set<int64_t>(partial.model_versions.begin(), partial.model_versions.end());
+}
+
 void EventTranscript::Clear() {
   *this = EventTranscript();
 }
--- a/src/state/event_transcript.h
+++ b/src/state/event_transcript.h
@@ -8,6 +8,18 @@
 
 namespace quetzalridge {
 
+// What was generated of an item, in a form that can be stored.
+struct PartialText {
+  std::string item;
+  std::string text;
+  int64_t event_count = 0;
+  // Of the last event.
+  int64_t last_id = 0;
+  std::vector<int64_t> model_versions;
+  // Unix time at which it was stored.
+  int64_t stored_at_ms = 0;
+};
+
 // The events of one generation, gathered from one or more runs.
 class EventTranscript {
  public:
@@ -23,6 +35,9 @@
   void BeginRun(std::optional<int64_t> model_version);
   Append Add(std::optional<int64_t> id, const std::string& data, std::optional<int64_t> model_version);
   void Clear();
+  // Nothing for a transcript without events, or whose events have no ids to go on after.
+  std::optional<PartialText> Save() const;
+  void Restore(const PartialText& partial);
 
   bool empty() const { return m_count == 0; }
   int64_t event_count() const { return m_count; }
--- a/tests/coordination/batch_test.cc
+++ b/tests/coordination/batch_test.cc
@@ -257,6 +257,63 @@
   CHECK(world.Read("one", "job", 0).results.size() >= 48);
 }
 
+// Plays a trainer that asks again for the items that its last step left unfinished. They are the longest ones, and from
+// their beginning they would hold up the next step as long again.
+TEST_CASE("an item that comes again goes on after what an ended job generated of it") {
+  BatchWorld world(16);
+  world.engines.event_gap = Duration::Milliseconds(40);
+  BatchSpec first = BatchWorld::MakeJob("first", 4);
+  const std::string long_item = first.items[0].id;
+  world.engines.long_items[long_item] = 100;
+  world.StartInstance("one");
+  world.StartInstance("two");
+  REQUIRE(world.Submit("one", first) == SubmitOutcome::kAccepted);
+  world.scheduler.Advance(Duration::Seconds(3));
+  bool ended = false;
+  world.instances.at("two")->coordinator.End("first", kBatchWorkspace, [&ended](BatchAnswer) { ended = true; });
+  world.scheduler.Advance(Duration::Seconds(1));
+  REQUIRE(ended);
+  BatchSpec second = BatchWorld::MakeJob("second", 4);
+  second.items.push_back(first.items[0]);
+  const size_t runs_before = world.engines.runs.size();
+  REQUIRE(world.Submit("two", second) == SubmitOutcome::kAccepted);
+  world.scheduler.Advance(Duration::Seconds(2));
+  const BatchPage page = world.Read("two", "second", 0);
+  REQUIRE(page.results.size() == 5);
+  for (const BatchResult& result : page.results) {
+    CHECK(result.text == world.engines.WholeText(result.item));
+  }
+  for (size_t i = runs_before; i < world.engines.runs.size(); ++i) {
+    CHECK(world.engines.runs[i].resume_after.value_or(0) >= (world.engines.runs[i].item == long_item ? 60 : 0));
+  }
+}
+
+// Guards against samples that are older than the later job accepts.
+TEST_CASE("text of an ended job is not used when its version is too old") {
+  BatchWorld world(17);
+  world.engines.event_gap = Duration::Milliseconds(40);
+  BatchSpec first = BatchWorld::MakeJob("first", 1);
+  world.engines.long_items[first.items[0].id] = 50;
+  world.StartInstance("one");
+  REQUIRE(world.Submit("one", first) == SubmitOutcome::kAccepted);
+  world.scheduler.Advance(Duration::Seconds(1));
+  world.instances.at("one")->coordinator.End("first", kBatchWorkspace, [](BatchAnswer) {});
+  world.scheduler.Advance(Duration::Milliseconds(500));
+  BatchSpec second = BatchWorld::MakeJob("second", 1);
+  second.items = first.items;
+  second.oldest_version = 2;
+  world.engines.model_version = 2;
+  for (const char* engine : {"engine-0", "engine-1", "engine-2", "engine-3"}) {
+    world.instances.at("one")->directory.OnModelVersion(engine, kBatchModel, 2);
+  }
+  REQUIRE(world.Submit("one", second) == SubmitOutcome::kAccepted);
+  world.scheduler.Advance(Duration::Seconds(4));
+  const BatchPage page = world.Read("one", "second", 0);
+  REQUIRE(page.results.size() == 1);
+  CHECK(page.results[0].model_versions == std::vector<int64_t>{2});
+  CHECK(page.results[0].text == world.engines.WholeText(first.items[0].id));
+}
+
 // Guards against a 404 that is not sure.
 TEST_CASE("a job that cannot be looked up is not reported as missing") {
   BatchWorld world(11);
