--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# Fails when a file includes a header of a higher layer, or a project header includes a heavy third-party header.
+# Fails when a file includes a header of a higher layer, when a project header includes a heavy third-party header, or
+# when a name of the users' platform stands outside platform/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-layers=(base state coordination protocol transport daemon)
+layers=(base state coordination protocol transport daemon gateway)
 failed=0
 for ((i = 0; i < ${#layers[@]}; i++)); do
   for ((j = i + 1; j < ${#layers[@]}; j++)); do
@@ -12,9 +13,18 @@
     fi
   done
 done
-if grep -rnE '#include <(nlohmann|cereal|boost/histogram|catch2|rapidcheck|easylogging)' src --include='*.h' \
+if grep -rnE '#include <(nlohmann|cereal|boost/histogram|catch2|rapidcheck|easylogging)' src platform --include='*.h' \
   | grep -v 'nlohmann/json_fwd.hpp'; then
   echo "error: include third-party headers in .cc files only; they slow every build" >&2
   failed=1
 fi
+if grep -rn '#include "platform/' src standins tools; then
+  echo "error: only platform/ and its tests know the users' platform; build what it needs in the product" >&2
+  failed=1
+fi
+wire_names='[Xx]-[Qq]uetzalridge-|QUETZALRIDGE_SETTINGS|FencingToken|/api/(rows|blob|order|report|lots|items|kv-|hold-|readiness)'
+if grep -rnE "$wire_names" src standins tools; then
+  echo "error: a name of the users' platform outside platform/; decode it there into the product's words" >&2
+  failed=1
+fi
 exit "$failed"
--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -524,7 +524,7 @@
     if (position >= runner->listed_count() && !runner->IsDone() && Now() < deadline) {
       const uint64_t timer = m_next_timer++;
       auto done = std::make_shared<bool>(false);
-      const auto finish = [this, id, position, total, deadline, callback, done, timer] {
+      const auto finish = [this, id, position, total, callback, done, timer] {
         if (std::exchange(*done, true)) {
           return;
         }
--- a/src/state/model_placement.cc
+++ b/src/state/model_placement.cc
@@ -1,6 +1,7 @@
 #include "state/model_placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <tuple>
 
@@ -44,6 +45,7 @@
     return assignment;
   }
   std::vector<const PlacementEndpoint*> order;
+  order.reserve(endpoints.size());
   for (const PlacementEndpoint& endpoint : endpoints) {
     order.push_back(&endpoint);
   }
@@ -129,7 +131,7 @@
 }
 
 int MaxLoading(int endpoint_count) {
-  return std::max(kMinLoading, static_cast<int>(endpoint_count * kLoadingShare + 0.5));
+  return std::max(kMinLoading, static_cast<int>(std::lround(endpoint_count * kLoadingShare)));
 }
 
 }  // namespace quetzalridge
--- a/src/transport/detail_http_parser.h
+++ b/src/transport/detail_http_parser.h
@@ -5,14 +5,14 @@
 // The HTTP parser inside the HTTP library, whose package ships no header for it.
 extern "C" {
 
-struct phr_header {
+struct phr_header {  // NOLINT(readability-identifier-naming): the library's name
   const char* name;
   size_t name_len;
   const char* value;
   size_t value_len;
 };
 
-struct phr_chunked_decoder {
+struct phr_chunked_decoder {  // NOLINT(readability-identifier-naming): the library's name
   size_t bytes_left_in_chunk;
   char consume_trailer;
   char _hex_count;
