Remove batch jobs from the table after their retention

Cause: nothing expires in the store by itself, so jobs, their results and what each instance remembers of them grew for ever. One instance by rendezvous hash removes a job that is done and older than the retention; the head goes last, so that an interrupted removal is taken up again.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -23,6 +23,8 @@
 constexpr Duration kTakeoverStep = Duration::Milliseconds(1500);
 // Jobs submitted within this time tell how many places the next ones need.
 constexpr Duration kDemandWindow = Duration::Seconds(60);
+// Clocks of instances differ, and a caller may read at the last moment.
+constexpr Duration kRetentionMargin = Duration::Seconds(60);
 constexpr int kRowsPerScan = 400;
 constexpr size_t kMaxRowBytes = 48'000;
 // Of one transaction; see BatchRunner.
@@ -30,7 +32,7 @@
 // A trainer asks for unfinished items again in its next steps.
 constexpr Duration kPartialTextLife = Duration::Seconds(120);
 // Of one transaction.
-constexpr size_t kMaxRemovals = 90;
+constexpr int kMaxRemovals = 90;
 constexpr size_t kMaxPageBytes = 700'000;
 constexpr Duration kReadPoll = Duration::Milliseconds(300);
 constexpr Duration kDrainPoll = Duration::Milliseconds(50);
@@ -38,9 +40,10 @@
 
 }  // namespace
 
-BatchCoordinator::BatchCoordinator(BatchContext context, BatchFleet fleet)
+BatchCoordinator::BatchCoordinator(BatchContext context, BatchFleet fleet, Duration retention)
     : m_context(std::move(context)),
       m_fleet(std::move(fleet)),
+      m_retention(retention),
       m_resolving_store(m_context.store, m_context.scheduler) {}
 
 void BatchCoordinator::Start() {
@@ -76,7 +79,11 @@
   const Duration foreign_refresh =
       std::max(kForeignRefresh, kForeignRefreshPerInstance * static_cast<int64_t>(m_fleet.live_instances().size()));
   std::vector<std::string> due;
+  std::vector<std::string> expired;
   for (auto& [id, job] : m_jobs) {
+    if (IsExpired(job) && !job.removing && TakeoverRank(id, "") == 0) {
+      expired.push_back(id);
+    }
     if (job.runner != nullptr && job.runner->IsDone() && job.runner->IsQuiet()) {
       DropRunner(&job, job.runner->lost() ? "taken over" : "done");
     }
@@ -88,6 +95,9 @@
   for (const std::string& id : due) {
     RefreshJob(id);
   }
+  for (const std::string& id : expired) {
+    RemoveExpired(id);
+  }
   for (auto& [id, job] : m_jobs) {
     ReviewOwner(id, &job);
   }
@@ -97,12 +107,72 @@
   if (!result.ok) {
     return;
   }
+  std::set<std::string> listed;
   for (const std::string& partition : result.partitions) {
     const std::string id = BatchOfPartition(partition);
+    listed.insert(id);
     if (m_jobs.count(id) == 0) {
       RefreshJob(id);
     }
   }
+  // What another instance has removed.
+  for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+    const bool gone = listed.count(it->first) == 0 && IsExpired(it->second) && !it->second.removing;
+    it = gone ? m_jobs.erase(it) : std::next(it);
+  }
+}
+
+bool BatchCoordinator::IsExpired(const Job& job) const {
+  const bool open = !job.rows.ended && job.rows.tail.listed.size() < job.rows.head.item_count;
+  const int64_t age_ms = m_context.wall_ms() - job.rows.head.spec.submitted_at_ms;
+  return !open && job.runner == nullptr && age_ms > (m_retention + kRetentionMargin).ms();
+}
+
+// The head goes last, with the rest of its partition, so that a removal that is interrupted is found and taken up
+// again.
+void BatchCoordinator::RemoveExpired(const std::string& id) {
+  m_jobs.at(id).removing = true;
+  RemoveRows(BatchResultsPrefix(id), [this, id] {
+    const auto job = m_jobs.find(id);
+    if (job == m_jobs.end()) {
+      return;
+    }
+    RemoveRows(BatchItemsPrefix(id, job->second.rows.head.submission),
+               [this, id] { RemoveRows(BatchPrefix(id), [this, id] { m_jobs.erase(id); }); });
+  });
+}
+
+// A read or write that fails leaves the rest to the next tick.
+void BatchCoordinator::RemoveRows(const std::string& prefix, const std::function<void()>& callback) {
+  m_context.store->Scan(prefix, "", kMaxRemovals, m_guard.Wrap([this, prefix, callback](const ReadResult& read) {
+    if (!read.ok) {
+      ForgetRemovals();
+      return;
+    }
+    if (read.rows.empty()) {
+      callback();
+      return;
+    }
+    TableTransaction transaction;
+    transaction.id = RandomHex(kIdentityBytes);
+    for (const TableRow& row : read.rows) {
+      transaction.writes.push_back({row.key, std::nullopt});
+    }
+    m_context.store->Transact(std::move(transaction),
+                              m_guard.Wrap([this, prefix, callback](const TransactResult& result) {
+                                if (result.outcome != TransactOutcome::kCommitted) {
+                                  ForgetRemovals();
+                                  return;
+                                }
+                                RemoveRows(prefix, callback);
+                              }));
+  }));
+}
+
+void BatchCoordinator::ForgetRemovals() {
+  for (auto& [id, job] : m_jobs) {
+    job.removing = false;
+  }
 }
 
 void BatchCoordinator::RefreshJob(const std::string& id) {
@@ -313,7 +383,8 @@
   transaction.id = RandomHex(kIdentityBytes);
   for (const TableRow& row : rows) {
     const std::string name = SplitTableKey(row.key).name;
-    if (done.count(name.substr(0, name.find('.'))) > 0 && transaction.writes.size() < kMaxRemovals) {
+    if (done.count(name.substr(0, name.find('.'))) > 0 &&
+        transaction.writes.size() < static_cast<size_t>(kMaxRemovals)) {
       transaction.writes.push_back({row.key, std::nullopt});
     }
   }
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -51,7 +51,8 @@
 // owner has gone, and answers callers from the table.
 class BatchCoordinator {
  public:
-  BatchCoordinator(BatchContext context, BatchFleet fleet);
+  // Jobs are removed from the table when they are done and were submitted longer than `retention` ago.
+  BatchCoordinator(BatchContext context, BatchFleet fleet, Duration retention);
   BatchCoordinator(const BatchCoordinator&) = delete;
   BatchCoordinator& operator=(const BatchCoordinator&) = delete;
 
@@ -88,6 +89,8 @@
     std::optional<TimePoint> orphaned_at;
     bool reading = false;
     bool taking_over = false;
+    // Its rows are being removed.
+    bool removing = false;
     std::unique_ptr<BatchRunner> runner;
     // Items for reads of bodies, on instances that do not own the job.
     std::shared_ptr<const std::vector<BatchItem>> items;
@@ -96,6 +99,11 @@
   TimePoint Now() const { return m_context.scheduler->clock().Now(); }
   void Tick();
   void OnPartitions(const PartitionsResult& result);
+  bool IsExpired(const Job& job) const;
+  void RemoveExpired(const std::string& id);
+  // Removes the rows of one prefix, a bounded number at once, then runs the callback.
+  void RemoveRows(const std::string& prefix, const std::function<void()>& callback);
+  void ForgetRemovals();
   void RefreshJob(const std::string& id);
   void OnJobRows(const std::string& id, TimePoint read_at, const ReadResult& read);
   void ReviewOwner(const std::string& id, Job* job);
@@ -126,6 +134,7 @@
 
   BatchContext m_context;
   BatchFleet m_fleet;
+  Duration m_retention;
   ResolvingStore m_resolving_store;
   std::map<std::string, Job> m_jobs;
   std::map<std::string, int64_t> m_version_lags;
--- a/tests/coordination/batch_test.cc
+++ b/tests/coordination/batch_test.cc
@@ -350,6 +350,19 @@
   CHECK(world.Read("one", "none", 0).answer == BatchAnswer::kUnavailable);
 }
 
+// Guards against a table and a memory that grow for ever, and against jobs that go before their time.
+TEST_CASE("a job that is done is removed after its retention, and not before") {
+  BatchWorld world(19);
+  world.StartInstance("one");
+  world.StartInstance("two");
+  REQUIRE(world.Submit("one", BatchWorld::MakeJob("done", 5)) == SubmitOutcome::kAccepted);
+  world.scheduler.Advance(kBatchRetention - Duration::Seconds(2));
+  CHECK(world.Read("two", "done", 0).results.size() == 5);
+  world.scheduler.Advance(Duration::Seconds(90));
+  CHECK(world.Read("two", "done", 0).answer == BatchAnswer::kNotFound);
+  CHECK(world.table.rows().empty());
+}
+
 // Guards against reads of a job with another workspace's key.
 TEST_CASE("a job is invisible to other workspaces") {
   BatchWorld world(12);
--- a/tests/coordination/batch_world.h
+++ b/tests/coordination/batch_world.h
@@ -22,6 +22,8 @@
 constexpr char kBatchModel[] = "hides-model";
 constexpr char kBatchWorkspace[] = "buyers";
 
+constexpr Duration kBatchRetention = Duration::Seconds(120);
+
 // A run of an item that reached an endpoint.
 struct ItemRunRecord {
   TimePoint at;
@@ -167,7 +169,7 @@
           store(&connection, world->m_drops),
           directory(&process.clock()),
           caller(&world->engines, &process, name),
-          coordinator(Context(world, name, start), world->Fleet(name)) {
+          coordinator(Context(world, name, start), world->Fleet(name), kBatchRetention) {
       ServiceRoute route;
       route.name = "hides";
       route.host = kBatchHost;
