--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -22,7 +22,8 @@
 namespace {
 
 // A pooled connection is dropped before the server's keep-alive limit, since a request written to a connection that the
-// server closes at that moment has an unknown outcome. This is below common servers' limits, for servers that state none.
+// server closes at that moment has an unknown outcome. This is below common servers' limits, for servers that state
+// none.
 constexpr Duration kPoolIdleTimeout = Duration::Seconds(4);
 // Bounds the idle connections of servers that state long limits.
 constexpr Duration kLongestPoolIdleTimeout = Duration::Seconds(20);
