--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/counters.h
@@ -4,8 +4,6 @@
 #include <map>
 #include <string>
 
-#include "daemon/request_metrics.h"
-
 namespace quetzalridge {
 
 // Named counters, in the Prometheus text format.
