--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -25,6 +25,7 @@
 std::vector<EndpointDirectory::Change> EndpointDirectory::Update(const std::vector<EndpointEntry>& entries,
                                                                  bool in_grace) {
   m_known = true;
+  m_in_grace = in_grace;
   std::vector<Change> changes;
   std::set<std::string> listed;
   for (const EndpointEntry& entry : entries) {
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -63,6 +63,8 @@
   // kept, since live endpoints register again within that time. Returns what changed, for the log.
   std::vector<Change> Update(const std::vector<EndpointEntry>& entries, bool in_grace);
   bool known() const { return m_known; }
+  // The registry was read, and not just after an outage, when it lacks live endpoints.
+  bool complete() const { return m_known && !m_in_grace; }
 
   const std::map<std::string, DirectoryEndpoint>& endpoints() const { return m_endpoints; }
   const DirectoryEndpoint* Find(const std::string& id) const;
@@ -93,6 +95,7 @@
 
   const Clock* m_clock;
   bool m_known = false;
+  bool m_in_grace = false;
   std::map<std::string, DirectoryEndpoint> m_endpoints;
 };
 
