Read stored results more often for callers that wait

A caller that waits at another instance than the owner saw a result up to 300 ms after it was stored; a step ends when its trainer reads the last one.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -39,7 +39,8 @@
 // Of one transaction.
 constexpr int kMaxRemovals = 90;
 constexpr size_t kMaxPageBytes = 700'000;
-constexpr Duration kReadPoll = Duration::Milliseconds(300);
+// Readers come at other instances than the owner, and a step ends when its trainer reads the last result.
+constexpr Duration kReadPoll = Duration::Milliseconds(100);
 constexpr Duration kDrainPoll = Duration::Milliseconds(10);
 constexpr int kIdentityBytes = 8;
 
