Add a fault soak of the program for the users' platform

The older soak covers quetzalridged only. node_soak runs quetzalridge_node as five processes against stand-ins of the users' store, of their duty calls and of their replicas, written after the published protocol, and disturbs them from outside: SIGKILL, SIGTERM, SIGSTOP, all processes at once, relays that cut, silence and delay the ways to the store and to the replicas, a store that refuses or loses answers, replicas that crash. Callers check answers, promises of refusals, requests that run once, results at their positions, whole outputs, versions, ends of jobs, usage reports and fencing numbers. That its checks can fail is not shown yet.

--- /dev/null
+++ b/tests/soak/node_soak_main.cc
@@ -0,0 +1,276 @@
+// Runs the program for the users' platform as several processes and disturbs them from outside: signals, and relays on
+// their ways to the store and to the replicas. Checks what callers and replicas may rely on. The faults follow from the
+// seed; their exact moments depend on the machine.
+
+#include <getopt.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "tests/soak/callers.h"
+#include "tests/soak/node_fleet.h"
+#include "tests/soak/replica.h"
+
+namespace quetzalridge::soak {
+namespace {
+
+using Json = nlohmann::json;
+using Mode = history::TcpRelay::Mode;
+
+constexpr Duration kTurn = Duration::Milliseconds(5);
+constexpr Duration kPlainInterval = Duration::Milliseconds(60);
+constexpr Duration kStepInterval = Duration::Milliseconds(2500);
+constexpr Duration kAdvanceInterval = Duration::Milliseconds(200);
+constexpr Duration kRenewInterval = Duration::Seconds(1);
+constexpr Duration kStartTime = Duration::Seconds(4);
+// Jobs that were accepted are whole or given up by their trainer within this time after the last fault.
+constexpr Duration kSettleLimit = Duration::Seconds(30);
+constexpr int kEngines = 5;
+constexpr int kPlainReplicas = 2;
+
+struct Options {
+  uint64_t seed = 1;
+  int seconds = 20;
+  int nodes = 5;
+};
+
+Json Route(const std::string& name, const std::string& prefix, const std::string& kind, const std::string& service) {
+  return {{"Name", name},           {"Host", kHost},          {"Prefix", prefix},
+          {"Kind", kind},           {"TimeoutMs", 2000},      {"Service", service},
+          {"MaxAttempts", 3},       {"MaxQueueS", 40.0},      {"ResultDeadlineMs", 7500},
+          {"TargetLatencyMs", 150}, {"SingleVersion", false}, {"Public", false}};
+}
+
+Json Config() {
+  Json engine = {{"Slots", 8}, {"Models", {{{"Name", kModel}}}}};
+  return {{"Version", 1},
+          {"Routes",
+           {Route("plain", kPlainPrefix, "idempotent", kPlainService),
+            Route("single", kSingleRunPrefix, "non_idempotent", kPlainService),
+            Route("batch", kBatchPrefix, "rollout", kEngineService)}},
+          {"Services", {{{"Name", kPlainService}}, {{"Name", kEngineService}, {"Engine", engine}}}},
+          {"Tenants", {{{"Name", kWorkspace}, {"ApiKeys", {kKey}}}}}};
+}
+
+// Runs a function again and again while it exists.
+class Repeated {
+ public:
+  Repeated(EventLoop* loop, Duration interval, std::function<void()> function)
+      : m_loop(loop), m_interval(interval), m_function(std::move(function)) {
+    Schedule();
+  }
+
+ private:
+  void Schedule() {
+    m_timer = m_loop->After(m_interval, [this] {
+      Schedule();
+      m_function();
+    });
+  }
+
+  EventLoop* m_loop;
+  Duration m_interval;
+  std::function<void()> m_function;
+  std::unique_ptr<Timer> m_timer;
+};
+
+class Soak {
+ public:
+  Soak(EventLoop* loop, const Options& options, const std::string& folder)
+      : m_loop(loop),
+        m_random(options.seed),
+        m_log(&loop->clock()),
+        m_platform(loop, &m_log, m_random.Next()),
+        m_seconds(options.seconds) {
+    m_platform.Put("op", "config", Config());
+    for (int i = 0; i < kEngines + kPlainReplicas; ++i) {
+      const char* service = i < kEngines ? kEngineService : kPlainService;
+      m_replicas.push_back(std::make_unique<Replica>(loop, &m_log, &m_platform, service, i));
+    }
+    m_fleet = std::make_unique<NodeFleet>(loop, &m_log, &m_platform, folder, options.nodes);
+    m_callers = std::make_unique<PlainCallers>(loop, &m_log, m_fleet.get(), m_random.Next());
+    m_trainer = std::make_unique<Trainer>(loop, &m_log, m_fleet.get(), &m_platform, m_random.Next());
+  }
+
+  int Run() {
+    const Repeated renew(m_loop, kRenewInterval, [this] {
+      for (const std::unique_ptr<Replica>& replica : m_replicas) {
+        replica->Renew();
+      }
+      m_fleet->Watch();
+    });
+    RunFor(kStartTime);
+    const Repeated advance(m_loop, kAdvanceInterval, [this] { m_trainer->Advance(); });
+    {
+      const Repeated plain(m_loop, kPlainInterval, [this] { m_callers->SendOne(); });
+      const Repeated steps(m_loop, kStepInterval, [this] { m_trainer->BeginStep(); });
+      ScheduleFault();
+      RunFor(Duration::Seconds(m_seconds));
+      m_fault_timer.reset();
+      Heal();
+      RunFor(kStartTime);
+    }
+    const TimePoint healed_at = m_log.Now();
+    while (!m_trainer->AllSettled() && m_log.Now() - healed_at < kSettleLimit) {
+      RunFor(kAdvanceInterval);
+    }
+    m_log.Check(m_trainer->AllSettled(), "accepted jobs are neither whole nor ended");
+    m_trainer->ReadAgain();
+    RunFor(Duration::Seconds(2));
+    m_trainer->CheckEnded();
+    m_log.Check(m_callers->answered() > 0 && m_trainer->whole() > 0, "nothing was served");
+    std::cout << m_callers->answered() << " plain answers, " << m_trainer->accepted() << " jobs accepted, "
+              << m_trainer->whole() << " read whole, " << m_log.runs().size() << " runs, " << m_platform.usage_reports()
+              << " usage reports, " << m_log.violations() << " violations" << std::endl;
+    return m_log.violations() == 0 ? 0 : 1;
+  }
+
+ private:
+  void RunFor(Duration duration) {
+    const TimePoint end = m_log.Now() + duration;
+    while (m_log.Now() < end) {
+      m_loop->RunOnce(kTurn);
+    }
+  }
+
+  Duration Draw(int64_t least_ms, int64_t most_ms) {
+    return Duration::Milliseconds(least_ms +
+                                  static_cast<int64_t>(m_random.Below(static_cast<uint64_t>(most_ms - least_ms))));
+  }
+
+  // Faults come in series and overlap.
+  void ScheduleFault() {
+    m_fault_timer = m_loop->After(Draw(300, 1600), [this] {
+      ScheduleFault();
+      Inject();
+    });
+  }
+
+  void Inject() {
+    SoakNode* node = m_fleet->nodes()[m_random.Below(m_fleet->nodes().size())].get();
+    Replica* replica = m_replicas[m_random.Below(m_replicas.size())].get();
+    switch (m_random.Below(12)) {
+      case 0:
+      case 1:
+        m_fleet->Kill(node, Draw(200, 2500));
+        break;
+      case 2:
+      case 3:
+        m_fleet->Stop(node);
+        break;
+      case 4:
+        m_fleet->Pause(node, Draw(300, 5000));
+        break;
+      case 5:
+        m_fleet->DisturbRelay(node, m_random.Chance(0.5) ? Mode::kCut : Mode::kSilent, Draw(500, 4000));
+        break;
+      case 6:
+        m_fleet->DelayRelay(node, 80, Draw(500, 3000));
+        break;
+      case 7:
+        m_log.Note("the store refuses or loses answers");
+        m_platform.refuses = m_random.Chance(0.5);
+        m_platform.lost_answers = m_platform.refuses ? 0.0 : 0.3;
+        m_platform_timer = m_loop->After(Draw(500, 4000), [this] { HealPlatform(); });
+        break;
+      case 8:
+        m_log.Note("a replica crashes");
+        replica->Crash();
+        break;
+      case 9:
+        m_log.Note("connections to a replica are cut or go silent");
+        if (m_random.Chance(0.5)) {
+          replica->relay()->CutConnections();
+        } else {
+          replica->relay()->SilenceConnections();
+        }
+        break;
+      case 10:
+        m_log.Note("connections of a node to the platform go silent");
+        node->platform_relay->SilenceConnections();
+        break;
+      default:
+        if (m_random.Chance(0.3)) {
+          for (const std::unique_ptr<SoakNode>& each : m_fleet->nodes()) {
+            m_fleet->Kill(each.get(), Draw(500, 1500));
+          }
+        }
+    }
+  }
+
+  void HealPlatform() {
+    m_platform.refuses = false;
+    m_platform.lost_answers = 0.0;
+  }
+
+  void Heal() {
+    m_log.Note("all faults end");
+    HealPlatform();
+    m_fleet->Heal();
+  }
+
+  EventLoop* m_loop;
+  Random m_random;
+  SoakLog m_log;
+  UsersPlatform m_platform;
+  int m_seconds;
+  std::vector<std::unique_ptr<Replica>> m_replicas;
+  std::unique_ptr<NodeFleet> m_fleet;
+  std::unique_ptr<PlainCallers> m_callers;
+  std::unique_ptr<Trainer> m_trainer;
+  std::unique_ptr<Timer> m_fault_timer;
+  std::unique_ptr<Timer> m_platform_timer;
+};
+
+int Main(int argc, char** argv) {
+  Options options;
+  const option long_options[] = {{"seed", required_argument, nullptr, 's'},
+                                 {"seconds", required_argument, nullptr, 't'},
+                                 {"nodes", required_argument, nullptr, 'n'},
+                                 {nullptr, 0, nullptr, 0}};
+  int flag = 0;
+  while ((flag = getopt_long(argc, argv, "s:t:n:", long_options, nullptr)) != -1) {
+    switch (flag) {
+      case 's':
+        options.seed = std::strtoull(optarg, nullptr, 10);
+        break;
+      case 't':
+        options.seconds = std::atoi(optarg);
+        break;
+      case 'n':
+        options.nodes = std::atoi(optarg);
+        break;
+      default:
+        std::cerr << "usage: node_soak [--seed N] [--seconds N] [--nodes N]\n";
+        return 2;
+    }
+  }
+  std::string folder = (std::filesystem::temp_directory_path() / "quetzalridge-soak-XXXXXX").string();
+  if (mkdtemp(folder.data()) == nullptr) {
+    std::cerr << "cannot make a temporary folder; set TMPDIR to a writable one\n";
+    return 2;
+  }
+  std::cout << "seed " << options.seed << ", logs in " << folder << std::endl;
+  int result = 0;
+  {
+    EventLoop loop;
+    auto soak = std::make_unique<Soak>(&loop, options, folder);
+    result = soak->Run();
+  }
+  if (result == 0 && std::getenv("QUETZALRIDGE_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(folder);
+  }
+  // The loop's sockets refer to objects that are gone, so the process ends here.
+  std::cout.flush();
+  _exit(result);
+}
+
+}  // namespace
+}  // namespace quetzalridge::soak
+
+int main(int argc, char** argv) {
+  return quetzalridge::soak::Main(argc, argv);
+}
--- /dev/null
+++ b/tests/soak/replica.cc
@@ -0,0 +1,182 @@
+#include "tests/soak/replica.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/hash.h"
+#include "platform/wire_names.h"
+
+namespace quetzalridge::soak {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kEventGap = Duration::Milliseconds(25);
+constexpr Duration kPlainWork = Duration::Milliseconds(15);
+constexpr int kSlots = 8;
+constexpr int kLeastEvents = 4;
+constexpr uint64_t kMoreEvents = 60;
+
+HttpServerOptions Options() {
+  HttpServerOptions options;
+  options.request_timeout = Duration::Seconds(20);
+  return options;
+}
+
+std::string HeaderOf(const HttpRequest& request, const char* name) {
+  const std::string* value = FindHeader(request.headers, name);
+  return value == nullptr ? "" : *value;
+}
+
+}  // namespace
+
+std::string EventData(const std::string& item, int event) {
+  return item + " event " + std::to_string(event);
+}
+
+int EventsOf(const std::string& item) {
+  return kLeastEvents + static_cast<int>(Hash64(item) % kMoreEvents);
+}
+
+std::string WholeOutput(const std::string& item) {
+  std::string output;
+  for (int event = 1; event <= EventsOf(item); ++event) {
+    output += (event == 1 ? "" : "\n") + EventData(item, event);
+  }
+  return output;
+}
+
+std::string PlainAnswer(const std::string& request, const std::string& body) {
+  return "answer to " + request + ": " + body;
+}
+
+Replica::Replica(EventLoop* loop, SoakLog* log, UsersPlatform* platform, std::string service, int number)
+    : m_loop(loop),
+      m_log(log),
+      m_platform(platform),
+      m_service(std::move(service)),
+      m_name(m_service + "-" + std::to_string(number)),
+      m_id(m_name + "-0"),
+      m_server(loop, Options(), this),
+      m_relay(m_server.port()) {
+  Renew();
+}
+
+void Replica::Crash() {
+  for (Run& run : m_runs) {
+    run.responder->SetCloseCallback(nullptr);
+    run.responder->Abort();
+  }
+  m_runs.clear();
+  m_platform->Remove("servers", m_id);
+  m_id = m_name + "-" + std::to_string(++m_starts);
+  m_orders = 0;
+  Renew();
+}
+
+void Replica::Renew() {
+  Json entry = {{"Service", m_service}, {"Addr", m_relay.address()}, {"Zone", "a"},         {"Slots", kSlots},
+                {"State", "ready"},     {"Seq", ++m_renewals},       {"born", m_starts + 1}};
+  if (m_service == kEngineService) {
+    entry["Models"] = {{{"Name", kModel}, {"Version", m_version}}};
+  }
+  m_platform->Put("servers", m_id, entry);
+}
+
+void Replica::OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  const std::string expected = HeaderOf(request, platform::kExpectInstanceHeader);
+  if (!expected.empty() && expected != m_id) {
+    responder->Send(platform::kStatusMisdirected, {{platform::kNotRunHeader, "1"}}, "");
+    return;
+  }
+  if (request.path == "/api/report") {
+    Report(responder.get());
+    return;
+  }
+  if (request.path == "/api/order") {
+    TakeOrder(request, responder.get());
+    return;
+  }
+  m_log->Check(HeaderOf(request, platform::kWorkspaceHeader) == kWorkspace, "a request without its workspace");
+  m_log->Check(FindHeader(request.headers, platform::kApiKeyHeader) == nullptr, "a replica was given a key");
+  if (m_service == kEngineService) {
+    RunItem(request, responder);
+  } else {
+    RunPlain(request, responder);
+  }
+}
+
+void Replica::RunPlain(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+  const std::string id = HeaderOf(request, platform::kRequestIdHeader);
+  m_log->AddRun(m_id, id);
+  m_log->Check(request.body == "body of " + id, "the body of " + id + " was changed");
+  const auto timer = m_timers.emplace(m_timers.end());
+  *timer = m_loop->After(kPlainWork, [this, timer, id, body = request.body, responder] {
+    const std::unique_ptr<Timer> ended = std::move(*timer);
+    m_timers.erase(timer);
+    responder->Send(platform::kStatusOk, {{platform::kRequestIdHeader, id}, {platform::kSignatureHeader, m_id}},
+                    PlainAnswer(id, body));
+  });
+}
+
+void Replica::RunItem(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+  const std::string item = HeaderOf(request, platform::kRequestIdHeader);
+  const std::string last = HeaderOf(request, platform::kLastEventIdHeader);
+  m_log->AddRun(m_id, item);
+  m_log->Check(request.body == "body of " + item, "the body of " + item + " was changed");
+  const auto run = m_runs.emplace(m_runs.end());
+  run->item = item;
+  run->next_event = last.empty() ? 1 : std::stoi(last) + 1;
+  run->version = m_version;
+  run->responder = responder;
+  responder->SetCloseCallback([this, run] { m_runs.erase(run); });
+  responder->Start(platform::kStatusOk, {{"content-type", "text/event-stream"},
+                                         {platform::kRequestIdHeader, item},
+                                         {platform::kSignatureHeader, m_id},
+                                         {platform::kModelVersionHeader, std::to_string(m_version)}});
+  run->timer = m_loop->After(kEventGap, [this, run] { SendEvent(run); });
+}
+
+void Replica::SendEvent(std::list<Run>::iterator run) {
+  if (run->next_event > EventsOf(run->item)) {
+    run->responder->SetCloseCallback(nullptr);
+    run->responder->End();
+    const std::unique_ptr<Timer> ended = std::move(run->timer);
+    m_runs.erase(run);
+    return;
+  }
+  std::string event;
+  if (run->version != m_version) {
+    run->version = m_version;
+    event = std::string(platform::kModelVersionHeader) + ": " + std::to_string(m_version) + "\n";
+  }
+  event += "id: " + std::to_string(run->next_event) + "\ndata: " + EventData(run->item, run->next_event) + "\n\n";
+  ++run->next_event;
+  run->timer = m_loop->After(kEventGap, [this, run] { SendEvent(run); });
+  run->responder->Write(event);
+}
+
+void Replica::TakeOrder(const HttpRequest& request, HttpResponder* responder) {
+  const Json order = Json::parse(request.body);
+  // A holder is a machine, whichever process runs on it.
+  const std::string holder = order.at("Holder").get<std::string>();
+  m_log->AddFencedCall("orders to " + m_id, holder.substr(0, holder.find('/')),
+                       order.at("FencingToken").get<int64_t>());
+  if (order.contains("Expect") && order.at("Expect").get<int64_t>() != m_orders) {
+    responder->Send(platform::kStatusConflict, {}, "");
+    return;
+  }
+  ++m_orders;
+  m_version = std::max(m_version, order.at("Version").get<int64_t>());
+  Renew();
+  responder->Send(platform::kStatusAccepted, {}, "");
+}
+
+void Replica::Report(HttpResponder* responder) const {
+  const Json report = {{"Busy", false}, {"Seq", m_orders}, {"Models", {{{"Name", kModel}, {"Version", m_version}}}}};
+  responder->Send(platform::kStatusOk, {{"content-type", "application/json"}}, report.dump());
+}
+
+}  // namespace quetzalridge::soak
--- /dev/null
+++ b/tests/soak/users_platform.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <tuple>
+
+#include "base/random.h"
+#include "tests/soak/soak_log.h"
+#include "transport/event_loop.h"
+#include "transport/http_server.h"
+
+namespace quetzalridge::soak {
+
+// Stands in for the users' metadata store and for their calls of singleton duties, written after their published
+// protocol.
+class UsersPlatform : public HttpHandler {
+ public:
+  UsersPlatform(EventLoop* loop, SoakLog* log, uint64_t seed);
+
+  int port() const { return m_server.port(); }
+  // The store answers that it did nothing.
+  bool refuses = false;
+  // Share of the answers to writes that are lost, half of them before the write is applied.
+  double lost_answers = 0.0;
+  // Writes as the operator and the replicas do.
+  void Put(const std::string& table, const std::string& key, const nlohmann::json& value);
+  void Remove(const std::string& table, const std::string& key);
+
+  void OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) override;
+  int usage_reports() const { return static_cast<int>(m_usage.size()); }
+
+ private:
+  using RowKey = std::tuple<std::string, std::string, std::string>;
+  struct Row {
+    // base64, as on the wire.
+    std::string value;
+    int64_t version = 0;
+  };
+
+  void Transact(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+  bool Apply(const nlohmann::json& transaction, nlohmann::json* answer);
+  void ReadRows(const HttpRequest& request, HttpResponder* responder) const;
+  void ListParts(const HttpRequest& request, HttpResponder* responder) const;
+  void TakeUsage(const HttpRequest& request, HttpResponder* responder);
+  static nlohmann::json Describe(const RowKey& key, const Row& row);
+
+  SoakLog* m_log;
+  Random m_random;
+  std::map<RowKey, Row> m_rows;
+  int64_t m_version = 0;
+  std::map<int64_t, std::string> m_usage;
+  HttpServer m_server;
+};
+
+}  // namespace quetzalridge::soak
