--- a/src/coordination/scaling_duty.cc
+++ b/src/coordination/scaling_duty.cc
@@ -34,8 +34,8 @@
 ScalingDuty::ScalingDuty(ScalingContext context, Duration request_timeout)
     : PlatformDuty(context.scheduler, kPoll, request_timeout), m_context(std::move(context)) {}
 
-// An order replaces the number of endpoints in a zone, so one that is worked out without the registry would give running
-// endpoints up.
+// An order replaces the number of endpoints in a zone, so one that is worked out without the registry would give
+// running endpoints up.
 void ScalingDuty::BeginStep() {
   if (!m_context.endpoints->complete()) {
     EndStep();
--- a/tests/soak/node_soak_main.cc
+++ b/tests/soak/node_soak_main.cc
@@ -22,7 +22,7 @@
 
 constexpr Duration kTurn = Duration::Milliseconds(5);
 constexpr Duration kPlainInterval = Duration::Milliseconds(60);
-constexpr Duration kStepInterval = Duration::Milliseconds(2500);
+constexpr Duration kStepInterval = Duration::Milliseconds(1200);
 constexpr Duration kAdvanceInterval = Duration::Milliseconds(200);
 constexpr Duration kRenewInterval = Duration::Seconds(1);
 constexpr Duration kStartTime = Duration::Seconds(4);
@@ -154,7 +154,7 @@
   void Inject() {
     SoakNode* node = m_fleet->nodes()[m_random.Below(m_fleet->nodes().size())].get();
     Replica* replica = m_replicas[m_random.Below(m_replicas.size())].get();
-    switch (m_random.Below(12)) {
+    switch (m_random.Below(13)) {
       case 0:
       case 1:
         m_fleet->Kill(node, Draw(200, 2500));
@@ -164,7 +164,8 @@
         m_fleet->Stop(node);
         break;
       case 4:
-        m_fleet->Pause(node, Draw(300, 5000));
+        // Long enough for others to take its jobs over, or not.
+        m_fleet->Pause(node, Draw(300, 7000));
         break;
       case 5:
         m_fleet->DisturbRelay(node, m_random.Chance(0.5) ? Mode::kCut : Mode::kSilent, Draw(500, 4000));
@@ -194,6 +195,9 @@
         m_log.Note("connections of a node to the platform go silent");
         node->platform_relay->SilenceConnections();
         break;
+      case 11:
+        m_fleet->Pause(node, Draw(3000, 6000));
+        break;
       default:
         if (m_random.Chance(0.3)) {
           for (const std::unique_ptr<SoakNode>& each : m_fleet->nodes()) {
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -17,7 +17,7 @@
 constexpr Duration kPlainWork = Duration::Milliseconds(15);
 constexpr int kSlots = 8;
 constexpr int kLeastEvents = 4;
-constexpr uint64_t kMoreEvents = 60;
+constexpr uint64_t kMoreEvents = 150;
 
 HttpServerOptions Options() {
   HttpServerOptions options;
--- a/tests/state/model_placement_test.cc
+++ b/tests/state/model_placement_test.cc
@@ -123,8 +123,8 @@
 }
 
 // Plays three trainers on 84 endpoints, of which 9 may load at once, as after an order of more endpoints on the grown
-// deployments: half of them for each version, 42 loads each 4 s, do not fit. When a step begins, its model has its share
-// of the 36 loads that fit, 12 endpoints, less the 3 that it may be loading.
+// deployments: half of them for each version, 42 loads each 4 s, do not fit. When a step begins, its model has its
+// share of the 36 loads that fit, 12 endpoints, less the 3 that it may be loading.
 TEST_CASE("each step finds endpoints when the weights cannot be loaded everywhere") {
   constexpr int kEndpoints = 84;
   constexpr int kModels = 3;
