Name what an open job is once, and say what the owner monitor reports

Seen when reading the change as a newcomer: the same condition stood in five places, and two names said less than their function does. No change of behaviour; the batch, lease and monitor tests pass as before.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -41,6 +41,7 @@
 constexpr size_t kMaxPageBytes = 700'000;
 // Readers come at other instances than the owner, and a step ends when its trainer reads the last result.
 constexpr Duration kReadPoll = Duration::Milliseconds(100);
+// An append is answered within some milliseconds.
 constexpr Duration kDrainPoll = Duration::Milliseconds(10);
 constexpr int kIdentityBytes = 8;
 
@@ -86,8 +87,7 @@
 std::set<std::string> BatchCoordinator::OwnersOfOpenJobs(const std::string& model) const {
   std::set<std::string> owners;
   for (const auto& [id, job] : m_jobs) {
-    const bool open = !job.rows.ended && job.rows.tail.listed.size() < job.rows.head.item_count;
-    if (open && job.rows.head.spec.model == model && !job.rows.owner.instance.empty()) {
+    if (job.IsOpen() && job.rows.head.spec.model == model && !job.rows.owner.instance.empty()) {
       owners.insert(job.rows.owner.instance);
     }
   }
@@ -120,10 +120,9 @@
     if (job.runner != nullptr && job.runner->IsDone() && job.runner->IsQuiet()) {
       DropRunner(&job, job.runner->lost() ? "taken over" : "done");
     }
-    const bool open = !job.rows.ended && job.rows.tail.listed.size() < job.rows.head.item_count;
-    const int rank = open ? TakeoverRank(id, job) : -1;
+    const int rank = job.IsOpen() ? TakeoverRank(id, job) : -1;
     const bool watches = rank >= 0 && rank < kWatchersOfJob;
-    if (job.runner != nullptr || watches || (open && Now() - job.read_at >= foreign_refresh)) {
+    if (job.runner != nullptr || watches || (job.IsOpen() && Now() - job.read_at >= foreign_refresh)) {
       due.push_back(id);
     }
   }
@@ -140,8 +139,7 @@
   std::set<std::string> owners;
   for (const auto& [id, job] : m_jobs) {
     const std::string& owner = job.rows.owner.instance;
-    const bool open = !job.rows.ended && job.rows.tail.listed.size() < job.rows.head.item_count;
-    if (!open || job.runner != nullptr || owner.empty() || owner == m_context.instance) {
+    if (!job.IsOpen() || job.runner != nullptr || owner.empty() || owner == m_context.instance) {
       continue;
     }
     const int rank = TakeoverRank(id, job);
@@ -177,9 +175,8 @@
 }
 
 bool BatchCoordinator::IsExpired(const Job& job) const {
-  const bool open = !job.rows.ended && job.rows.tail.listed.size() < job.rows.head.item_count;
   const int64_t age_ms = m_context.wall_ms() - job.rows.head.spec.submitted_at_ms;
-  return !open && job.runner == nullptr && age_ms > (m_retention + kRetentionMargin).ms();
+  return !job.IsOpen() && job.runner == nullptr && age_ms > (m_retention + kRetentionMargin).ms();
 }
 
 // The head goes last, with the rest of its partition, so that a removal that is interrupted is found and taken up
@@ -283,8 +280,7 @@
 }
 
 void BatchCoordinator::ReviewOwner(const std::string& id, Job* job) {
-  const bool open = !job->rows.ended && job->rows.tail.listed.size() < job->rows.head.item_count;
-  if (m_draining || job->runner != nullptr || job->loading || !open) {
+  if (m_draining || job->runner != nullptr || job->loading || !job->IsOpen()) {
     job->orphaned_at.reset();
     return;
   }
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -20,7 +20,7 @@
 struct BatchFleet {
   // The process that owns a job still runs, as far as reads tell that began after `since`.
   std::function<bool(const BatchOwner&, TimePoint since)> is_alive;
-  // The instances of which `is_alive` has to know soon when they stop.
+  // The instances of which `is_alive` has to know soon when they stop. May be absent.
   std::function<void(const std::set<std::string>&)> watch_owners;
   // Ids of the live instances, this one included.
   std::function<std::vector<std::string>()> live_instances;
@@ -99,6 +99,9 @@
  private:
   // What this instance knows of a job.
   struct Job {
+    // Items are left to run, and no caller has ended the job.
+    bool IsOpen() const { return !rows.ended && rows.tail.listed.size() < rows.head.item_count; }
+
     BatchRows rows;
     TimePoint read_at;
     // When the present owner was first read.
--- a/src/coordination/lease.cc
+++ b/src/coordination/lease.cc
@@ -72,10 +72,10 @@
     // A lease that nobody ever held has no former holder.
     return m_row_version == 0 || now - m_unchanged_since >= m_options.release_wait;
   }
-  return now - m_unchanged_since >= (IsPredecessors() ? m_options.request_timeout : m_options.takeover_wait);
+  return now - m_unchanged_since >= (IsHeldByPredecessor() ? m_options.request_timeout : m_options.takeover_wait);
 }
 
-bool Lease::IsPredecessors() const {
+bool Lease::IsHeldByPredecessor() const {
   const std::string& prefix = m_options.instance_prefix;
   return !prefix.empty() && !IsRecorded() && m_record.holder.compare(0, prefix.size(), prefix) == 0;
 }
--- a/src/coordination/lease.h
+++ b/src/coordination/lease.h
@@ -60,8 +60,8 @@
   bool IsHeld(TimePoint now) const;
   // The lease outlasts a request that starts now. To be checked as the last step before the write.
   bool MayStartRequest(TimePoint now) const;
-  // The row names an earlier process of this instance.
-  bool IsPredecessors() const;
+  // The row names an earlier process of this instance, which has ended.
+  bool IsHeldByPredecessor() const;
   // The row names this process, whether or not its time has passed.
   bool IsRecorded() const { return m_row_version > 0 && m_record.holder == m_options.holder; }
   bool busy() const { return m_busy; }
--- a/src/coordination/owner_monitor.cc
+++ b/src/coordination/owner_monitor.cc
@@ -69,8 +69,8 @@
   watched.row_version = row.version;
   watched.record = row.version == 0 ? std::nullopt : DecodeRosterRecord(row.value);
   const std::string after = watched.record.has_value() ? watched.record->incarnation : "";
-  if (m_gone && (!was_known || before != after || IsSilent(watched))) {
-    m_gone();
+  if (m_changed && (!was_known || before != after || IsSilent(watched))) {
+    m_changed();
   }
 }
 
--- a/src/coordination/owner_monitor.h
+++ b/src/coordination/owner_monitor.h
@@ -30,8 +30,8 @@
  public:
   OwnerMonitor(TableStore* store, Scheduler* scheduler, OwnerMonitorOptions options);
 
-  // Runs after a read that found a watched process gone.
-  void SetGoneCallback(std::function<void()> callback) { m_gone = std::move(callback); }
+  // Runs after a read that tells something new of a watched process, or that it is silent.
+  void SetChangedCallback(std::function<void()> callback) { m_changed = std::move(callback); }
   // Replaces the set of instances whose rows are read.
   void Watch(const std::set<std::string>& instances);
   // A read that began after `since` found that the process has ended, or is silent.
@@ -57,7 +57,7 @@
   TableStore* m_store;
   Scheduler* m_scheduler;
   OwnerMonitorOptions m_options;
-  std::function<void()> m_gone;
+  std::function<void()> m_changed;
   std::map<std::string, Watched> m_watched;
   std::unique_ptr<Timer> m_timer;
   CallbackGuard m_guard;
--- a/tests/coordination/owner_monitor_test.cc
+++ b/tests/coordination/owner_monitor_test.cc
@@ -66,7 +66,7 @@
   world.monitor.Watch({"owner"});
   world.scheduler.Advance(Duration::Seconds(5));
   int told = 0;
-  world.monitor.SetGoneCallback([&told] { ++told; });
+  world.monitor.SetChangedCallback([&told] { ++told; });
   world.KillOwner();
   world.StartOwner("second");
   world.scheduler.Advance(Duration::Milliseconds(600));
