--- a/src/state/model_placement.cc
+++ b/src/state/model_placement.cc
@@ -122,6 +122,7 @@
                                  const std::vector<ModelTarget>& models, int max_loading) {
   const int loads_each_version = std::max(1, max_loading * kLoadsInTurn / std::max(static_cast<int>(models.size()), 1));
   std::vector<LoadPlan> plans;
+  plans.reserve(models.size());
   for (const ModelTarget& target : models) {
     plans.push_back(PlanModel(endpoints, assignment, target, loads_each_version));
   }
