Score the items of batch jobs by reward calls

Cause: an item of a batch job may name a request that scores its text.

Change: when the text of an item is complete, it is stored in the job's partition, and only then its reward call is sent through the route of the call's own host and path, without key or workspace. The signature of the success response is the score of the result. After a takeover the call is repeated and the text is not generated again; the write of the result removes the stored text. An item fails after as many responses of 500 as the job's route and the call's route allow. Calls stop with their job.

Ruled out: sending the call beside the write of the text (a lost owner would cost the text); storing the texts by model (a takeover would read those of all open jobs).

--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -63,6 +63,8 @@
   kBatchItemInterrupted = 4010,
   kBatchItemDone = 4011,
   kBatchRowMalformed = 4012,
+  kRewardCallSent = 4013,
+  kRewardCallFailed = 4014,
   kRequestAnswered = 5000,
   kRequestRefused = 5001,
   kRequestAttemptFailed = 5002,
--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -52,7 +52,34 @@
     : m_context(std::move(context)),
       m_fleet(std::move(fleet)),
       m_retention(retention),
-      m_resolving_store(m_context.store, m_context.scheduler) {}
+      m_resolving_store(m_context.store, m_context.scheduler),
+      m_reward_calls(MakeRewardCallContext(), Hash64(m_context.incarnation)) {
+  m_context.reward_calls = &m_reward_calls;
+}
+
+RewardCallContext BatchCoordinator::MakeRewardCallContext() {
+  RewardCallContext context;
+  context.scheduler = m_context.scheduler;
+  context.routes = m_context.routes;
+  context.endpoints = m_context.endpoints;
+  context.caller = m_context.caller;
+  context.policy =
+      m_context.reward_call_policy == nullptr ? &m_default_reward_call_policy : m_context.reward_call_policy;
+  context.zone = m_context.zone;
+  context.instances = [this] { return CountOwners(); };
+  context.calls_ready = [this] { ScheduleStartItems(); };
+  return context;
+}
+
+int BatchCoordinator::CountOwners() const {
+  std::set<std::string> owners;
+  for (const auto& [id, job] : m_jobs) {
+    if (job.IsOpen()) {
+      owners.insert(job.rows.owner.instance);
+    }
+  }
+  return static_cast<int>(owners.size());
+}
 
 void BatchCoordinator::Start() {
   Tick();
@@ -189,8 +216,9 @@
     if (job == m_jobs.end()) {
       return;
     }
-    RemoveRows(BatchItemsPrefix(id, job->second.rows.head.submission),
-               [this, id] { RemoveRows(BatchPrefix(id), [this, id] { m_jobs.erase(id); }); });
+    RemoveRows(BatchItemsPrefix(id, job->second.rows.head.submission), [this, id] {
+      RemoveRows(BatchTextsPrefix(id), [this, id] { RemoveRows(BatchPrefix(id), [this, id] { m_jobs.erase(id); }); });
+    });
   });
 }
 
@@ -385,10 +413,21 @@
       if (loaded == m_jobs.end()) {
         return;
       }
-      loaded->second.loading = false;
-      if (items != nullptr && IsThisProcess(loaded->second.rows.owner)) {
-        LoadPartialTextsAndRun(id, *items, read_at);
+      if (items == nullptr) {
+        loaded->second.loading = false;
+        return;
       }
+      ScanAll(BatchTextsPrefix(id), "", std::make_shared<std::vector<TableRow>>(),
+              [this, id, read_at, items](const std::shared_ptr<std::vector<TableRow>>& text_rows) {
+                const auto owned = m_jobs.find(id);
+                if (owned == m_jobs.end()) {
+                  return;
+                }
+                owned->second.loading = false;
+                if (text_rows != nullptr && IsThisProcess(owned->second.rows.owner)) {
+                  LoadPartialTextsAndRun(id, *items, read_at, DecodePartialTextRows(*text_rows));
+                }
+              });
     });
   };
   m_context.store->Scan(BatchPrefix(id), "", kRowsPerScan, m_guard.Wrap(on_rows));
@@ -427,27 +466,47 @@
                         }));
 }
 
-void BatchCoordinator::LoadPartialTextsAndRun(const std::string& id, std::vector<BatchItem> items,
-                                              TimePoint confirmed_at) {
-  const std::string prefix = PartialTextPrefix(m_jobs.at(id).rows.head.spec.model);
-  auto kept_items = std::make_shared<std::vector<BatchItem>>(std::move(items));
-  m_jobs.at(id).loading = true;
-  m_context.store->Scan(prefix, "", kRowsPerScan,
-                        m_guard.Wrap([this, id, kept_items, confirmed_at](const ReadResult& read) {
-                          const auto job = m_jobs.find(id);
-                          if (job == m_jobs.end()) {
+void BatchCoordinator::ScanAll(const std::string& prefix, const std::string& after,
+                               const std::shared_ptr<std::vector<TableRow>>& rows,
+                               const std::function<void(const std::shared_ptr<std::vector<TableRow>>&)>& callback) {
+  m_context.store->Scan(prefix, after, kRowsPerScan,
+                        m_guard.Wrap([this, prefix, rows, callback](const ReadResult& read) {
+                          if (!read.ok) {
+                            callback(nullptr);
                             return;
                           }
-                          job->second.loading = false;
-                          if (m_draining || job->second.runner != nullptr) {
+                          rows->insert(rows->end(), read.rows.begin(), read.rows.end());
+                          if (read.has_more && !read.rows.empty()) {
+                            ScanAll(prefix, read.rows.back().key, rows, callback);
                             return;
                           }
-                          // If the read failed, there are no rows, and all items are generated from the beginning.
-                          RemovePartialTexts(read.rows, *kept_items);
-                          StartRunner(id, std::move(*kept_items), confirmed_at, DecodePartialTextRows(read.rows));
+                          callback(rows);
                         }));
 }
 
+void BatchCoordinator::LoadPartialTextsAndRun(const std::string& id, std::vector<BatchItem> items,
+                                              TimePoint confirmed_at, std::vector<PartialText> complete_texts) {
+  const std::string prefix = PartialTextPrefix(m_jobs.at(id).rows.head.spec.model);
+  auto kept_items = std::make_shared<std::vector<BatchItem>>(std::move(items));
+  m_jobs.at(id).loading = true;
+  m_context.store->Scan(
+      prefix, "", kRowsPerScan,
+      m_guard.Wrap(
+          [this, id, kept_items, confirmed_at, complete_texts = std::move(complete_texts)](const ReadResult& read) {
+            const auto job = m_jobs.find(id);
+            if (job == m_jobs.end()) {
+              return;
+            }
+            job->second.loading = false;
+            if (m_draining || job->second.runner != nullptr) {
+              return;
+            }
+            // If the read failed, there are no rows, and all items are generated from the beginning.
+            RemovePartialTexts(read.rows, *kept_items);
+            StartRunner(id, std::move(*kept_items), confirmed_at, DecodePartialTextRows(read.rows), complete_texts);
+          }));
+}
+
 // Removes the partial texts that this job uses, and those that expired because no job used them.
 void BatchCoordinator::RemovePartialTexts(const std::vector<TableRow>& rows, const std::vector<BatchItem>& items) {
   std::set<std::string> known;
@@ -477,7 +536,8 @@
 }
 
 void BatchCoordinator::StartRunner(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
-                                   const std::vector<PartialText>& texts) {
+                                   const std::vector<PartialText>& texts,
+                                   const std::vector<PartialText>& complete_texts) {
   Job& job = m_jobs.at(id);
   Log(LogEvent::kBatchOwned, {{"job", id},
                               {"step", "running"},
@@ -488,16 +548,21 @@
                               {"oldest_version", std::to_string(job.rows.head.spec.oldest_version)}});
   job.items.reset();
   job.runner = std::make_unique<BatchRunner>(&m_context, job.rows, std::move(items), confirmed_at);
+  if (!complete_texts.empty()) {
+    job.runner->RestoreCompleteTexts(complete_texts);
+  }
   job.runner->RestorePartialTexts(texts);
-  job.runner->SetItemsReadyCallback([this] {
-    if (m_start_items_timer == nullptr || !m_start_items_scheduled) {
-      m_start_items_scheduled = true;
-      m_start_items_timer = m_context.scheduler->After(Duration(), [this] { StartWaitingItems(); });
-    }
-  });
+  job.runner->SetItemsReadyCallback([this] { ScheduleStartItems(); });
   StartWaitingItems();
 }
 
+void BatchCoordinator::ScheduleStartItems() {
+  if (m_start_items_timer == nullptr || !m_start_items_scheduled) {
+    m_start_items_scheduled = true;
+    m_start_items_timer = m_context.scheduler->After(Duration(), [this] { StartWaitingItems(); });
+  }
+}
+
 void BatchCoordinator::RemoveRunner(Job* job, const char* reason) {
   Log(LogEvent::kBatchOwnerLost, {{"job", job->rows.head.spec.id},
                                   {"reason", reason},
@@ -527,6 +592,7 @@
       started = (job.runner != nullptr && job.runner->StartNextItem()) || started;
     }
   }
+  m_reward_calls.StartWaiting();
 }
 
 void BatchCoordinator::Submit(BatchSpec spec, Duration timeout, std::function<void(SubmitOutcome)> callback) {
@@ -615,7 +681,7 @@
       if (!IsThisProcess(m_jobs.at(spec->id).rows.owner)) {
         m_fleet.notify_owner(m_jobs.at(spec->id).rows.owner.instance, spec->id);
       } else if (!m_draining) {
-        LoadPartialTextsAndRun(spec->id, std::move(spec->items), sent_at);
+        LoadPartialTextsAndRun(spec->id, std::move(spec->items), sent_at, {});
       }
       return;
     case TransactOutcome::kConflict:
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -98,6 +98,8 @@
   int owned_jobs() const;
   // The instances that own open jobs of a model, as far as this instance knows.
   std::set<std::string> OwnersOfOpenJobs(const std::string& model) const;
+  // Number of complete texts whose score is missing.
+  int missing_scores() const { return m_reward_calls.waiting() + m_reward_calls.in_flight(); }
   // By how many versions the oldest version that jobs of a model accept lags behind the newest version at their
   // submission. This is the median over the latest jobs, since the instance that accepted a job may not have known the
   // newest version yet.
@@ -162,10 +164,20 @@
                       const std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>& callback);
   // Reads the stored partial texts of the job's items, then runs the job. They come from earlier jobs of the same model
   // or from the previous owner.
-  void LoadPartialTextsAndRun(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at);
+  // `complete_texts` are those that the job's previous owner has stored.
+  void LoadPartialTextsAndRun(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
+                              std::vector<PartialText> complete_texts);
+  // Runs the callback with all rows whose keys begin with `prefix`, or with nothing if a read failed.
+  void ScanAll(const std::string& prefix, const std::string& after, const std::shared_ptr<std::vector<TableRow>>& rows,
+               const std::function<void(const std::shared_ptr<std::vector<TableRow>>&)>& callback);
   void RemovePartialTexts(const std::vector<TableRow>& rows, const std::vector<BatchItem>& items);
   void StartRunner(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
-                   const std::vector<PartialText>& texts);
+                   const std::vector<PartialText>& texts, const std::vector<PartialText>& complete_texts);
+  // Schedules StartWaitingItems for the next turn of the event loop.
+  void ScheduleStartItems();
+  // Number of instances that own open jobs.
+  int CountOwners() const;
+  RewardCallContext MakeRewardCallContext();
   void RemoveRunner(Job* job, const char* reason);
   void StoreItems(const std::shared_ptr<BatchSpec>& spec, const std::string& submission,
                   const std::shared_ptr<std::vector<std::string>>& chunks, size_t begin,
@@ -184,6 +196,8 @@
   FleetCallbacks m_fleet;
   Duration m_retention;
   TransactionRetrier m_resolving_store;
+  StepFirstRewardCallPolicy m_default_reward_call_policy;
+  RewardCallDispatcher m_reward_calls;
   std::map<std::string, Job> m_jobs;
   // Version lags of the latest jobs, by model, oldest job first. See VersionLag.
   std::map<std::string, std::deque<int64_t>> m_version_lags;
--- a/src/coordination/batch_records.cc
+++ b/src/coordination/batch_records.cc
@@ -20,6 +20,11 @@
   archive(item.id, item.target, item.headers, item.body, item.group, item.length_hint);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, RewardCall& call) {  // NOLINT(google-runtime-references)
+  archive(call.id, call.host, call.target, call.body);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, BatchResult& result) {  // NOLINT(google-runtime-references)
   archive(result.item, result.state, result.text, result.model_versions);
@@ -95,6 +100,48 @@
   }
 }
 
+// The reward call of one item, stored after all items. Instances of earlier versions do not read these entries.
+struct IndexedRewardCall {
+  uint64_t item_index = 0;
+  RewardCall call;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {  // NOLINT(google-runtime-references)
+    archive(item_index, call);
+  }
+};
+
+// Appends a field to a value in a form that earlier versions of the program ignore.
+template <typename Value, typename Field>
+std::string EncodeWithField(const Value& value, const Field& field) {
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(value, field);
+  return stream.str();
+}
+
+// State of a stored result that is followed by its score. A scan may return only the first parts of a result; without
+// this state, a result whose last part holds only the score would be taken for one without a score.
+constexpr auto kCompletedWithScore = static_cast<BatchResultState>(2);
+
+// Leaves `field` unchanged if the value was encoded without it.
+template <typename Value, typename Field>
+std::optional<Value> DecodeWithField(const std::string& bytes, Field* field) {
+  try {
+    std::istringstream stream(bytes);
+    cereal::PortableBinaryInputArchive archive(stream);
+    Value value;
+    archive(value);
+    if (stream.peek() != std::istringstream::traits_type::eof()) {
+      archive(*field);
+    }
+    return value;
+  } catch (const std::exception&) {
+    // The caller logs the malformed row.
+    return std::nullopt;
+  }
+}
+
 }  // namespace
 
 const char kBatchTable[] = "batch";
@@ -145,6 +192,16 @@
   return BatchResultsPrefix(job) + text;
 }
 
+std::string BatchTextsPrefix(const std::string& job) {
+  return PartitionPrefix("batch-texts", job);
+}
+
+std::string BatchTextKey(const std::string& job, const std::string& item, size_t part) {
+  char text[kKeyBytes];
+  std::snprintf(text, sizeof(text), ".%03zu", part);
+  return BatchTextsPrefix(job) + EscapeKeyPart(item) + text;
+}
+
 std::string JobIdOfPartition(const std::string& partition) {
   std::string job;
   for (size_t i = 0; i < partition.size(); ++i) {
@@ -238,19 +295,47 @@
 }
 
 std::string EncodeBatchItems(const std::vector<BatchItem>& items) {
-  return EncodeBinary(items);
+  std::vector<IndexedRewardCall> calls;
+  for (size_t i = 0; i < items.size(); ++i) {
+    if (items[i].reward_call.has_value()) {
+      calls.push_back({i, *items[i].reward_call});
+    }
+  }
+  return calls.empty() ? EncodeBinary(items) : EncodeWithField(items, calls);
 }
 
 std::optional<std::vector<BatchItem>> DecodeBatchItems(const std::string& value) {
-  return DecodeBinary<std::vector<BatchItem>>(value);
+  std::vector<IndexedRewardCall> calls;
+  std::optional<std::vector<BatchItem>> items = DecodeWithField<std::vector<BatchItem>>(value, &calls);
+  for (IndexedRewardCall& entry : calls) {
+    if (!items.has_value() || entry.item_index >= items->size()) {
+      return std::nullopt;
+    }
+    (*items)[entry.item_index].reward_call = std::move(entry.call);
+  }
+  return items;
 }
 
 std::string EncodeBatchResult(const BatchResult& result) {
-  return EncodeBinary(result);
+  if (result.score.empty()) {
+    return EncodeBinary(result);
+  }
+  BatchResult stored = result;
+  stored.state = kCompletedWithScore;
+  return EncodeWithField(stored, result.score);
 }
 
 std::optional<BatchResult> DecodeBatchResult(const std::string& value) {
-  return DecodeBinary<BatchResult>(value);
+  std::string score;
+  std::optional<BatchResult> result = DecodeWithField<BatchResult>(value, &score);
+  if (result.has_value() && result->state == kCompletedWithScore) {
+    if (score.empty()) {
+      return std::nullopt;
+    }
+    result->state = BatchResultState::kCompleted;
+    result->score = std::move(score);
+  }
+  return result;
 }
 
 // The parts of a result end where the rows of the next position begin. All parts of a result before its last one have
@@ -291,7 +376,8 @@
 std::vector<std::string> EncodePartialText(const PartialText& partial, const std::string& transaction_id,
                                            size_t max_bytes) {
   std::vector<std::string> values;
-  for (const std::string& part : SplitValue(EncodeBinary(partial), max_bytes)) {
+  const std::string value = partial.complete ? EncodeWithField(partial, partial.complete) : EncodeBinary(partial);
+  for (const std::string& part : SplitValue(value, max_bytes)) {
     values.push_back(EncodeBinary(PartialTextPart{transaction_id, part}));
   }
   return values;
@@ -314,8 +400,10 @@
     if (i + 1 < rows.size() && rows[i + 1].key.compare(0, text_key.size(), text_key) == 0) {
       continue;
     }
-    std::optional<PartialText> partial = complete ? DecodeBinary<PartialText>(bytes) : std::nullopt;
+    bool text_complete = false;
+    std::optional<PartialText> partial = complete ? DecodeWithField<PartialText>(bytes, &text_complete) : std::nullopt;
     if (partial.has_value()) {
+      partial->complete = text_complete;
       texts.push_back(std::move(*partial));
     }
     bytes.clear();
--- a/src/coordination/batch_records.h
+++ b/src/coordination/batch_records.h
@@ -56,6 +56,9 @@
 std::string BatchResultKey(const std::string& job, size_t position, size_t part);
 // A key that is sorted before all rows of the position and after all rows of earlier positions.
 std::string KeyBeforeBatchResult(const std::string& job, size_t position);
+// Rows that hold the complete texts of items whose score is missing. They share the partition of the job's other rows.
+std::string BatchTextsPrefix(const std::string& job);
+std::string BatchTextKey(const std::string& job, const std::string& item, size_t part);
 // Returns the id of the job whose rows are in a partition of kBatchTable.
 std::string JobIdOfPartition(const std::string& partition);
 
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -21,6 +21,8 @@
 constexpr Duration kMaxTableOutage = Duration::Seconds(15);
 // Results that finish within this time are stored in one transaction.
 constexpr Duration kAppendWindow = Duration::Milliseconds(40);
+// Texts that are complete within this time are stored in one transaction.
+constexpr Duration kCompleteTextWindow = Duration::Milliseconds(25);
 constexpr Duration kAppendRetry = Duration::Milliseconds(250);
 // Limits for the results in one transaction. They are lower than those of the table service, which are 100 rows and
 // 1 MB in base64, to leave room for the other rows of the transaction.
@@ -200,7 +202,9 @@
     return;
   }
   for (size_t i = 0; i < m_progress.size(); ++i) {
-    if (m_progress.item(i).phase == ItemPhase::kWaiting) {
+    const ItemPhase phase = m_progress.item(i).phase;
+    if (phase == ItemPhase::kWaiting || phase == ItemPhase::kAwaitingScore) {
+      m_context->reward_calls->Cancel(this, i);
       FinishItem(i, BatchResultState::kFailed, "not finished within the longest queue time of its route");
     }
   }
@@ -329,9 +333,8 @@
   const bool complete = result.outcome == EndpointCallOutcome::kComplete;
   m_last_endpoints[index] = endpoint;
   if (complete && status == kStatusOk && !run->stale() && !run->event_missing() && !item.transcript.empty()) {
-    const bool mixed = route != nullptr && route->single_version && item.transcript.model_versions().size() > 1;
-    if (!mixed && item.transcript.AllVersionsAtLeast(m_spec.oldest_version)) {
-      FinishItem(index, BatchResultState::kCompleted, "");
+    if (IsUsable(item.transcript)) {
+      OnTextComplete(index);
       return;
     }
     item.transcript.Clear();
@@ -384,7 +387,124 @@
   }
 }
 
-void BatchRunner::FinishItem(size_t index, BatchResultState state, const std::string& reason) {
+bool BatchRunner::IsUsable(const EventTranscript& transcript) const {
+  const ServiceRoute* route = Route();
+  const bool mixed = route != nullptr && route->single_version && transcript.model_versions().size() > 1;
+  return !mixed && transcript.AllVersionsAtLeast(m_spec.oldest_version);
+}
+
+void BatchRunner::OnTextComplete(size_t index) {
+  if (!m_spec.items[index].reward_call.has_value()) {
+    FinishItem(index, BatchResultState::kCompleted, "");
+    return;
+  }
+  m_progress.SetPhase(index, ItemPhase::kAwaitingScore);
+  m_complete_texts_to_store.push_back(index);
+  if (m_store_texts_timer == nullptr && !m_storing_complete_texts) {
+    m_store_texts_timer = m_context->scheduler->After(kCompleteTextWindow, [this] {
+      m_store_texts_timer.reset();
+      StoreCompleteTexts();
+    });
+  }
+  // The endpoint has a free slot again.
+  if (m_items_ready) {
+    m_items_ready();
+  }
+}
+
+// Generating a text takes seconds, scoring it takes some milliseconds. Another owner must not repeat the first because
+// the second was interrupted, so texts are stored before their scores are requested. The check ensures that a former
+// owner does not replace the texts of the new one.
+void BatchRunner::StoreCompleteTexts() {
+  if (m_storing_complete_texts || m_ownership_lost || m_ended) {
+    return;
+  }
+  TableTransaction transaction;
+  transaction.id = RandomHex(kTransactionIdBytes);
+  transaction.checks = {{BatchOwnerKey(m_spec.id), m_rows.owner_version}};
+  std::vector<size_t> indices;
+  size_t bytes = 0;
+  while (!m_complete_texts_to_store.empty()) {
+    const size_t index = m_complete_texts_to_store.back();
+    const std::optional<PartialText> text = m_progress.item(index).transcript.ToPartialText();
+    if (!text.has_value() || m_progress.item(index).phase != ItemPhase::kAwaitingScore) {
+      m_complete_texts_to_store.pop_back();
+      RequestScore(index);
+      continue;
+    }
+    PartialText complete = *text;
+    complete.item = m_spec.items[index].id;
+    complete.stored_at_ms = m_context->wall_ms();
+    complete.complete = true;
+    const std::vector<std::string> parts = EncodePartialText(complete, transaction.id, kMaxRowBytes);
+    const bool fits =
+        transaction.writes.size() + parts.size() <= kMaxAppendRows && bytes + complete.text.size() <= kMaxAppendBytes;
+    if (!indices.empty() && !fits) {
+      break;
+    }
+    for (size_t part = 0; part < parts.size(); ++part) {
+      transaction.writes.push_back({BatchTextKey(m_spec.id, complete.item, part), parts[part]});
+    }
+    bytes += complete.text.size();
+    m_complete_text_rows[index] = parts.size();
+    indices.push_back(index);
+    m_complete_texts_to_store.pop_back();
+  }
+  if (indices.empty()) {
+    return;
+  }
+  m_storing_complete_texts = true;
+  m_context->store->Transact(std::move(transaction), m_guard.Wrap([this, indices](const TransactResult& result) {
+    OnCompleteTextsStored(indices, result);
+  }));
+}
+
+// If the table did not store the texts, the scores are requested nevertheless: during an outage of the table the
+// trainer would otherwise have to wait for both.
+void BatchRunner::OnCompleteTextsStored(const std::vector<size_t>& indices, const TransactResult& result) {
+  m_storing_complete_texts = false;
+  for (const TableRow& row : result.rows) {
+    if (row.key == BatchOwnerKey(m_spec.id) && row.version > m_rows.owner_version) {
+      m_ownership_lost = true;
+      CancelRuns();
+      return;
+    }
+  }
+  for (const size_t index : indices) {
+    RequestScore(index);
+  }
+  StoreCompleteTexts();
+}
+
+void BatchRunner::RequestScore(size_t index) {
+  if (m_stopped || m_ended || m_ownership_lost || m_progress.item(index).phase != ItemPhase::kAwaitingScore) {
+    return;
+  }
+  m_context->reward_calls->Add(this, index, &*m_spec.items[index].reward_call);
+}
+
+WaitingRewardCall BatchRunner::UrgencyOf(size_t item) const {
+  WaitingRewardCall urgency;
+  urgency.missing_groups = m_progress.MissingGroups();
+  urgency.unfinished_in_group = m_progress.UnfinishedInGroupOf(item);
+  return urgency;
+}
+
+int BatchRunner::MinFailedResponses() const {
+  const ServiceRoute* route = Route();
+  return route == nullptr ? 0 : route->max_attempts;
+}
+
+void BatchRunner::OnScore(size_t item, const std::string& score) {
+  FinishItem(item, BatchResultState::kCompleted, "", score);
+}
+
+void BatchRunner::OnRewardCallFailed(size_t item, const std::string& reason) {
+  FinishItem(item, BatchResultState::kFailed, reason);
+}
+
+void BatchRunner::FinishItem(size_t index, BatchResultState state, const std::string& reason,
+                             const std::string& score) {
   ItemProgress& item = m_progress.item(index);
   BatchResult result;
   result.item = m_spec.items[index].id;
@@ -392,11 +512,13 @@
   if (state == BatchResultState::kCompleted) {
     result.text = item.transcript.text();
     result.model_versions.assign(item.transcript.model_versions().begin(), item.transcript.model_versions().end());
+    result.score = score;
   }
   Log(LogEvent::kBatchItemDone, {{"job", m_spec.id},
                                  {"item", result.item},
                                  {"state", state == BatchResultState::kCompleted ? "completed" : "failed"},
                                  {"events", std::to_string(item.transcript.event_count())},
+                                 {"score", score.empty() ? "-" : score},
                                  {"reason", reason.empty() ? "-" : reason}});
   item.transcript.Clear();
   item.result = std::move(result);
@@ -434,8 +556,10 @@
     }
     const std::string value = EncodeBatchResult(*m_progress.item(i).result);
     const std::vector<std::string> parts = SplitValue(value, kMaxRowBytes);
-    const bool fits =
-        transaction.writes.size() + parts.size() <= kMaxAppendRows && bytes + value.size() <= kMaxAppendBytes;
+    const auto text_rows = m_complete_text_rows.find(i);
+    const size_t removals = text_rows == m_complete_text_rows.end() ? 0 : text_rows->second;
+    const bool fits = transaction.writes.size() + parts.size() + removals <= kMaxAppendRows &&
+                      bytes + value.size() <= kMaxAppendBytes;
     if (!appended.empty() && !fits) {
       break;
     }
@@ -443,6 +567,9 @@
     for (size_t part = 0; part < parts.size(); ++part) {
       transaction.writes.push_back({BatchResultKey(m_spec.id, result_list.item_indices.size(), part), parts[part]});
     }
+    for (size_t part = 0; part < removals; ++part) {
+      transaction.writes.push_back({BatchTextKey(m_spec.id, m_spec.items[i].id, part), std::nullopt});
+    }
     result_list.item_indices.push_back(i);
     appended.push_back(i);
   }
@@ -495,6 +622,7 @@
   for (const size_t index : result_list.item_indices) {
     if (index < m_progress.size() && m_progress.item(index).phase != ItemPhase::kStored) {
       m_runs.erase(index);
+      m_context->reward_calls->Cancel(this, index);
       m_progress.SetPhase(index, ItemPhase::kStored);
     }
   }
@@ -552,9 +680,15 @@
       m_stored_texts.erase(stored);
       continue;
     }
+    // While the job is open, its own partition holds the complete texts.
+    const bool is_complete = item.phase == ItemPhase::kAwaitingScore;
+    if (is_complete && !m_ended) {
+      continue;
+    }
     const int64_t stored_events = stored == m_stored_texts.end() ? 0 : stored->second.events;
     std::optional<PartialText> partial = item.transcript.ToPartialText();
-    if (partial.has_value() && partial->event_count - stored_events >= min_new_events) {
+    if (partial.has_value() && (is_complete || partial->event_count - stored_events >= min_new_events)) {
+      partial->complete = is_complete;
       partial->item = m_spec.items[i].id;
       partial->stored_at_ms = m_context->wall_ms();
       texts.emplace_back(i, std::move(*partial));
@@ -592,22 +726,53 @@
     }
     EventTranscript transcript;
     transcript.Restore(partial);
-    const bool mixed = route != nullptr && route->single_version;
+    // On such a route, a text that is not complete may have to be continued by another version.
+    const bool may_mix = route != nullptr && route->single_version && !partial.complete;
     const bool longer = transcript.event_count() > m_progress.item(*index).transcript.event_count();
-    if (transcript.AllVersionsAtLeast(m_spec.oldest_version) && !mixed && longer) {
+    if (IsUsable(transcript) && !may_mix && longer) {
       m_progress.item(*index).transcript = std::move(transcript);
       ++used;
+      if (partial.complete) {
+        OnTextComplete(*index);
+      }
     }
   }
   Log(LogEvent::kBatchOwned, {{"job", m_spec.id}, {"step", "earlier texts"}, {"used", std::to_string(used)}});
 }
 
+void BatchRunner::RestoreCompleteTexts(const std::vector<PartialText>& texts) {
+  int used = 0;
+  for (const PartialText& text : texts) {
+    const std::optional<size_t> index = m_progress.FindItem(text.item);
+    if (!index.has_value() || !text.complete || m_progress.item(*index).phase != ItemPhase::kWaiting ||
+        !m_spec.items[*index].reward_call.has_value()) {
+      continue;
+    }
+    EventTranscript transcript;
+    transcript.Restore(text);
+    if (!IsUsable(transcript)) {
+      continue;
+    }
+    m_progress.item(*index).transcript = std::move(transcript);
+    m_progress.SetPhase(*index, ItemPhase::kAwaitingScore);
+    // The rows are split in the same way as they were when the text was stored.
+    m_complete_text_rows[*index] = EncodePartialText(text, RandomHex(kTransactionIdBytes), kMaxRowBytes).size();
+    ++used;
+    RequestScore(*index);
+  }
+  Log(LogEvent::kBatchOwned, {{"job", m_spec.id}, {"step", "complete texts"}, {"used", std::to_string(used)}});
+}
+
 void BatchRunner::Stop() {
   if (m_stopped) {
     return;
   }
   m_stopped = true;
   CancelRuns();
+  if (m_store_texts_timer != nullptr) {
+    m_store_texts_timer.reset();
+    StoreCompleteTexts();
+  }
   if (m_append_timer != nullptr) {
     m_append_timer.reset();
     Append();
@@ -616,6 +781,7 @@
 
 void BatchRunner::CancelRuns() {
   m_runs.clear();
+  m_context->reward_calls->CancelAll(this);
   for (size_t i = 0; i < m_progress.size(); ++i) {
     if (m_progress.item(i).phase == ItemPhase::kRunning) {
       m_progress.SetPhase(i, ItemPhase::kWaiting);
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -10,6 +10,7 @@
 #include "coordination/batch_records.h"
 #include "coordination/callback_guard.h"
 #include "coordination/endpoint_caller.h"
+#include "coordination/reward_call_dispatcher.h"
 #include "coordination/scheduler.h"
 #include "coordination/table_store.h"
 #include "state/batch_progress.h"
@@ -26,6 +27,10 @@
   const RouteTable* routes = nullptr;
   EndpointDirectory* endpoints = nullptr;
   EndpointCaller* caller = nullptr;
+  // Decides about the reward calls of all jobs. The BatchCoordinator's own default if null.
+  const RewardCallPolicy* reward_call_policy = nullptr;
+  // Set by the BatchCoordinator, which owns it.
+  RewardCallDispatcher* reward_calls = nullptr;
   // Unix time in milliseconds.
   std::function<int64_t()> wall_ms;
   // Identify this process.
@@ -50,16 +55,18 @@
 std::optional<BatchRows> ReadBatchRows(const std::vector<TableRow>& rows, bool* malformed);
 
 // Runs the items of one job on endpoints and stores their results, as long as this process owns the job.
-class BatchRunner {
+class BatchRunner : public RewardCallOwner {
  public:
   // `rows` must name this process as the owner. `confirmed_at` is when the read or write that showed this began.
   BatchRunner(const BatchContext* context, BatchRows rows, std::vector<BatchItem> items, TimePoint confirmed_at);
-  ~BatchRunner();
+  ~BatchRunner() override;
   BatchRunner(const BatchRunner&) = delete;
   BatchRunner& operator=(const BatchRunner&) = delete;
 
   // Lets items continue from stored partial texts whose model versions the job accepts.
   void RestorePartialTexts(const std::vector<PartialText>& texts);
+  // Continues with the reward calls of items whose complete texts the previous owner has stored.
+  void RestoreCompleteTexts(const std::vector<PartialText>& texts);
   // Starts the next waiting item if an endpoint has a free slot for it. Returns whether an item was started.
   bool StartNextItem();
   // Moves a running item from a slow endpoint to a faster one with a free slot, at most one item per call.
@@ -86,8 +93,8 @@
   bool ownership_lost() const { return m_ownership_lost; }
   // This process has nothing left to run or to store for the job.
   bool IsDone() const { return m_ended || m_ownership_lost || m_progress.AllStored(); }
-  // No append is in flight, and none is scheduled.
-  bool HasNoPendingAppend() const { return !m_appending && m_append_timer == nullptr; }
+  // No write of results or complete texts is in flight, and none is scheduled.
+  bool HasNoPendingAppend() const { return !m_appending && m_append_timer == nullptr && !m_storing_complete_texts; }
   int64_t owner_version() const { return m_rows.owner_version; }
   const BatchOwner& owner() const { return m_rows.owner; }
   const BatchResultList& result_list() const { return m_rows.result_list; }
@@ -100,6 +107,13 @@
   void SetItemsReadyCallback(std::function<void()> callback) { m_items_ready = std::move(callback); }
   int running() const { return static_cast<int>(m_runs.size()); }
 
+  const std::string& job() const override { return m_spec.id; }
+  bool MayStartRewardCalls() const override { return MayStartItems(); }
+  WaitingRewardCall UrgencyOf(size_t item) const override;
+  int MinFailedResponses() const override;
+  void OnScore(size_t item, const std::string& score) override;
+  void OnRewardCallFailed(size_t item, const std::string& reason) override;
+
  private:
   class ItemRun;
   friend class ItemRun;
@@ -124,7 +138,15 @@
   void StartItemAt(size_t index, const DirectoryEndpoint& endpoint);
   void OnRunEnded(size_t index, const std::string& endpoint, const EndpointCallResult& result);
   void Retry(size_t index, Duration delay);
-  void FinishItem(size_t index, BatchResultState state, const std::string& reason);
+  // Returns whether the job may use a text that one or more runs have completed.
+  bool IsUsable(const EventTranscript& transcript) const;
+  // Finishes an item whose text is complete, or starts to obtain its score.
+  void OnTextComplete(size_t index);
+  // Stores the complete texts of items without a score, then requests the scores.
+  void StoreCompleteTexts();
+  void OnCompleteTextsStored(const std::vector<size_t>& indices, const TransactResult& result);
+  void RequestScore(size_t index);
+  void FinishItem(size_t index, BatchResultState state, const std::string& reason, const std::string& score = "");
   void CancelRuns();
   void StoreTexts(int64_t min_new_events, std::function<void()> callback);
   void ScheduleAppend(Duration delay);
@@ -154,6 +176,13 @@
   TimePoint m_checkpoint_at;
   // By item index.
   std::map<size_t, StoredText> m_stored_texts;
+  // Items whose complete text is not stored yet.
+  std::vector<size_t> m_complete_texts_to_store;
+  std::unique_ptr<Timer> m_store_texts_timer;
+  // Number of rows that hold the complete text of an item, by item index. They are removed with the write of its
+  // result.
+  std::map<size_t, size_t> m_complete_text_rows;
+  bool m_storing_complete_texts = false;
   // A write of results is in flight.
   bool m_appending = false;
   // Stop was called.
--- a/src/coordination/endpoint_caller.h
+++ b/src/coordination/endpoint_caller.h
@@ -47,6 +47,8 @@
   bool wrong_endpoint = false;
   // The version of the model that generates the response.
   std::optional<int64_t> model_version;
+  // Identifies the endpoint and the run; empty if the response carries none.
+  std::string signature;
 };
 
 struct StreamEvent {
--- a/src/state/batch_job.h
+++ b/src/state/batch_job.h
@@ -10,6 +10,16 @@
 
 namespace quetzalridge {
 
+// A request that scores the text of an item. It is sent once the text is complete, through the route of its own host
+// and target, and may be repeated.
+struct RewardCall {
+  std::string id;
+  std::string host;
+  // Path and query.
+  std::string target;
+  std::string body;
+};
+
 // One request of a batch job.
 struct BatchItem {
   std::string id;
@@ -21,6 +31,8 @@
   std::string group;
   // The caller's estimate of the number of generated tokens; 0 if unknown.
   int64_t length_hint = 0;
+  // Absent if the result needs no score.
+  std::optional<RewardCall> reward_call;
 };
 
 // A batch job as a caller submitted it. It never changes.
@@ -53,6 +65,8 @@
   BatchResultState state = BatchResultState::kFailed;
   std::string text;
   std::vector<int64_t> model_versions;
+  // The signature of the response to the item's reward call; empty if the item has none or failed.
+  std::string score;
 };
 
 }  // namespace quetzalridge
--- a/src/state/batch_progress.cc
+++ b/src/state/batch_progress.cc
@@ -5,9 +5,25 @@
 
 namespace quetzalridge {
 
-BatchProgress::BatchProgress(const BatchSpec* spec) : m_items(spec->items.size()), m_order(spec->items.size()) {
+namespace {
+
+bool HasResult(ItemPhase phase) {
+  return phase == ItemPhase::kFinished || phase == ItemPhase::kStored;
+}
+
+}  // namespace
+
+BatchProgress::BatchProgress(const BatchSpec* spec)
+    : m_items(spec->items.size()), m_order(spec->items.size()), m_desired_groups(spec->desired_groups) {
+  std::map<std::string, size_t> group_by_name;
   for (size_t i = 0; i < spec->items.size(); ++i) {
     m_index_by_id[spec->items[i].id] = i;
+    const auto [group, is_new] = group_by_name.try_emplace(spec->items[i].group, group_by_name.size());
+    m_group_of.push_back(group->second);
+    if (is_new) {
+      m_unfinished_in_group.push_back(0);
+    }
+    ++m_unfinished_in_group[group->second];
   }
   std::iota(m_order.begin(), m_order.end(), size_t{0});
   std::stable_sort(m_order.begin(), m_order.end(),
@@ -40,8 +56,14 @@
   return first;
 }
 
+int BatchProgress::MissingGroups() const {
+  const auto complete = std::count(m_unfinished_in_group.begin(), m_unfinished_in_group.end(), 0);
+  return std::max(m_desired_groups - static_cast<int>(complete), 0);
+}
+
 void BatchProgress::SetPhase(size_t index, ItemPhase phase) {
   --m_counts[static_cast<size_t>(m_items[index].phase)];
+  m_unfinished_in_group[m_group_of[index]] += (HasResult(phase) ? 0 : 1) - (HasResult(m_items[index].phase) ? 0 : 1);
   ++m_counts[static_cast<size_t>(phase)];
   m_items[index].phase = phase;
 }
--- a/src/state/batch_progress.h
+++ b/src/state/batch_progress.h
@@ -15,6 +15,8 @@
 enum class ItemPhase {
   kWaiting,
   kRunning,
+  // The text is complete, and the response to the reward call is missing.
+  kAwaitingScore,
   // The item has its result, which is not stored yet.
   kFinished,
   // The result is stored and in the job's result list.
@@ -51,16 +53,24 @@
   std::optional<size_t> NextItem(TimePoint now) const;
   void SetPhase(size_t index, ItemPhase phase);
   int CountIn(ItemPhase phase) const { return m_counts[static_cast<size_t>(phase)]; }
+  // Number of items in the item's group that have no result yet.
+  int UnfinishedInGroupOf(size_t index) const { return m_unfinished_in_group[m_group_of[index]]; }
+  // Number of further groups that must be complete before the trainer continues.
+  int MissingGroups() const;
   bool AllStored() const { return CountIn(ItemPhase::kStored) == static_cast<int>(m_items.size()); }
 
  private:
-  static constexpr size_t kPhaseCount = 4;
+  static constexpr size_t kPhaseCount = 5;
 
   std::vector<ItemProgress> m_items;
   // Indices of the items in the order in which they start, highest token estimate first.
   std::vector<size_t> m_order;
   std::map<std::string, size_t> m_index_by_id;
   int m_counts[kPhaseCount] = {};
+  int m_desired_groups = 0;
+  // The group of each item, as an index into m_unfinished_in_group.
+  std::vector<size_t> m_group_of;
+  std::vector<int> m_unfinished_in_group;
 };
 
 }  // namespace quetzalridge
--- a/src/state/event_transcript.h
+++ b/src/state/event_transcript.h
@@ -18,6 +18,8 @@
   std::vector<int64_t> model_versions;
   // Unix time at which it was stored.
   int64_t stored_at_ms = 0;
+  // The text is the whole output of the item; only its score is missing.
+  bool complete = false;
 };
 
 // The events of the generation of one item, collected from one or more runs.
--- a/tests/coordination/batch_faults_test.cc
+++ b/tests/coordination/batch_faults_test.cc
@@ -32,6 +32,9 @@
     m_fixture.engines.truncation_chance = 0.02;
     m_fixture.engines.refusal_chance = 0.05;
     m_fixture.engines.event_gap = Duration::Milliseconds(60);
+    m_fixture.engines.lost_score_chance = 0.1;
+    m_fixture.engines.refused_score_chance = 0.1;
+    m_fixture.engines.failed_score_chance = 0.05;
     for (const std::string& name : kInstances) {
       m_fixture.StartInstance(name);
     }
@@ -120,6 +123,10 @@
       m_jobs.push_back(std::make_unique<TrackedJob>());
       job = m_jobs.back().get();
       job->spec = BatchFixture::MakeJob("job" + std::to_string(m_jobs.size()), kItems);
+      // Every second job has reward calls.
+      if (m_jobs.size() % 2 == 0) {
+        job->spec = BatchFixture::WithRewardCalls(job->spec);
+      }
       job->spec.submitted_at_ms = m_fixture.scheduler.Now().ms();
     }
     m_fixture.instances.at(name)->coordinator.Submit(
@@ -163,12 +170,17 @@
 
   void CheckResult(TrackedJob* job, size_t position, const BatchResult& result) {
     const auto [seen, is_new] = job->seen.emplace(position, result);
-    if (!is_new && (seen->second.item != result.item || seen->second.model_versions != result.model_versions)) {
+    if (!is_new && (seen->second.item != result.item || seen->second.model_versions != result.model_versions ||
+                    seen->second.score != result.score)) {
       m_violations.push_back(job->spec.id + " position " + std::to_string(position) + " has changed");
     }
     if (result.state != BatchResultState::kCompleted || result.text != m_fixture.engines.WholeText(result.item)) {
       m_violations.push_back(job->spec.id + " has a wrong result for " + result.item);
     }
+    const std::string score_error = job->spec.items[0].reward_call.has_value() ? m_fixture.ScoreError(result) : "";
+    if (!score_error.empty()) {
+      m_violations.push_back(job->spec.id + ", " + result.item + ": " + score_error);
+    }
   }
 
   // Records which instances are partitioned now: such an instance cannot learn that a job was ended.
@@ -229,6 +241,15 @@
         }
       }
     }
+    for (const RewardCallRecord& call : m_fixture.engines.reward_calls) {
+      for (const std::unique_ptr<TrackedJob>& job : m_jobs) {
+        const std::string prefix = BatchFixture::RewardCallId(job->spec.id + "-item");
+        const bool late = job->ended_at.has_value() && call.at - *job->ended_at > kCancelBound;
+        if (late && call.id.rfind(prefix, 0) == 0 && !WasPartitioned(call.instance, call.at)) {
+          m_violations.push_back(call.id + " was sent after the end of its job");
+        }
+      }
+    }
   }
 
   Random m_random;
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -21,6 +21,11 @@
 constexpr char kBatchService[] = "sorter";
 constexpr char kBatchModel[] = "hides-model";
 constexpr char kBatchWorkspace[] = "buyers";
+constexpr char kScoreHost[] = "lookup.example";
+constexpr char kScorePath[] = "/score/";
+constexpr char kScoreService[] = "lookup";
+constexpr int kScoreEndpoints = 2;
+constexpr int kScoreSlots = 4;
 
 constexpr Duration kBatchRetention = Duration::Seconds(120);
 
@@ -32,6 +37,14 @@
   std::optional<int64_t> resume_after;
 };
 
+// A reward call that reached an endpoint, and the signature of its response if it was a success.
+struct RewardCallRecord {
+  TimePoint at;
+  std::string instance;
+  std::string id;
+  std::string signature;
+};
+
 // Model engines that stream the events of an item, some milliseconds apart. Streams can be truncated and runs refused.
 class FakeEngines {
  public:
@@ -49,6 +62,19 @@
   // Status with which each run of an item fails, by item id.
   std::map<std::string, int> failing_items;
   std::vector<ItemRunRecord> runs;
+  // When the last event of an item was first generated, by item id.
+  std::map<std::string, TimePoint> generated_at;
+
+  // The service that runs reward calls.
+  Duration score_time = Duration::Milliseconds(30);
+  // Reward calls that always fail with status 500, by call id.
+  std::set<std::string> failing_calls;
+  // The call runs, and its response does not arrive.
+  double lost_score_chance = 0.0;
+  double refused_score_chance = 0.0;
+  // The response is a server error, once.
+  double failed_score_chance = 0.0;
+  std::vector<RewardCallRecord> reward_calls;
 
   static std::string EventData(const std::string& item, int event) { return item + " event " + std::to_string(event); }
   std::string WholeText(const std::string& item) const {
@@ -80,11 +106,76 @@
       : m_engines(engines), m_process(process), m_instance(std::move(instance)) {}
 
   std::unique_ptr<EndpointExchange> Start(EndpointCall call, EndpointCallObserver* observer) override {
+    if (!call.reads_events) {
+      return std::make_unique<Score>(m_engines, m_process, m_instance, std::move(call), observer);
+    }
     m_engines->runs.push_back({m_process->clock().Now(), m_instance, call.request_id, call.resume_after});
     return std::make_unique<Run>(m_engines, m_process, std::move(call), observer);
   }
 
  private:
+  // One attempt of a reward call. Its signature is unique.
+  class Score : public EndpointExchange {
+   public:
+    Score(FakeEngines* engines, Scheduler* process, std::string instance, EndpointCall call,
+          EndpointCallObserver* observer)
+        : m_engines(engines),
+          m_process(process),
+          m_instance(std::move(instance)),
+          m_call(std::move(call)),
+          m_observer(observer) {
+      m_timer = m_process->After(Duration::Milliseconds(2), [this] { Begin(); });
+    }
+
+   private:
+    void Begin() {
+      if (m_engines->random()->Chance(m_engines->refused_score_chance)) {
+        EndpointResponseHead head;
+        head.status = 503;
+        head.not_run = true;
+        Respond(head);
+        return;
+      }
+      m_record = m_engines->reward_calls.size();
+      m_engines->reward_calls.push_back({m_process->clock().Now(), m_instance, m_call.request_id, ""});
+      if (m_engines->random()->Chance(m_engines->lost_score_chance)) {
+        m_timer = m_process->After(m_call.head_timeout, [this] {
+          EndpointCallResult result;
+          result.outcome = EndpointCallOutcome::kNoResponse;
+          result.timed_out = true;
+          m_observer->OnEnd(result);
+        });
+        return;
+      }
+      m_timer = m_process->After(m_engines->score_time, [this] { End(); });
+    }
+    void End() {
+      EndpointResponseHead head;
+      const bool failed = m_engines->failing_calls.count(m_call.request_id) > 0 ||
+                          m_engines->random()->Chance(m_engines->failed_score_chance);
+      head.status = failed ? 500 : 200;
+      head.signature = m_call.request_id + "." + std::to_string(m_record);
+      if (!failed) {
+        m_engines->reward_calls[m_record].signature = head.signature;
+      }
+      Respond(head);
+    }
+    void Respond(const EndpointResponseHead& head) {
+      m_observer->OnHead(head);
+      EndpointCallResult result;
+      result.outcome = EndpointCallOutcome::kComplete;
+      m_observer->OnEnd(result);
+    }
+
+    FakeEngines* m_engines;
+    Scheduler* m_process;
+    std::string m_instance;
+    EndpointCall m_call;
+    EndpointCallObserver* m_observer;
+    size_t m_record = 0;
+    std::unique_ptr<Timer> m_timer;
+  };
+
   class Run : public EndpointExchange {
    public:
     Run(FakeEngines* engines, Scheduler* process, EndpointCall call, EndpointCallObserver* observer)
@@ -127,6 +218,9 @@
       StreamEvent event;
       event.id = m_next;
       event.data = FakeEngines::EventData(m_call.request_id, m_next);
+      if (m_next == m_engines->EventsOf(m_call.request_id)) {
+        m_engines->generated_at.emplace(m_call.request_id, m_process->clock().Now());
+      }
       ++m_next;
       m_observer->OnEvent(event);
       Continue();
@@ -180,7 +274,7 @@
       route.max_queue = Duration::Seconds(40);
       ServingConfig config;
       config.version = 1;
-      config.routes = {route};
+      config.routes = {route, ScoreRoute()};
       routes.Apply(config);
       std::vector<EndpointEntry> entries;
       for (int i = 0; i < 4; ++i) {
@@ -193,6 +287,15 @@
         entry.model_versions[kBatchModel] = 1;
         entries.push_back(entry);
       }
+      for (int i = 0; i < kScoreEndpoints; ++i) {
+        EndpointEntry entry;
+        entry.id = "lookup-" + std::to_string(i);
+        entry.service = kScoreService;
+        entry.address = "10.0.1." + std::to_string(i + 1) + ":80";
+        entry.zone = "a";
+        entry.slots = kScoreSlots;
+        entries.push_back(entry);
+      }
       directory.Update(entries, false);
       coordinator.Start();
     }
@@ -219,6 +322,18 @@
     BatchCoordinator coordinator;
   };
 
+  static ServiceRoute ScoreRoute() {
+    ServiceRoute route;
+    route.name = "score";
+    route.host = kScoreHost;
+    route.prefix = kScorePath;
+    route.kind = RouteKind::kIdempotent;
+    route.services = {{kScoreService, 1}};
+    route.max_attempts = 4;
+    route.target_latency = Duration::Milliseconds(150);
+    return route;
+  }
+
   void StartInstance(const std::string& name) {
     m_silent_since.erase(name);
     instances[name] = std::make_unique<Instance>(this, name, ++m_starts[name]);
@@ -297,6 +412,28 @@
     return spec;
   }
 
+  static std::string RewardCallId(const std::string& item) { return "score-of-" + item; }
+  // Adds a reward call to each item.
+  static BatchSpec WithRewardCalls(BatchSpec spec) {
+    for (BatchItem& item : spec.items) {
+      item.reward_call = RewardCall{RewardCallId(item.id), kScoreHost, kScorePath + item.id, "score " + item.id};
+    }
+    return spec;
+  }
+  // Returns what is wrong with the score of a completed result, or nothing. The score must be the signature of a
+  // success response to the item's own reward call, which must have been sent after the text was generated.
+  std::string ScoreError(const BatchResult& result) const {
+    for (const RewardCallRecord& record : engines.reward_calls) {
+      if (!record.signature.empty() && record.signature == result.score) {
+        const bool own = record.id == RewardCallId(result.item);
+        const auto generated = engines.generated_at.find(result.item);
+        const bool after_text = generated != engines.generated_at.end() && record.at >= generated->second;
+        return !own ? "the score of another item" : after_text ? "" : "scored before its text was complete";
+      }
+    }
+    return result.score.empty() ? "completed without a score" : "an unknown score";
+  }
+
   SubmitOutcome Submit(const std::string& instance, const BatchSpec& spec) {
     auto outcome = std::make_shared<SubmitOutcome>(SubmitOutcome::kUnknown);
     instances.at(instance)->coordinator.Submit(spec, Duration::Milliseconds(2500),
