Acknowledge the end of a batch job only when it is stored

The first attempt to end the job failed because the store was away, which stopped the runner; the job then counted as ended in the memory of that instance, and the caller's next attempt was acknowledged without a write. After the loss of all processes the job was run again.

Change: a requested end and a stored end are two states. A job with a requested end is not run, and its end is written again at each tick until it is stored; only a stored end is acknowledged. A job whose end arrives while its rows are read is not run either.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -140,6 +140,7 @@
   const Duration refresh_interval = std::max(
       kRemoteJobRefreshInterval, kRemoteJobRefreshPerInstance * static_cast<int64_t>(m_fleet.live_instances().size()));
   std::vector<std::string> jobs_to_refresh;
+  std::vector<std::string> ends_to_store;
   std::vector<std::string> expired;
   for (auto& [id, job] : m_jobs) {
     if (IsExpired(job) && !job.removing && TakeoverRank(id, "") == 0) {
@@ -148,6 +149,9 @@
     if (job.runner != nullptr && job.runner->IsDone() && job.runner->HasNoPendingAppend()) {
       RemoveRunner(&job, job.runner->ownership_lost() ? "taken over" : "done");
     }
+    if (job.end_requested && !job.rows.ended && !job.storing_end) {
+      ends_to_store.push_back(id);
+    }
     const int rank = job.IsOpen() ? TakeoverRank(id, job) : -1;
     const bool is_watcher = rank >= 0 && rank < kWatchersPerJob;
     if (job.runner != nullptr || is_watcher || (job.IsOpen() && Now() - job.read_at >= refresh_interval)) {
@@ -157,6 +161,9 @@
   for (const std::string& id : jobs_to_refresh) {
     RefreshJob(id);
   }
+  for (const std::string& id : ends_to_store) {
+    StoreEnd(id, [](BatchCallStatus) {});
+  }
   for (const std::string& id : expired) {
     RemoveExpired(id);
   }
@@ -548,6 +555,10 @@
                               {"oldest_version", std::to_string(job.rows.head.spec.oldest_version)}});
   job.items.reset();
   job.runner = std::make_unique<BatchRunner>(&m_context, job.rows, std::move(items), confirmed_at);
+  // A caller may have ended the job while its rows were read.
+  if (job.end_requested) {
+    job.runner->End();
+  }
   if (!complete_texts.empty()) {
     job.runner->RestoreCompleteTexts(complete_texts);
   }
@@ -568,7 +579,7 @@
                                   {"reason", reason},
                                   {"listed", std::to_string(job->runner->stored_count())},
                                   {"of", std::to_string(job->runner->progress().size())}});
-  job->rows.ended = job->rows.ended || job->runner->ended();
+  job->end_requested = job->end_requested || job->runner->ended();
   if (!job->runner->ownership_lost()) {
     job->rows.result_list = job->runner->result_list();
   }
@@ -865,28 +876,37 @@
       callback(status);
       return;
     }
-    // The items stop running now, whatever the outcome of the write below.
+    // The items stop running now, whatever the outcome of the write. Tick repeats a write that fails.
+    job->end_requested = true;
     if (job->runner != nullptr) {
       job->runner->End();
     }
-    const std::string key = BatchEndKey(id);
-    TableTransaction transaction;
-    transaction.id = RandomHex(kRandomIdBytes);
-    transaction.checks = {{key, 0}};
-    transaction.writes = {{key, "ended"}};
-    m_resolving_store.Transact(std::move(transaction), key, [this, id, callback](const TransactResult& result) {
-      const bool stored = result.outcome == TransactOutcome::kCommitted || result.outcome == TransactOutcome::kConflict;
-      const auto found = m_jobs.find(id);
-      if (stored && found != m_jobs.end()) {
-        found->second.rows.ended = true;
-        const std::string& owner = found->second.rows.owner.instance;
-        if (m_fleet.notify_end && !owner.empty() && owner != m_context.instance) {
-          m_fleet.notify_end(owner, id);
-        }
+    StoreEnd(id, callback);
+  });
+}
+
+void BatchCoordinator::StoreEnd(const std::string& id, const std::function<void(BatchCallStatus)>& callback) {
+  m_jobs.at(id).storing_end = true;
+  const std::string key = BatchEndKey(id);
+  TableTransaction transaction;
+  transaction.id = RandomHex(kRandomIdBytes);
+  transaction.checks = {{key, 0}};
+  transaction.writes = {{key, "ended"}};
+  m_resolving_store.Transact(std::move(transaction), key, [this, id, callback](const TransactResult& result) {
+    const bool stored = result.outcome == TransactOutcome::kCommitted || result.outcome == TransactOutcome::kConflict;
+    const auto found = m_jobs.find(id);
+    if (found != m_jobs.end()) {
+      found->second.storing_end = false;
+    }
+    if (stored && found != m_jobs.end()) {
+      found->second.rows.ended = true;
+      const std::string& owner = found->second.rows.owner.instance;
+      if (m_fleet.notify_end && !owner.empty() && owner != m_context.instance) {
+        m_fleet.notify_end(owner, id);
       }
-      Log(LogEvent::kBatchEnded, {{"job", id}, {"outcome", std::string(TransactOutcomeName(result.outcome))}});
-      callback(stored ? BatchCallStatus::kOk : BatchCallStatus::kUnavailable);
-    });
+    }
+    Log(LogEvent::kBatchEnded, {{"job", id}, {"outcome", std::string(TransactOutcomeName(result.outcome))}});
+    callback(stored ? BatchCallStatus::kOk : BatchCallStatus::kUnavailable);
   });
 }
 
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -111,7 +111,9 @@
   // What this instance knows about a job.
   struct Job {
     // Some items have no stored result yet, and no caller has ended the job.
-    bool IsOpen() const { return !rows.ended && rows.result_list.item_indices.size() < rows.head.item_count; }
+    bool IsOpen() const {
+      return !rows.ended && !end_requested && rows.result_list.item_indices.size() < rows.head.item_count;
+    }
 
     BatchRows rows;
     // When the latest read of the rows began.
@@ -128,6 +130,11 @@
     bool loading = false;
     // The rows are being removed from the table.
     bool removing = false;
+    // A caller has asked this instance to end the job. The end is stored once `rows.ended` is set; only then may it be
+    // acknowledged, since another process would otherwise run the job again.
+    bool end_requested = false;
+    // A write of the end is in flight.
+    bool storing_end = false;
     // Set while this process runs the job.
     std::unique_ptr<BatchRunner> runner;
     // Items kept for callers that read item bodies from an instance that does not own the job.
@@ -189,6 +196,7 @@
                      const std::function<void(BatchCallStatus, Job*)>& callback);
   void ReadStoredResults(const std::string& id, size_t position, size_t total, TimePoint deadline,
                          const std::function<void(const BatchPage&)>& callback);
+  void StoreEnd(const std::string& id, const std::function<void(BatchCallStatus)>& callback);
   void CheckDrained();
   void RecordVersionLag(const BatchSpec& spec);
 
--- a/tests/coordination/batch_test.cc
+++ b/tests/coordination/batch_test.cc
@@ -445,5 +445,48 @@
   }
 }
 
+// Guards against the end of a job that is acknowledged although it is not stored, so that the items run again after a
+// restart: the first attempt fails because the table is unavailable, and the second finds the job already stopped.
+TEST_CASE("an end that was acknowledged after a failed attempt survives the restart of all instances") {
+  BatchFixture fixture(21);
+  fixture.engines.event_gap = Duration::Milliseconds(300);
+  fixture.StartInstance("one");
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kItems)) == SubmitOutcome::kAccepted);
+  std::vector<BatchCallStatus> statuses;
+  const auto end = [&fixture, &statuses] {
+    fixture.instances.at("one")->coordinator.End(
+        "job", kBatchWorkspace, [&statuses](BatchCallStatus status) { statuses.push_back(status); });
+    fixture.scheduler.Advance(Duration::Milliseconds(50));
+  };
+  fixture.table.unavailable = true;
+  end();
+  fixture.scheduler.Advance(Duration::Seconds(2));
+  REQUIRE(statuses == std::vector<BatchCallStatus>{BatchCallStatus::kUnavailable});
+  end();
+  CHECK(statuses.back() == BatchCallStatus::kUnavailable);
+  fixture.table.unavailable = false;
+  end();
+  CHECK(statuses.back() == BatchCallStatus::kOk);
+  const size_t runs = fixture.engines.runs.size();
+  fixture.KillInstance("one");
+  fixture.scheduler.Advance(kStep);
+  fixture.StartInstance("one");
+  fixture.scheduler.Advance(Duration::Seconds(10));
+  CHECK(fixture.engines.runs.size() == runs);
+}
+
+// Guards against a caller that gives up after a failed attempt: the end is stored once the table is available again.
+TEST_CASE("the end of a job is stored later when the table was unavailable") {
+  BatchFixture fixture(22);
+  fixture.StartInstance("one");
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kItems)) == SubmitOutcome::kAccepted);
+  fixture.table.unavailable = true;
+  fixture.instances.at("one")->coordinator.End("job", kBatchWorkspace, [](BatchCallStatus) {});
+  fixture.scheduler.Advance(Duration::Seconds(3));
+  fixture.table.unavailable = false;
+  fixture.scheduler.Advance(Duration::Seconds(3));
+  CHECK(fixture.table.ReadRows({BatchEndKey("job")}).rows.front().version > 0);
+}
+
 }  // namespace
 }  // namespace quetzalridge
