--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -103,12 +103,16 @@
   Json requests = Json::array();
   for (int i = 0; i < kItems; ++i) {
     const std::string item = job->id + "-item-" + std::to_string(i);
-    requests.push_back({{"Id", item},
-                        {"Path", kBatchPrefix + item},
-                        {"Headers", {{"X-Quetzalridge-Model", kModel}}},
-                        {"Body", EncodeBase64("body of " + item)},
-                        {"Tokens", 100},
-                        {"Group", job->id + "-group-" + std::to_string(i / kItemsInGroup)}});
+    const std::string call = kRewardCallPrefix + item;
+    requests.push_back(
+        {{"Id", item},
+         {"Path", kBatchPrefix + item},
+         {"Headers", {{"X-Quetzalridge-Model", kModel}}},
+         {"Body", EncodeBase64("body of " + item)},
+         {"Tokens", 100},
+         {"Group", job->id + "-group-" + std::to_string(i / kItemsInGroup)},
+         {"Scorer",
+          {{"Id", call}, {"Host", kHost}, {"Path", kPlainPrefix + call}, {"Body", EncodeBase64("body of " + call)}}}});
   }
   job->body = Json{
       {"Step", m_steps},
@@ -167,6 +171,7 @@
     }
     if (result.at("State") == "completed") {
       m_log->Check(result.at("Output") == WholeOutput(item), job->id + " has a wrong output of " + item);
+      m_log->CheckScore(item, kRewardCallPrefix + item, result.value("Score", ""));
       for (const int64_t version : result.at("Versions").get<std::vector<int64_t>>()) {
         m_log->Check(version >= job->oldest_version, item + " was made with version " + std::to_string(version));
       }
@@ -231,7 +236,8 @@
 void Trainer::CheckEnded() {
   for (const ReplicaRun& run : m_log->runs()) {
     for (const std::shared_ptr<Job>& job : m_jobs) {
-      const bool of_job = run.request.rfind(job->id + "-item-", 0) == 0;
+      const bool of_job = run.request.rfind(job->id + "-item-", 0) == 0 ||
+                          run.request.rfind(kRewardCallPrefix + job->id + "-item-", 0) == 0;
       if (!of_job || !job->ended_at.has_value() || run.at - *job->ended_at <= kCancelBound) {
         continue;
       }
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -99,7 +99,9 @@
     TakeOrder(request, responder.get());
     return;
   }
-  m_log->Check(HeaderOf(request, platform::kWorkspaceHeader) == kWorkspace, "a request without its workspace");
+  const bool is_reward_call = HeaderOf(request, platform::kRequestIdHeader).rfind(kRewardCallPrefix, 0) == 0;
+  m_log->Check(HeaderOf(request, platform::kWorkspaceHeader) == (is_reward_call ? "" : kWorkspace),
+               "a request without its workspace, or a reward call with one");
   m_log->Check(FindHeader(request.headers, platform::kApiKeyHeader) == nullptr, "a replica was given a key");
   if (m_service == kEngineService) {
     RunItem(request, responder);
@@ -113,10 +115,12 @@
   m_log->AddRun(m_id, id);
   m_log->Check(request.body == "body of " + id, "the body of " + id + " was changed");
   const auto timer = m_timers.emplace(m_timers.end());
-  *timer = m_loop->After(kPlainWork, [this, timer, id, body = request.body, responder] {
+  const std::string signature = m_id + "." + std::to_string(++m_plain_runs);
+  m_log->AddScore(id, signature, m_log->Now());
+  *timer = m_loop->After(kPlainWork, [this, timer, id, signature, body = request.body, responder] {
     const std::unique_ptr<Timer> ended = std::move(*timer);
     m_timers.erase(timer);
-    responder->Send(platform::kStatusOk, {{platform::kRequestIdHeader, id}, {platform::kSignatureHeader, m_id}},
+    responder->Send(platform::kStatusOk, {{platform::kRequestIdHeader, id}, {platform::kSignatureHeader, signature}},
                     PlainAnswer(id, body));
   });
 }
@@ -152,6 +156,9 @@
     run->version = m_version;
     event = std::string(platform::kModelVersionHeader) + ": " + std::to_string(m_version) + "\n";
   }
+  if (run->next_event == EventsOf(run->item)) {
+    m_log->AddGenerated(run->item);
+  }
   event += "id: " + std::to_string(run->next_event) + "\ndata: " + EventData(run->item, run->next_event) + "\n\n";
   ++run->next_event;
   run->timer = m_loop->After(kEventGap, [this, run] { SendEvent(run); });
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -17,6 +17,8 @@
 constexpr char kEngineService[] = "engines";
 constexpr char kPlainService[] = "catalogue";
 constexpr char kWorkspace[] = "buyers";
+// The ids of reward calls begin with this.
+constexpr char kRewardCallPrefix[] = "score-";
 
 // The data of one event of an item, and the item's whole output.
 std::string EventData(const std::string& item, int event);
@@ -64,6 +66,7 @@
   int64_t m_renewals = 0;
   int64_t m_version = 1;
   int64_t m_orders = 0;
+  int64_t m_plain_runs = 0;
   std::list<Run> m_runs;
   std::list<std::unique_ptr<Timer>> m_timers;
   HttpServer m_server;
--- a/tests/soak/soak_log.h
+++ b/tests/soak/soak_log.h
@@ -44,6 +44,21 @@
     Check(m_refused.count(request) == 0, request + " was refused and runs at " + replica);
     Check(count == 1 || m_single_runs.count(request) == 0, request + " must run once and runs again at " + replica);
   }
+  // A replica has generated the last event of an item.
+  void AddGenerated(const std::string& item) { m_generated_at.emplace(item, Now()); }
+  // A replica answers a reward call that reached it at `arrived_at` with this signature.
+  void AddScore(const std::string& call, const std::string& signature, TimePoint arrived_at) {
+    m_scores[call][signature] = arrived_at;
+  }
+  // The score of an item must be the signature of an answer to the item's own reward call, which reached its replica
+  // after the text was generated.
+  void CheckScore(const std::string& item, const std::string& call, const std::string& score) {
+    const auto found = m_scores[call].find(score);
+    const auto generated = m_generated_at.find(item);
+    Check(found != m_scores[call].end(), item + " has the score '" + score + "', which no replica gave");
+    Check(found == m_scores[call].end() || (generated != m_generated_at.end() && found->second >= generated->second),
+          item + " was scored before its text was complete");
+  }
   // The request must not run again.
   void SetSingleRun(const std::string& request) { m_single_runs.insert(request); }
   // The caller was told that the request has not run and never will.
@@ -81,6 +96,9 @@
   int m_violations = 0;
   std::vector<ReplicaRun> m_runs;
   std::map<std::string, int> m_run_counts;
+  std::map<std::string, TimePoint> m_generated_at;
+  // When the calls arrived, by call and signature.
+  std::map<std::string, std::map<std::string, TimePoint>> m_scores;
   std::set<std::string> m_single_runs;
   std::set<std::string> m_refused;
   std::map<std::string, Fence> m_fences;
