--- a/tests/coordination/batch_test.cc
+++ b/tests/coordination/batch_test.cc
@@ -454,8 +454,8 @@
   REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kItems)) == SubmitOutcome::kAccepted);
   std::vector<BatchCallStatus> statuses;
   const auto end = [&fixture, &statuses] {
-    fixture.instances.at("one")->coordinator.End(
-        "job", kBatchWorkspace, [&statuses](BatchCallStatus status) { statuses.push_back(status); });
+    fixture.instances.at("one")->coordinator.End("job", kBatchWorkspace,
+                                                 [&statuses](BatchCallStatus status) { statuses.push_back(status); });
     fixture.scheduler.Advance(Duration::Milliseconds(50));
   };
   fixture.table.unavailable = true;
