--- a/tests/state/reward_call_policy_test.cc
+++ b/tests/state/reward_call_policy_test.cc
@@ -64,8 +64,7 @@
 // Each step of a trainer belongs to another instance, which sees only its own calls.
 class ScoringLoad {
  public:
-  ScoringLoad(const RewardCallPolicy* policy, uint64_t seed, int endpoints, int slots,
-              const std::vector<Step>& steps)
+  ScoringLoad(const RewardCallPolicy* policy, uint64_t seed, int endpoints, int slots, const std::vector<Step>& steps)
       : m_policy(policy), m_random(seed), m_slots(slots), m_queues(static_cast<size_t>(endpoints)) {
     for (const Step& step : steps) {
       auto sender = std::make_unique<Sender>();
