Record the rate limits that endpoints set in their responses

Cause: an endpoint in need names the requests per second that it accepts from all instances, and no log line had that limit, so nothing could tell why it is exceeded. The logic of choosing an endpoint is unchanged.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -112,6 +112,8 @@
       {LogEvent::kEndpointGone, LogSeverity::kInfo, "endpoint_gone", "An endpoint left the registry."},
       {LogEvent::kEndpointAvoided, LogSeverity::kInfo, "endpoint_avoided",
        "An endpoint failed and gets no work for a while."},
+      {LogEvent::kEndpointRateLimit, LogSeverity::kInfo, "endpoint_rate_limit",
+       "An endpoint has set, changed or lifted its limit of requests per second."},
       {LogEvent::kUsageReported, LogSeverity::kInfo, "usage_reported", "The usage of one window was reported."},
       {LogEvent::kModelOrderSent, LogSeverity::kInfo, "model_order_sent",
        "An endpoint was told to load a version of a model."},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -72,6 +72,7 @@
   kEndpointListed = 5004,
   kEndpointGone = 5005,
   kEndpointAvoided = 5006,
+  kEndpointRateLimit = 5007,
   kUsageReported = 6009,
   kModelOrderSent = 6010,
   kModelOrderAnswered = 6011,
--- a/src/coordination/endpoint_caller.h
+++ b/src/coordination/endpoint_caller.h
@@ -47,6 +47,8 @@
   bool wrong_endpoint = false;
   // The version of the model that generates the response.
   std::optional<int64_t> model_version;
+  // Number of requests per second that the endpoint accepts from all instances together; absent while it sets no limit.
+  std::optional<double> rate_limit;
   // Identifies the endpoint and the run; empty if the response carries none.
   std::string signature;
 };
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -151,6 +151,12 @@
   }
 }
 
+void EndpointDirectory::OnRateLimit(const std::string& id, std::optional<double> limit) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    endpoint->rate_limit = limit;
+  }
+}
+
 void EndpointDirectory::OnModelVersion(const std::string& id, const std::string& model, int64_t version) {
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     int64_t& known = endpoint->entry.model_versions[model];
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
   int failures = 0;
   // The endpoint gets no work until this time.
   TimePoint avoid_until;
+  // Number of requests per second that the endpoint accepts from all instances together, as in its latest response.
+  std::optional<double> rate_limit;
   // The registry no longer has the entry; see EndpointDirectory::Update.
   bool missing = false;
   TimePoint missing_since;
@@ -92,6 +95,8 @@
   void OnFull(const std::string& id);
   // Records that a different endpoint has responded at the endpoint's address.
   void OnAddressReassigned(const std::string& id);
+  // Records the rate limit in a response of the endpoint; nothing if the response has none.
+  void OnRateLimit(const std::string& id, std::optional<double> limit);
   // Records the loaded version of a model, as reported in a response.
   void OnModelVersion(const std::string& id, const std::string& model, int64_t version);
 
