Show that endpoints get more items than their rate limit allows

Cause: the choice of an endpoint looks at free slots only; no component keeps to the limit of requests per second that an endpoint sets for all instances together.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -16,6 +16,13 @@
 if [ "$lint" -eq 1 ]; then
   scripts/lint.sh
 fi
+# A known failing test has the tag [!shouldfail], which fails once the test passes, and an entry in KNOWN-RED.txt.
+known_red=$(grep -c '^## ' KNOWN-RED.txt || true)
+tagged=$(git grep -h '\[!shouldfail\]' -- 'tests/*.cc' | wc -l)
+if [ "$known_red" -ne "$tagged" ]; then
+  echo "error: $tagged tests have the tag [!shouldfail], KNOWN-RED.txt has $known_red entries; list each such test" >&2
+  exit 1
+fi
 if grep -q '^## ' KNOWN-RED.txt 2>/dev/null; then
   echo "Known failing tests (see KNOWN-RED.txt):"
   grep '^## ' KNOWN-RED.txt
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -11,6 +11,7 @@
 
 #include "base/random.h"
 #include "coordination/batch_coordinator.h"
+#include "coordination/rate_limiter.h"
 #include "tests/fakes/check_filter_store.h"
 #include "tests/fakes/fake_table_store.h"
 
@@ -35,6 +36,7 @@
   std::string instance;
   std::string item;
   std::optional<int64_t> resume_after;
+  std::string endpoint;
 };
 
 // A reward call that reached an endpoint, and the signature of its response if it was a success.
@@ -57,6 +59,8 @@
   std::map<std::string, int> slow_endpoints;
   // Number of events of items that have more events than others.
   std::map<std::string, int> long_items;
+  // Requests per second that an endpoint accepts from all instances together, by endpoint id.
+  std::map<std::string, double> rate_limits;
   double truncation_chance = 0.0;
   double refusal_chance = 0.0;
   // Status with which each run of an item fails, by item id.
@@ -109,7 +113,8 @@
     if (!call.reads_events) {
       return std::make_unique<Score>(m_engines, m_process, m_instance, std::move(call), observer);
     }
-    m_engines->runs.push_back({m_process->clock().Now(), m_instance, call.request_id, call.resume_after});
+    m_engines->runs.push_back(
+        {m_process->clock().Now(), m_instance, call.request_id, call.resume_after, call.endpoint_id});
     return std::make_unique<Run>(m_engines, m_process, std::move(call), observer);
   }
 
@@ -189,6 +194,10 @@
       EndpointResponseHead head;
       head.status = 200;
       head.model_version = m_engines->model_version;
+      const auto limit = m_engines->rate_limits.find(m_call.endpoint_id);
+      if (limit != m_engines->rate_limits.end()) {
+        head.rate_limit = limit->second;
+      }
       const auto failing = m_engines->failing_items.find(m_call.request_id);
       if (failing != m_engines->failing_items.end()) {
         head.status = failing->second;
@@ -262,7 +271,8 @@
           connection(&fixture->table, &process),
           store(&connection, fixture->m_drops),
           directory(&process.clock()),
-          caller(&fixture->engines, &process, name),
+          engines(&fixture->engines, &process, name),
+          caller(&engines, &directory),
           coordinator(Context(fixture, name, start), fixture->Fleet(name), kBatchRetention) {
       ServiceRoute route;
       route.name = "hides";
@@ -318,7 +328,8 @@
     CheckFilterStore store;
     RouteTable routes;
     EndpointDirectory directory;
-    FakeEngineCaller caller;
+    FakeEngineCaller engines;
+    RateLimiter caller;
     BatchCoordinator coordinator;
   };
 
