Keep all instances together below the rate limits of endpoints

What callers saw: an endpoint in need that names the requests per second it accepts from all instances got several times as many. Cause: the choice of an endpoint knows free slots and speed; the limit was read by nobody. It bounds the sum over all instances, which none of them knows. Change: for each limited endpoint one live instance spaces the requests and grants permits; a limiter before the client of all endpoints sends no call without one. An endpoint that has not responded for 2 s gets one item until it responds. Plain requests wait up to 300 ms for a permit, or are refused at once as not run. No moves of running items to limited endpoints.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -114,6 +114,8 @@
        "An endpoint failed and gets no work for a while."},
       {LogEvent::kEndpointRateLimit, LogSeverity::kInfo, "endpoint_rate_limit",
        "An endpoint has set, changed or lifted its limit of requests per second."},
+      {LogEvent::kPermitNotAnswered, LogSeverity::kInfo, "permit_not_answered",
+       "The instance that grants permits for an endpoint with a rate limit did not answer; it is asked again."},
       {LogEvent::kUsageReported, LogSeverity::kInfo, "usage_reported", "The usage of one window was reported."},
       {LogEvent::kModelOrderSent, LogSeverity::kInfo, "model_order_sent",
        "An endpoint was told to load a version of a model."},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -73,6 +73,7 @@
   kEndpointGone = 5005,
   kEndpointAvoided = 5006,
   kEndpointRateLimit = 5007,
+  kPermitNotAnswered = 5008,
   kUsageReported = 6009,
   kModelOrderSent = 6010,
   kModelOrderAnswered = 6011,
--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -63,6 +63,7 @@
   context.routes = m_context.routes;
   context.endpoints = m_context.endpoints;
   context.caller = m_context.caller;
+  context.permits = m_context.permits;
   context.policy =
       m_context.reward_call_policy == nullptr ? &m_default_reward_call_policy : m_context.reward_call_policy;
   context.zone = m_context.zone;
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -93,6 +93,8 @@
   void CheckOwners();
   // Starts waiting items on endpoints with free slots. Called after endpoints or routes have changed.
   void StartWaitingItems();
+  // Schedules StartWaitingItems for the next turn of the event loop.
+  void ScheduleStartItems();
 
   // Number of jobs that this instance runs.
   int owned_jobs() const;
@@ -180,8 +182,6 @@
   void RemovePartialTexts(const std::vector<TableRow>& rows, const std::vector<BatchItem>& items);
   void StartRunner(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
                    const std::vector<PartialText>& texts, const std::vector<PartialText>& complete_texts);
-  // Schedules StartWaitingItems for the next turn of the event loop.
-  void ScheduleStartItems();
   // Number of instances that own open jobs.
   int CountOwners() const;
   RewardCallContext MakeRewardCallContext();
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -103,7 +103,7 @@
     if (head.status != kStatusOk) {
       return;
     }
-    m_runner->m_context->endpoints->OnResponse(m_endpoint);
+    m_runner->OnEndpointResponse(m_endpoint);
     if (head.model_version.has_value()) {
       m_runner->m_context->endpoints->OnModelVersion(m_endpoint, m_runner->m_spec.model, *head.model_version);
       m_stale = *head.model_version < m_runner->m_spec.oldest_version;
@@ -226,7 +226,11 @@
 bool BatchRunner::StartItem(size_t index, const ServiceRoute& route) {
   const BatchItem& item = m_spec.items[index];
   const std::string& service = ChooseService(route, Hash64(item.id));
-  const DirectoryEndpoint* endpoint = ChooseForItem(CandidatesFor(service), PlacementOf(index), m_context->zone);
+  const ItemPlacement placement = PlacementOf(index);
+  const DirectoryEndpoint* endpoint = ChooseWithPermit(
+      m_context->permits, CandidatesFor(service), [this, &placement](const std::vector<ItemCandidate>& candidates) {
+        return ChooseForItem(candidates, placement, m_context->zone);
+      });
   if (endpoint == nullptr) {
     return false;
   }
@@ -237,7 +241,8 @@
 std::vector<ItemCandidate> BatchRunner::CandidatesFor(const std::string& service) const {
   std::vector<ItemCandidate> candidates;
   for (const DirectoryEndpoint* endpoint : m_context->endpoints->Usable(service)) {
-    candidates.push_back({endpoint, m_context->endpoints->MsPerEvent(*endpoint)});
+    candidates.push_back(
+        {endpoint, m_context->endpoints->MsPerEvent(*endpoint), m_context->endpoints->RespondedLately(*endpoint)});
   }
   return candidates;
 }
@@ -380,6 +385,16 @@
   Retry(index, delay);
 }
 
+// Further items may start on an endpoint that has not responded for a while.
+void BatchRunner::OnEndpointResponse(const std::string& endpoint) {
+  const DirectoryEndpoint* known = m_context->endpoints->Find(endpoint);
+  const bool was_silent = known != nullptr && !m_context->endpoints->RespondedLately(*known);
+  m_context->endpoints->OnResponse(endpoint);
+  if (was_silent && m_items_ready) {
+    m_items_ready();
+  }
+}
+
 void BatchRunner::Retry(size_t index, Duration delay) {
   m_progress.item(index).not_before = Now() + delay;
   if (m_items_ready) {
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -12,6 +12,7 @@
 #include "coordination/endpoint_caller.h"
 #include "coordination/reward_call_dispatcher.h"
 #include "coordination/scheduler.h"
+#include "coordination/send_permits.h"
 #include "coordination/table_store.h"
 #include "state/batch_progress.h"
 #include "state/endpoint_choice.h"
@@ -27,6 +28,8 @@
   const RouteTable* routes = nullptr;
   EndpointDirectory* endpoints = nullptr;
   EndpointCaller* caller = nullptr;
+  // Endpoints have no rate limits if null.
+  SendPermits* permits = nullptr;
   // Decides about the reward calls of all jobs. The BatchCoordinator's own default if null.
   const RewardCallPolicy* reward_call_policy = nullptr;
   // Set by the BatchCoordinator, which owns it.
@@ -137,6 +140,7 @@
   void MoveItem(size_t index, const DirectoryEndpoint& target);
   void StartItemAt(size_t index, const DirectoryEndpoint& endpoint);
   void OnRunEnded(size_t index, const std::string& endpoint, const EndpointCallResult& result);
+  void OnEndpointResponse(const std::string& endpoint);
   void Retry(size_t index, Duration delay);
   // Returns whether the job may use a text that one or more runs have completed.
   bool IsUsable(const EventTranscript& transcript) const;
--- a/src/coordination/rate_limiter.h
+++ b/src/coordination/rate_limiter.h
@@ -1,28 +1,103 @@
 #pragma once
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "coordination/callback_guard.h"
 #include "coordination/endpoint_caller.h"
+#include "coordination/scheduler.h"
+#include "coordination/send_permits.h"
 #include "state/endpoint_directory.h"
+#include "state/request_pacer.h"
 
 namespace quetzalridge {
 
-// Passes calls on to endpoints and records the rate limits that they report in their responses.
-class RateLimiter : public EndpointCaller {
+struct PermitRequest {
+  std::string endpoint;
+  // The endpoint's limit in requests per second, and how long ago the asking instance received it.
+  double limit = 0.0;
+  Duration limit_age;
+};
+
+// Asks another instance for a permit.
+class PermitClient {
+ public:
+  virtual ~PermitClient() = default;
+  // The callback receives nothing if the instance does not answer.
+  virtual void Ask(const std::string& instance, const PermitRequest& request,
+                   std::function<void(std::optional<PermitReply>)> callback) = 0;
+};
+
+// All pointers must outlive the rate limiter.
+struct RateLimiterContext {
+  Scheduler* scheduler = nullptr;
+  EndpointCaller* caller = nullptr;
+  EndpointDirectory* endpoints = nullptr;
+  PermitClient* client = nullptr;
+  // The name of this instance.
+  std::string instance;
+  std::function<std::vector<std::string>()> live_instances;
+};
+
+// Passes calls on to endpoints, and keeps all instances together below the rate limits that endpoints set in their
+// responses. One instance, chosen by rendezvous hashing, grants the permits for an endpoint; the others ask it for one
+// permit for each call.
+class RateLimiter : public EndpointCaller, public SendPermits {
  public:
-  RateLimiter(EndpointCaller* caller, EndpointDirectory* endpoints) : m_caller(caller), m_endpoints(endpoints) {}
+  explicit RateLimiter(RateLimiterContext context) : m_context(std::move(context)) {}
 
+  // A call that needs a permit and has none ends as not sent.
   std::unique_ptr<EndpointExchange> Start(EndpointCall call, EndpointCallObserver* observer) override;
 
+  bool MaySend(const std::string& endpoint) const override;
+  void Request(const std::string& endpoint) override;
+  Duration WaitFor(const std::string& endpoint) const override;
+
+  // Grants or refuses a permit to another instance, or to this one.
+  PermitReply Grant(const PermitRequest& request);
+  // The listener is called when a permit was granted or may be requested again.
+  void AddListener(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
+
  private:
   class Exchange;
+  class UnsentCall;
+
+  // What this instance knows about its own permit for an endpoint.
+  struct Permit {
+    bool requested = false;
+    std::optional<TimePoint> granted_at;
+    // No permit is requested before this time.
+    TimePoint retry_at;
+    std::unique_ptr<Timer> timer;
+  };
+  // The pacer of an endpoint whose permits this instance grants.
+  struct GrantedEndpoint {
+    RequestPacer pacer;
+    double limit = 0.0;
+    // When the instance that reported the limit received it.
+    TimePoint limit_at;
+  };
 
+  TimePoint Now() const { return m_context.scheduler->clock().Now(); }
+  bool IsValid(const Permit& permit) const;
+  // Uses up the permit for one call. Returns false if the endpoint has a limit and this instance has no permit.
+  bool Take(const std::string& endpoint);
+  // The instance that grants the permits for the endpoint; empty if no instance is known.
+  std::string GrantingInstance(const std::string& endpoint) const;
+  void OnReply(const std::string& endpoint, std::optional<PermitReply> reply);
   void OnRateLimit(const std::string& endpoint, std::optional<double> limit);
+  void RemoveUnused();
 
-  EndpointCaller* m_caller;
-  EndpointDirectory* m_endpoints;
+  RateLimiterContext m_context;
+  std::map<std::string, Permit> m_permits;
+  std::map<std::string, GrantedEndpoint> m_granted_endpoints;
+  std::vector<std::function<void()>> m_listeners;
+  CallbackGuard m_guard;
 };
 
 }  // namespace quetzalridge
--- a/src/coordination/reward_call_dispatcher.cc
+++ b/src/coordination/reward_call_dispatcher.cc
@@ -152,7 +152,10 @@
       std::remove_if(usable.begin(), usable.end(),
                      [this](const DirectoryEndpoint* endpoint) { return !m_context.policy->CanTake(*endpoint); }),
       usable.end());
-  const DirectoryEndpoint* endpoint = ChooseForRequest(usable, m_context.zone, pending->tried, &m_random);
+  const DirectoryEndpoint* endpoint = ChooseWithPermit(
+      m_context.permits, usable, [this, pending](const std::vector<const DirectoryEndpoint*>& candidates) {
+        return ChooseForRequest(candidates, m_context.zone, pending->tried, &m_random);
+      });
   if (endpoint == nullptr) {
     return;
   }
--- a/src/coordination/reward_call_dispatcher.h
+++ b/src/coordination/reward_call_dispatcher.h
@@ -11,6 +11,7 @@
 #include "base/random.h"
 #include "coordination/endpoint_caller.h"
 #include "coordination/scheduler.h"
+#include "coordination/send_permits.h"
 #include "state/batch_job.h"
 #include "state/endpoint_directory.h"
 #include "state/reward_call_policy.h"
@@ -24,6 +25,8 @@
   const RouteTable* routes = nullptr;
   EndpointDirectory* endpoints = nullptr;
   EndpointCaller* caller = nullptr;
+  // Endpoints have no rate limits if null.
+  SendPermits* permits = nullptr;
   const RewardCallPolicy* policy = nullptr;
   std::string zone;
   // Number of instances that send reward calls, including this one.
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -28,6 +28,9 @@
 constexpr Duration kStreamIdleTimeout = Duration::Seconds(10);
 // The `retry-after` sent if no endpoint is available. An endpoint that restarts is back after a few seconds.
 constexpr Duration kNoEndpointRetryAfter = Duration::Milliseconds(500);
+// Longest time for which a request waits for a permit if all endpoints limit the rate of requests. Callers can return
+// later, so the wait covers only gaps between requests, not an overload.
+constexpr Duration kMaxPermitWait = Duration::Milliseconds(300);
 // A refused request is retried elsewhere at the end of the refusal, which is brief. Afterwards the rest of the refusal
 // is not awaited: it may come slowly, or have no end.
 constexpr Duration kMaxRefusalTime = Duration::Milliseconds(200);
@@ -65,7 +68,10 @@
         m_responder(std::move(responder)),
         m_started_at(Now()) {}
 
-  ~Request() override { EndCall(); }
+  ~Request() override {
+    EndCall();
+    StopWaiting();
+  }
 
   void Start() {
     Duration limit = m_route.timeout > Duration() ? m_route.timeout : kDefaultTimeout;
@@ -78,6 +84,9 @@
     StartAttempt();
   }
 
+  // Sends the request to the next endpoint, waits for a permit, or sends a failure if no endpoint can take the request.
+  void StartAttempt();
+
   void OnHead(const EndpointResponseHead& head) override {
     m_head = head;
     m_forwarder->m_context.endpoints->OnResponse(m_endpoint);
@@ -171,39 +180,33 @@
   }
   bool HasTimeLeft() const { return m_deadline - Now() > kMinTimeLeft + kResponseMargin; }
 
-  void StartAttempt() {
-    const std::string& service = ChooseService(m_route, Hash64(m_request.id));
-    const std::vector<const DirectoryEndpoint*> usable = m_forwarder->m_context.endpoints->Usable(service);
-    const DirectoryEndpoint* endpoint =
-        ChooseForRequest(usable, m_forwarder->m_context.zone, m_tried, &m_forwarder->m_random);
-    // ChooseForRequest returns an endpoint that was already tried only if there is no other. Such an endpoint is tried
-    // again until the limit of refusals is reached.
-    const bool refusals_exhausted =
-        endpoint != nullptr && m_tried.count(endpoint->entry.id) > 0 && m_refusals >= kMaxRefusals;
-    if (endpoint == nullptr || refusals_exhausted) {
-      SendFailure(false);
-      return;
+  // Waits for a permit for one of the endpoints, unless none can be had in time. Returns whether the request waits.
+  bool WaitForPermit(const std::vector<const DirectoryEndpoint*>& usable) {
+    const Duration time_left = m_deadline - Now() - kMinTimeLeft - kResponseMargin;
+    if (!m_permit_deadline.has_value()) {
+      m_permit_deadline = Now() + std::min(kMaxPermitWait, time_left);
+    }
+    Duration shortest = kDefaultTimeout;
+    for (const DirectoryEndpoint* endpoint : usable) {
+      shortest = std::min(shortest, m_forwarder->m_context.permits->WaitFor(endpoint->entry.id));
+    }
+    m_permit_wait = shortest;
+    const Duration remaining = *m_permit_deadline - Now();
+    if (remaining <= Duration() || shortest > remaining) {
+      return false;
+    }
+    m_waiting = true;
+    m_forwarder->m_waiting.insert({m_route.priority, m_number});
+    m_permit_timer = m_forwarder->m_context.scheduler->After(remaining, [this] { StartAttempt(); });
+    return true;
+  }
+
+  void StopWaiting() {
+    if (m_waiting) {
+      m_forwarder->m_waiting.erase({m_route.priority, m_number});
+      m_permit_timer.reset();
+      m_waiting = false;
     }
-    m_head.reset();
-    m_body.clear();
-    m_endpoint = endpoint->entry.id;
-    m_tried.insert(m_endpoint);
-    EndpointCall call;
-    call.endpoint_id = m_endpoint;
-    call.address = endpoint->entry.address;
-    call.method = m_request.method;
-    call.host = m_request.host;
-    call.target = m_request.target;
-    call.headers = m_request.headers;
-    call.body = m_request.body;
-    call.request_id = m_request.id;
-    call.workspace = m_workspace;
-    call.time_left = m_deadline - Now() - kResponseMargin;
-    call.head_timeout = call.time_left;
-    call.idle_timeout = m_route.kind == RouteKind::kStream ? kStreamIdleTimeout : call.time_left;
-    m_forwarder->m_context.endpoints->OnCallStarted(m_endpoint);
-    m_call_counted = true;
-    m_exchange = m_forwarder->m_context.endpoint_caller->Start(std::move(call), this);
   }
 
   void EndCall() {
@@ -269,9 +272,12 @@
       return;
     }
     if (!m_may_have_run && !timed_out) {
-      LogEnd(LogEvent::kRequestRefused, m_refusals > 0 ? "all endpoints are full" : "no endpoint is reachable");
+      const bool limited = m_permit_deadline.has_value();
+      LogEnd(LogEvent::kRequestRefused, limited          ? "the rate limits of all endpoints are reached"
+                                        : m_refusals > 0 ? "all endpoints are full"
+                                                         : "no endpoint is reachable");
       SendError(m_responder.get(), ErrorCode::kNoEndpoint, "no endpoint can take the request now; send it again later",
-                RequestRan::kNo, kNoEndpointRetryAfter);
+                RequestRan::kNo, std::max(m_permit_wait, kNoEndpointRetryAfter));
       Finish(RequestOutcome::kRefused);
       return;
     }
@@ -283,6 +289,7 @@
   }
 
   void OnDeadline() {
+    StopWaiting();
     m_exchange.reset();
     m_refusal_timer.reset();
     EndCall();
@@ -349,6 +356,7 @@
     m_forwarder->m_context.metrics->OnRequestEnd(record);
     m_exchange.reset();
     EndCall();
+    StopWaiting();
     m_responder->SetCloseCallback(nullptr);
     m_deadline_timer = m_forwarder->m_context.scheduler->After(
         Duration(), [forwarder = m_forwarder, number = m_number] { forwarder->m_active.erase(number); });
@@ -380,6 +388,13 @@
   // Number of attempts that an endpoint may have run.
   int m_run_count = 0;
   int m_refusals = 0;
+  // Until when the request may wait for a permit; set when it begins to wait.
+  std::optional<TimePoint> m_permit_deadline;
+  // The shortest time until a permit may be had, when the request last had none.
+  Duration m_permit_wait;
+  std::unique_ptr<Timer> m_permit_timer;
+  // The request is in RequestForwarder::m_waiting.
+  bool m_waiting = false;
   bool m_may_have_run = false;
   // The call is reported to the endpoint directory as in flight.
   bool m_call_counted = false;
@@ -388,10 +403,64 @@
   bool m_usage_counted = false;
 };
 
+void RequestForwarder::Request::StartAttempt() {
+  StopWaiting();
+  const std::string& service = ChooseService(m_route, Hash64(m_request.id));
+  const std::vector<const DirectoryEndpoint*> usable = m_forwarder->m_context.endpoints->Usable(service);
+  const DirectoryEndpoint* endpoint = ChooseWithPermit(
+      m_forwarder->m_context.permits, usable, [this](const std::vector<const DirectoryEndpoint*>& candidates) {
+        return ChooseForRequest(candidates, m_forwarder->m_context.zone, m_tried, &m_forwarder->m_random);
+      });
+  if (endpoint == nullptr && !usable.empty() && WaitForPermit(usable)) {
+    return;
+  }
+  // ChooseForRequest returns an endpoint that was already tried only if there is no other. Such an endpoint is tried
+  // again until the limit of refusals is reached.
+  const bool refusals_exhausted =
+      endpoint != nullptr && m_tried.count(endpoint->entry.id) > 0 && m_refusals >= kMaxRefusals;
+  if (endpoint == nullptr || refusals_exhausted) {
+    SendFailure(false);
+    return;
+  }
+  m_head.reset();
+  m_body.clear();
+  m_endpoint = endpoint->entry.id;
+  m_tried.insert(m_endpoint);
+  EndpointCall call;
+  call.endpoint_id = m_endpoint;
+  call.address = endpoint->entry.address;
+  call.method = m_request.method;
+  call.host = m_request.host;
+  call.target = m_request.target;
+  call.headers = m_request.headers;
+  call.body = m_request.body;
+  call.request_id = m_request.id;
+  call.workspace = m_workspace;
+  call.time_left = m_deadline - Now() - kResponseMargin;
+  call.head_timeout = call.time_left;
+  call.idle_timeout = m_route.kind == RouteKind::kStream ? kStreamIdleTimeout : call.time_left;
+  m_forwarder->m_context.endpoints->OnCallStarted(m_endpoint);
+  m_call_counted = true;
+  m_exchange = m_forwarder->m_context.endpoint_caller->Start(std::move(call), this);
+}
+
 RequestForwarder::RequestForwarder(ForwarderContext context, uint64_t seed)
     : m_context(std::move(context)), m_random(seed) {}
 
-RequestForwarder::~RequestForwarder() = default;
+RequestForwarder::~RequestForwarder() {
+  // The requests refer to the other members.
+  m_active.clear();
+}
+
+void RequestForwarder::OnPermits() {
+  const std::set<std::pair<int, uint64_t>> waiting = m_waiting;
+  for (const auto& [priority, number] : waiting) {
+    const auto request = m_active.find(number);
+    if (request != m_active.end()) {
+      request->second->StartAttempt();
+    }
+  }
+}
 
 void RequestForwarder::Forward(IncomingRequest request, const ServiceRoute& route, const std::string& workspace,
                                std::shared_ptr<HttpResponder> responder) {
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -3,12 +3,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 
 #include "base/error.h"
 #include "base/random.h"
 #include "coordination/endpoint_caller.h"
 #include "coordination/scheduler.h"
+#include "coordination/send_permits.h"
 #include "coordination/usage_sink.h"
 #include "daemon/request_metrics.h"
 #include "gateway/incoming_request.h"
@@ -24,6 +27,7 @@
   const RouteTable* routes = nullptr;
   EndpointDirectory* endpoints = nullptr;
   EndpointCaller* endpoint_caller = nullptr;
+  SendPermits* permits = nullptr;
   UsageSink* usage = nullptr;
   RequestMetrics* metrics = nullptr;
   // The availability zone of this instance.
@@ -42,6 +46,9 @@
   // `workspace` is empty on routes that need no key.
   void Forward(IncomingRequest request, const ServiceRoute& route, const std::string& workspace,
                std::shared_ptr<HttpResponder> responder);
+  // Called when a permit was granted or may be requested again. Starts the requests that wait for one, those with
+  // the highest priority first.
+  void OnPermits();
   // Number of requests in flight.
   int active() const { return static_cast<int>(m_active.size()); }
 
@@ -53,6 +60,8 @@
   Random m_random;
   std::map<uint64_t, std::unique_ptr<Request>> m_active;
   uint64_t m_next_request = 0;
+  // Requests that wait for a permit: the priority of the route and the number of the request.
+  std::set<std::pair<int, uint64_t>> m_waiting;
 };
 
 // Sends an error of this service as the response. `retry_after` is sent if it is positive.
--- a/src/state/endpoint_choice.cc
+++ b/src/state/endpoint_choice.cc
@@ -18,8 +18,13 @@
   return static_cast<double>(endpoint.in_flight) / std::max(endpoint.entry.slots, 1);
 }
 
+// An endpoint that has not responded for a while may have set a rate limit or have stopped, so it gets one item until
+// it responds.
 bool CanTake(const ItemCandidate& candidate, const ItemPlacement& placement) {
   const EndpointEntry& entry = candidate.endpoint->entry;
+  if (candidate.endpoint->in_flight > 0 && !candidate.responded_lately) {
+    return false;
+  }
   const auto version = entry.model_versions.find(placement.model);
   return candidate.endpoint->in_flight < entry.slots && version != entry.model_versions.end() &&
          version->second >= placement.oldest_version;
@@ -91,7 +96,10 @@
   const ItemCandidate* best = nullptr;
   for (const ItemCandidate& candidate : candidates) {
     const bool known = candidate.ms_per_event > 0.0 && candidate.endpoint != current.endpoint;
-    if (known && CanTake(candidate, placement) && (best == nullptr || candidate.ms_per_event < best->ms_per_event)) {
+    // A move would use up a request that a waiting item needs more.
+    const bool limited = candidate.endpoint->rate_limit.has_value();
+    if (known && !limited && CanTake(candidate, placement) &&
+        (best == nullptr || candidate.ms_per_event < best->ms_per_event)) {
       best = &candidate;
     }
   }
--- a/src/state/endpoint_choice.h
+++ b/src/state/endpoint_choice.h
@@ -27,10 +27,11 @@
   std::string avoided_endpoint;
 };
 
-// An endpoint that may take an item, with its measured speed; see EndpointDirectory::MsPerEvent.
+// An endpoint that may take an item, with its measured speed; see EndpointDirectory::MsPerEvent and RespondedLately.
 struct ItemCandidate {
   const DirectoryEndpoint* endpoint = nullptr;
   double ms_per_event = 0.0;
+  bool responded_lately = true;
 };
 
 // Returns the endpoint for an item of a batch job: one with a free slot and a version of the model that the job
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -18,6 +18,8 @@
 constexpr double kEventIntervalWeight = 0.1;
 // A slow endpoint gets no work and hence no new measurements. Its speed has to be forgotten so that it is tried again.
 constexpr Duration kSpeedLifetime = Duration::Seconds(4);
+// What a response says about an endpoint, such as its rate limit, may have changed after this time.
+constexpr Duration kResponseLifetime = Duration::Seconds(2);
 // Longer than the registry keeps the address of an endpoint that has stopped.
 constexpr Duration kAvoidanceWhenReassigned = Duration::Seconds(10);
 
@@ -110,6 +112,10 @@
   return m_clock->Now() - endpoint.last_event_at <= kSpeedLifetime ? endpoint.ms_per_event : 0.0;
 }
 
+bool EndpointDirectory::RespondedLately(const DirectoryEndpoint& endpoint) const {
+  return m_clock->Now() - std::max(endpoint.responded_at, endpoint.last_event_at) <= kResponseLifetime;
+}
+
 void EndpointDirectory::OnCallStarted(const std::string& id) {
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     ++endpoint->in_flight;
@@ -125,6 +131,7 @@
 void EndpointDirectory::OnResponse(const std::string& id) {
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     endpoint->failures = 0;
+    endpoint->responded_at = m_clock->Now();
   }
 }
 
@@ -154,6 +161,7 @@
 void EndpointDirectory::OnRateLimit(const std::string& id, std::optional<double> limit) {
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     endpoint->rate_limit = limit;
+    endpoint->rate_limit_at = m_clock->Now();
   }
 }
 
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -42,12 +42,14 @@
   // Moving mean of the time between two events of a streamed response; 0 if unknown.
   double ms_per_event = 0.0;
   TimePoint last_event_at;
+  TimePoint responded_at;
   // Consecutive calls that got no response.
   int failures = 0;
   // The endpoint gets no work until this time.
   TimePoint avoid_until;
   // Number of requests per second that the endpoint accepts from all instances together, as in its latest response.
   std::optional<double> rate_limit;
+  TimePoint rate_limit_at;
   // The registry no longer has the entry; see EndpointDirectory::Update.
   bool missing = false;
   TimePoint missing_since;
@@ -85,6 +87,8 @@
   void OnEventInterval(const std::string& id, Duration interval);
   // Returns the mean time between two events; 0 if no event was recorded in the last few seconds.
   double MsPerEvent(const DirectoryEndpoint& endpoint) const;
+  // Whether the endpoint has responded, or sent an event, within the last few seconds.
+  bool RespondedLately(const DirectoryEndpoint& endpoint) const;
   void OnCallStarted(const std::string& id);
   void OnCallEnded(const std::string& id);
   // Records that the endpoint has responded, which resets its failure count.
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -265,6 +265,23 @@
     table.request_timeout = Duration::Milliseconds(1200);
   }
 
+  // Asks another instance of the fixture for permits. Paused and killed instances do not answer.
+  class FixturePermitClient : public PermitClient {
+   public:
+    explicit FixturePermitClient(BatchFixture* fixture) : m_fixture(fixture) {}
+    void Ask(const std::string& instance, const PermitRequest& request,
+             std::function<void(std::optional<PermitReply>)> callback) override {
+      m_fixture->scheduler.Post(Duration::Milliseconds(1), [fixture = m_fixture, instance, request, callback] {
+        const auto found = fixture->instances.find(instance);
+        const bool answers = found != fixture->instances.end() && fixture->m_silent_since.count(instance) == 0;
+        callback(answers ? std::optional<PermitReply>(found->second->caller.Grant(request)) : std::nullopt);
+      });
+    }
+
+   private:
+    BatchFixture* m_fixture;
+  };
+
   struct Instance {
     Instance(BatchFixture* fixture, const std::string& name, int start)
         : process(&fixture->scheduler),
@@ -272,7 +289,8 @@
           store(&connection, fixture->m_drops),
           directory(&process.clock()),
           engines(&fixture->engines, &process, name),
-          caller(&engines, &directory),
+          permits(fixture),
+          caller({&process, &engines, &directory, &permits, name, fixture->Fleet(name).live_instances}),
           coordinator(Context(fixture, name, start), fixture->Fleet(name), kBatchRetention) {
       ServiceRoute route;
       route.name = "hides";
@@ -307,6 +325,7 @@
         entries.push_back(entry);
       }
       directory.Update(entries, false);
+      caller.AddListener([this] { coordinator.ScheduleStartItems(); });
       coordinator.Start();
     }
     BatchContext Context(BatchFixture* fixture, const std::string& name, int start) {
@@ -316,6 +335,7 @@
       context.routes = &routes;
       context.endpoints = &directory;
       context.caller = &caller;
+      context.permits = &caller;
       context.wall_ms = [fixture] { return fixture->scheduler.Now().ms(); };
       context.instance = name;
       context.incarnation = name + "-" + std::to_string(start);
@@ -329,6 +349,7 @@
     RouteTable routes;
     EndpointDirectory directory;
     FakeEngineCaller engines;
+    FixturePermitClient permits;
     RateLimiter caller;
     BatchCoordinator coordinator;
   };
--- a/tests/coordination/rate_limiter_test.cc
+++ b/tests/coordination/rate_limiter_test.cc
@@ -33,7 +33,7 @@
   return static_cast<int>(most);
 }
 
-TEST_CASE("endpoints with a rate limit get no more items from all instances than it allows", "[!shouldfail]") {
+TEST_CASE("endpoints with a rate limit get no more items from all instances than it allows") {
   BatchFixture fixture(1);
   fixture.engines.event_gap = Duration::Milliseconds(100);
   fixture.engines.rate_limits = {{"engine-0", kLimit}, {"engine-1", kLimit}};
@@ -51,5 +51,157 @@
   }
 }
 
+// Answers the calls of one instance with a head that names a limit, at once.
+class LimitedEndpoint : public EndpointCaller {
+ public:
+  std::unique_ptr<EndpointExchange> Start(EndpointCall, EndpointCallObserver* observer) override {
+    ++calls;
+    EndpointResponseHead head;
+    head.status = 200;
+    head.rate_limit = limit;
+    observer->OnHead(head);
+    return nullptr;
+  }
+  std::optional<double> limit = 2.0;
+  int calls = 0;
+};
+
+class SilentObserver : public EndpointCallObserver {
+ public:
+  void OnHead(const EndpointResponseHead&) override {}
+  void OnBody(std::string_view) override {}
+  void OnEvent(const StreamEvent&) override {}
+  void OnEnd(const EndpointCallResult& received) override { result = received; }
+  std::optional<EndpointCallResult> result;
+};
+
+class ScriptedPermitClient : public PermitClient {
+ public:
+  void Ask(const std::string& instance, const PermitRequest&,
+           std::function<void(std::optional<PermitReply>)> callback) override {
+    asked.push_back(instance);
+    reply = std::move(callback);
+  }
+  std::vector<std::string> asked;
+  std::function<void(std::optional<PermitReply>)> reply;
+};
+
+struct LimiterFixture {
+  LimiterFixture() {
+    EndpointEntry entry;
+    entry.id = "e";
+    entry.service = "s";
+    directory.Update({entry}, false);
+  }
+  // Returns whether the call was sent.
+  bool Call() {
+    const int before = endpoint.calls;
+    EndpointCall call;
+    call.endpoint_id = "e";
+    exchange = limiter.Start(std::move(call), &observer);
+    scheduler.Advance(Duration::Milliseconds(1));
+    return endpoint.calls > before;
+  }
+
+  ManualScheduler scheduler;
+  EndpointDirectory directory{&scheduler.clock()};
+  LimitedEndpoint endpoint;
+  ScriptedPermitClient client;
+  std::vector<std::string> live = {"other"};
+  RateLimiter limiter{{&scheduler, &endpoint, &directory, &client, "own", [this] { return live; }}};
+  SilentObserver observer;
+  std::unique_ptr<EndpointExchange> exchange;
+};
+
+// Guards against callers that forget to ask for a permit.
+TEST_CASE("a call to an endpoint with a rate limit is not sent without a permit") {
+  LimiterFixture fixture;
+  REQUIRE(fixture.Call());
+  CHECK(!fixture.limiter.MaySend("e"));
+  CHECK(!fixture.Call());
+  REQUIRE(fixture.observer.result.has_value());
+  CHECK(fixture.observer.result->outcome == EndpointCallOutcome::kNotSent);
+}
+
+TEST_CASE("a permit allows one call and is lost when it is not used") {
+  LimiterFixture fixture;
+  REQUIRE(fixture.Call());
+  fixture.limiter.Request("e");
+  REQUIRE(fixture.client.asked == std::vector<std::string>{"other"});
+  fixture.client.reply(PermitReply{true, Duration()});
+  CHECK(fixture.Call());
+  CHECK(!fixture.Call());
+  fixture.limiter.Request("e");
+  fixture.client.reply(PermitReply{true, Duration()});
+  fixture.scheduler.Advance(Duration::Seconds(5));
+  CHECK(!fixture.Call());
+}
+
+TEST_CASE("an instance that does not answer is asked again after a while, and no call is sent meanwhile") {
+  LimiterFixture fixture;
+  REQUIRE(fixture.Call());
+  fixture.limiter.Request("e");
+  fixture.client.reply(std::nullopt);
+  fixture.limiter.Request("e");
+  CHECK(fixture.client.asked.size() == 1);
+  CHECK(!fixture.Call());
+  fixture.scheduler.Advance(Duration::Milliseconds(300));
+  fixture.limiter.Request("e");
+  CHECK(fixture.client.asked.size() == 2);
+}
+
+TEST_CASE("calls need no permit once the endpoint has lifted its limit or has restarted") {
+  LimiterFixture fixture;
+  REQUIRE(fixture.Call());
+  EndpointEntry restarted;
+  restarted.id = "e";
+  restarted.service = "s";
+  restarted.started_at_ms = 7;
+  fixture.directory.Update({restarted}, false);
+  CHECK(fixture.Call());
+  CHECK(!fixture.Call());
+  fixture.endpoint.limit.reset();
+  fixture.limiter.Request("e");
+  fixture.client.reply(PermitReply{true, Duration()});
+  CHECK(fixture.Call());
+  CHECK(fixture.Call());
+}
+
+TEST_CASE("the newest limit that any instance has received decides") {
+  LimiterFixture fixture;
+  fixture.limiter.Grant({"e", 1.0, Duration()});
+  fixture.scheduler.Advance(Duration::Seconds(10));
+  // An older limit does not replace the newer one.
+  CHECK(fixture.limiter.Grant({"e", 1000.0, Duration::Seconds(30)}).granted);
+  CHECK(fixture.limiter.Grant({"e", 1.0, Duration::Seconds(10)}).granted);
+  CHECK(!fixture.limiter.Grant({"e", 1000.0, Duration::Seconds(30)}).granted);
+}
+
+// Guards against an excess while instances do not agree on who grants the permits, and after a restart.
+TEST_CASE("a rate limit holds while instances restart and pause") {
+  BatchFixture fixture(1);
+  fixture.engines.event_gap = Duration::Milliseconds(100);
+  fixture.engines.rate_limits = {{"engine-0", kLimit}, {"engine-1", kLimit}, {"engine-2", kLimit}};
+  for (const char* name : {"one", "two", "three", "four"}) {
+    fixture.StartInstance(name);
+  }
+  const TimePoint start = fixture.scheduler.Now();
+  for (const char* name : {"one", "two", "three"}) {
+    REQUIRE(fixture.Submit(name, BatchFixture::MakeJob(std::string("job-of-") + name, 300)) ==
+            SubmitOutcome::kAccepted);
+  }
+  fixture.scheduler.Advance(Duration::Seconds(4));
+  fixture.KillInstance("two");
+  fixture.scheduler.Advance(Duration::Seconds(2));
+  fixture.StartInstance("two");
+  fixture.PauseInstance("four");
+  fixture.scheduler.Advance(Duration::Seconds(5));
+  fixture.ResumeInstance("four");
+  fixture.scheduler.Advance(Duration::Seconds(10));
+  for (const char* endpoint : {"engine-0", "engine-1", "engine-2"}) {
+    CHECK(MostRunsInWindow(fixture.engines.runs, endpoint, start + kNotice) <= kMostCalls);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,18 @@
   void OnRequestEnd(const RequestRecord&) override {}
 };
 
+class TestPermits : public SendPermits {
+ public:
+  bool MaySend(const std::string& endpoint) const override { return limited.count(endpoint) == 0; }
+  void Request(const std::string& endpoint) override { requested.insert(endpoint); }
+  Duration WaitFor(const std::string&) const override { return wait; }
+
+  // Endpoints with a rate limit for which there is no permit.
+  std::set<std::string> limited;
+  std::set<std::string> requested;
+  Duration wait;
+};
+
 struct ForwarderFixture {
   ForwarderFixture() {
     std::vector<EndpointEntry> entries(2);
@@ -117,9 +130,10 @@
   RouteTable routes;
   EndpointDirectory directory{&scheduler.clock()};
   ScriptedEndpoints endpoints;
+  TestPermits permits;
   NoUsage usage;
   NoMetrics metrics;
-  RequestForwarder forwarder{{&scheduler, &routes, &directory, &endpoints, &usage, &metrics, "a"}, 1};
+  RequestForwarder forwarder{{&scheduler, &routes, &directory, &endpoints, &permits, &usage, &metrics, "a"}, 1};
   CallerView view;
 };
 
@@ -186,5 +200,44 @@
   CHECK_FALSE(fixture.view.ended);
 }
 
+TEST_CASE("a request goes to an endpoint without a rate limit while there is no permit for the other") {
+  ForwarderFixture fixture;
+  fixture.permits.limited = {"e0"};
+  fixture.Send(RouteKind::kNonIdempotent);
+  REQUIRE(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.endpoints.attempts[0]->call.endpoint_id == "e1");
+}
+
+TEST_CASE("a request waits for a permit and is sent when there is one") {
+  ForwarderFixture fixture;
+  fixture.permits.limited = {"e0", "e1"};
+  fixture.Send(RouteKind::kNonIdempotent);
+  CHECK(fixture.endpoints.attempts.empty());
+  CHECK(!fixture.permits.requested.empty());
+  fixture.permits.limited = {"e1"};
+  fixture.forwarder.OnPermits();
+  REQUIRE(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.endpoints.attempts[0]->call.endpoint_id == "e0");
+}
+
+// Guards against requests that are held until their deadline although no endpoint may take them.
+TEST_CASE("a request is refused as not run when no permit can be had soon") {
+  ForwarderFixture fixture;
+  fixture.permits.limited = {"e0", "e1"};
+  fixture.Send(RouteKind::kNonIdempotent);
+  CHECK(fixture.view.status == 0);
+  fixture.scheduler.Advance(Duration::Milliseconds(400));
+  CHECK(fixture.view.status == 503);
+  CHECK(fixture.endpoints.attempts.empty());
+}
+
+TEST_CASE("a request is refused at once when the next permit comes too late for it") {
+  ForwarderFixture fixture;
+  fixture.permits.limited = {"e0", "e1"};
+  fixture.permits.wait = Duration::Seconds(2);
+  fixture.Send(RouteKind::kNonIdempotent);
+  CHECK(fixture.view.status == 503);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/platform/endpoint_client_test.cc
+++ b/tests/platform/endpoint_client_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "tests/fakes/raw_server.h"
 
@@ -126,5 +127,23 @@
   CHECK(error_fixture.recorder.result->outcome == EndpointCallOutcome::kTruncated);
 }
 
+TEST_CASE("the rate limit of a response is reported, and a malformed one is ignored") {
+  const std::pair<const char*, std::optional<double>> cases[] = {
+      {"4.5", 4.5}, {"0", std::nullopt}, {"-1", std::nullopt}, {"many", std::nullopt}, {"inf", std::nullopt}};
+  for (const auto& [text, limit] : cases) {
+    INFO(text);
+    ClientFixture fixture;
+    fixture.Start(true, Duration::Seconds(60));
+    const std::string head = std::string("HTTP/1.1 200 OK\r\nx-quetzalridge-server-stamp: s\r\nserver-limit: ") + text +
+                             "\r\ncontent-length: 0\r\n\r\n";
+    for (int i = 0; i < 1000 && !fixture.recorder.head.has_value(); ++i) {
+      fixture.server.Poll(head);
+      fixture.loop.RunOnce(Duration::Milliseconds(1));
+    }
+    REQUIRE(fixture.recorder.head.has_value());
+    CHECK(fixture.recorder.head->rate_limit == limit);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge::platform
--- a/tests/state/endpoint_choice_test.cc
+++ b/tests/state/endpoint_choice_test.cc
@@ -45,6 +45,15 @@
   CHECK(ChooseForItem({{&full, 0}, {&old, 0}}, MakePlacement(), "a") == nullptr);
 }
 
+// Guards against many items at once on an endpoint that has set a rate limit or stopped since its last response.
+TEST_CASE("an endpoint that has not responded lately gets one item until it responds") {
+  const DirectoryEndpoint idle = MakeEndpoint("idle", 0);
+  const DirectoryEndpoint started = MakeEndpoint("started", 1);
+  CHECK(ChooseForItem({{&idle, 0, false}}, MakePlacement(), "a") == &idle);
+  CHECK(ChooseForItem({{&started, 0, false}}, MakePlacement(), "a") == nullptr);
+  CHECK(ChooseForItem({{&started, 0, true}}, MakePlacement(), "a") == &started);
+}
+
 // Guards against long items on slow endpoints while fast ones have free slots.
 TEST_CASE("an item prefers fast endpoints, then the one that has its prompt in the cache") {
   const DirectoryEndpoint slow = MakeEndpoint("slow", 0);
