Log the software version of endpoints, and show texts joined from two

Cause: runs of an item continue its text on any endpoint. No line had the software version, so nothing could tell whether moves, takeovers or the registry join two versions. Change: the version is decoded from the registry (an entry without it is malformed) and logged with each sent item. The logic is unchanged.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -317,6 +317,7 @@
       {{"job", m_spec.id},
        {"item", item.id},
        {"endpoint", endpoint->entry.id},
+       {"software", endpoint->entry.software_version},
        {"endpoint_in_flight", std::to_string(endpoint->in_flight)},
        {"model_version", std::to_string(version == endpoint->entry.model_versions.end() ? 0 : version->second)},
        {"resume_after", call.resume_after.has_value() ? std::to_string(*call.resume_after) : "-"},
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -24,6 +24,8 @@
   std::string address;
   std::string zone;
   EndpointPhase phase = EndpointPhase::kReady;
+  // Version of the endpoint's software. Versions have no order.
+  std::string software_version;
   // Number of requests that the endpoint can run at the same time.
   int slots = 1;
   // Unix time at which the endpoint was started, used to detect a restart under the same id. 0 if unknown.
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -61,6 +61,10 @@
   std::map<std::string, int> long_items;
   // Requests per second that an endpoint accepts from all instances together, by endpoint id.
   std::map<std::string, double> rate_limits;
+  // Endpoints that have left the registry.
+  std::set<std::string> stopped;
+  // Software versions of endpoints, by endpoint id.
+  std::map<std::string, std::string> software_versions;
   double truncation_chance = 0.0;
   double refusal_chance = 0.0;
   // Status with which each run of an item fails, by item id.
@@ -304,6 +308,12 @@
       config.version = 1;
       config.routes = {route, ScoreRoute()};
       routes.Apply(config);
+      ReadRegistry(fixture);
+      caller.AddListener([this] { coordinator.ScheduleStartItems(); });
+      coordinator.Start();
+    }
+    // Reads the endpoints that are not stopped.
+    void ReadRegistry(BatchFixture* fixture) {
       std::vector<EndpointEntry> entries;
       for (int i = 0; i < 4; ++i) {
         EndpointEntry entry;
@@ -313,7 +323,10 @@
         entry.zone = "a";
         entry.slots = 4;
         entry.model_versions[kBatchModel] = 1;
-        entries.push_back(entry);
+        entry.software_version = fixture->engines.software_versions[entry.id];
+        if (fixture->engines.stopped.count(entry.id) == 0) {
+          entries.push_back(entry);
+        }
       }
       for (int i = 0; i < kScoreEndpoints; ++i) {
         EndpointEntry entry;
@@ -325,8 +338,6 @@
         entries.push_back(entry);
       }
       directory.Update(entries, false);
-      caller.AddListener([this] { coordinator.ScheduleStartItems(); });
-      coordinator.Start();
     }
     BatchContext Context(BatchFixture* fixture, const std::string& name, int start) {
       BatchContext context;
--- a/tests/platform/decoding_test.cc
+++ b/tests/platform/decoding_test.cc
@@ -117,6 +117,7 @@
   CHECK(entry->id == "i-1");
   CHECK(entry->service == "s1");
   CHECK(entry->slots == 12);
+  CHECK(entry->software_version == "v1");
   CHECK(entry->started_at_ms == 1700000000000);
   CHECK(entry->model_versions.at("m0") == 4);
 }
@@ -124,8 +125,14 @@
 // Guards against a malformed entry, which another program wrote, that crashes the process or is used as an endpoint.
 TEST_CASE("malformed registry entries are not used as endpoints") {
   const std::pair<std::string, std::string> replacements[] = {
-      {"\"ready\"", "\"sleeping\""},          {"\"ready\"", "7"}, {"12", "\"12\""},
-      {"\"10.128.0.9:8080\"", "\"nowhere\""}, {"\"s1\"", "null"}, {"12", "-1"},
+      {"\"ready\"", "\"sleeping\""},
+      {"\"ready\"", "7"},
+      {"12", "\"12\""},
+      {"\"10.128.0.9:8080\"", "\"nowhere\""},
+      {"\"s1\"", "null"},
+      {"12", "-1"},
+      {"\"v1\"", "1"},
+      {"\"Version\":\"v1\",", ""},
   };
   for (const auto& [from, to] : replacements) {
     std::string text = kEntry;
