Place an item again within a second after endpoints crashed under it

What callers saw: an item under which several endpoints had crashed waited for 20 s, and its step ended without it. Cause: after three runs in a row without a new event, the item was taken for the cause. A burst of crashes meets the same item several times by chance, and items are never the cause.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -39,10 +39,10 @@
 // it for this time. Most texts are generated in less.
 constexpr Duration kMaxContinuationWait = Duration::Milliseconds(1500);
 constexpr Duration kFailedRunRetryDelay = Duration::Milliseconds(200);
-// If this many runs of an item in a row end without a new event, the item itself may be what makes its endpoints fail.
-// Its further attempts are spread over the time that is left for it.
-constexpr int kMaxRunsWithoutProgress = 3;
-constexpr Duration kNoProgressRetryDelay = Duration::Seconds(20);
+// The delay doubles with each run in a row that ends without a new event, up to this limit. It stays short, since
+// endpoints that crash under an item are not a sign that the item is at fault, and its step waits for it.
+constexpr Duration kMaxRetryDelay = Duration::Seconds(1);
+constexpr int kMaxRetryDoublings = 5;
 constexpr int kTransactionIdBytes = 8;
 // Partial texts are stored at this interval if enough new events have arrived. Only items that take several seconds
 // reach that number, and the loss of the text of such an item would delay a whole training step.
@@ -415,8 +415,9 @@
   Duration delay = refused ? Duration() : kRetryDelay;
   if (status == kStatusRunFailed) {
     delay = kFailedRunRetryDelay;
-  } else if (item.runs_without_progress >= kMaxRunsWithoutProgress) {
-    delay = kNoProgressRetryDelay;
+  } else if (no_progress) {
+    const int doublings = std::min(item.runs_without_progress - 1, kMaxRetryDoublings);
+    delay = std::min(kRetryDelay * (int64_t{1} << doublings), kMaxRetryDelay);
   }
   Log(LogEvent::kBatchItemInterrupted, {{"job", m_spec.id},
                                         {"item", m_spec.items[index].id},
--- a/tests/coordination/batch_faults_test.cc
+++ b/tests/coordination/batch_faults_test.cc
@@ -286,5 +286,26 @@
   CHECK_FALSE(violations.empty());
 }
 
+TEST_CASE("an item under which several endpoints crashed is placed again within seconds") {
+  // An item that is not at an endpoint for this long although there is room makes its step late.
+  constexpr Duration kLongestPause = Duration::Seconds(5);
+  for (const int crashes : {3, 6}) {
+    INFO(crashes << " crashes");
+    BatchFixture fixture(1);
+    fixture.engines.crashing_runs["job-item-0"] = crashes;
+    fixture.StartInstance("one");
+    REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", 2)) == SubmitOutcome::kAccepted);
+    fixture.scheduler.Advance(Duration::Seconds(30));
+    CHECK(fixture.Read("one", "job", 0).results.size() == 2);
+    TimePoint last_run;
+    for (const ItemRunRecord& run : fixture.engines.runs) {
+      if (run.item == "job-item-0") {
+        CHECK((last_run == TimePoint() || run.at - last_run <= kLongestPause));
+        last_run = run.at;
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -69,6 +69,8 @@
   double refusal_chance = 0.0;
   // Status with which each run of an item fails, by item id.
   std::map<std::string, int> failing_items;
+  // Number of further runs of an item during which the endpoint crashes before its first event, by item id.
+  std::map<std::string, int> crashing_runs;
   std::vector<ItemRunRecord> runs;
   // When the last event of an item was first generated, by item id.
   std::map<std::string, TimePoint> generated_at;
@@ -195,6 +197,12 @@
 
    private:
     void Begin() {
+      int& crashing_runs = m_engines->crashing_runs[m_call.request_id];
+      if (crashing_runs > 0) {
+        --crashing_runs;
+        End(EndpointCallOutcome::kNoResponse);
+        return;
+      }
       EndpointResponseHead head;
       head.status = 200;
       head.model_version = m_engines->model_version;
