Continue a caller's stream only on the software version that began it

What callers would see: a stream that is taken up again, also after all instances were restarted, goes on at another software version, with nothing in the answer to show it. Cause: a request with Last-Event-Id went to any endpoint. Which version began the stream was known to nobody, and certainly not after a restart. Change: StreamOrigins. Each service has a common software version in one row; streams on it need no row. A stream that begins on another version has a row of its own, written before its caller gets the first event. A request that continues a stream goes only to endpoints with its version, and is refused at once, as not run, if there is none or if the table does not answer. If the row cannot be written the stream begins again on the common version; if the outcome is unknown the request fails.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -119,6 +119,8 @@
        "An endpoint has set, changed or lifted its limit of requests per second."},
       {LogEvent::kPermitNotAnswered, LogSeverity::kInfo, "permit_not_answered",
        "The instance that grants permits for an endpoint with a rate limit did not answer; it is asked again."},
+      {LogEvent::kCommonVersionSet, LogSeverity::kInfo, "common_version_set",
+       "The software version whose streams have no row in the table was set for a service."},
       {LogEvent::kUsageReported, LogSeverity::kInfo, "usage_reported", "The usage of one window was reported."},
       {LogEvent::kModelOrderSent, LogSeverity::kInfo, "model_order_sent",
        "An endpoint was told to load a version of a model."},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -75,6 +75,7 @@
   kEndpointAvoided = 5006,
   kEndpointRateLimit = 5007,
   kPermitNotAnswered = 5008,
+  kCommonVersionSet = 5009,
   kUsageReported = 6009,
   kModelOrderSent = 6010,
   kModelOrderAnswered = 6011,
--- a/src/gateway/incoming_request.h
+++ b/src/gateway/incoming_request.h
@@ -21,6 +21,10 @@
   // Identifies one attempt of the caller.
   std::string id;
   std::string api_key;
+  // The caller has received a part of the stream and asks for the rest.
+  bool continues_stream = false;
+  // The id of the attempt that brought the first event of that stream; empty if the request does not name it.
+  std::string stream_id;
   // How long the caller waits for the response; nothing if the request does not say.
   std::optional<Duration> time_left;
 };
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -81,6 +81,11 @@
     m_deadline = m_started_at + limit;
     m_deadline_timer = m_forwarder->m_context.scheduler->After(limit - kResponseMargin, [this] { OnDeadline(); });
     m_responder->SetCloseCallback([this] { OnCallerDisconnected(); });
+    m_service = ChooseService(m_route, Hash64(m_request.stream_id.empty() ? m_request.id : m_request.stream_id));
+    if (IsResumableStream() && m_request.continues_stream) {
+      FindOrigin();
+      return;
+    }
     StartAttempt();
   }
 
@@ -100,7 +105,11 @@
       CountUsage();
     }
     if (m_route.kind == RouteKind::kStream && head.status < kFirstNonSuccess) {
-      StartForwarding();
+      if (IsResumableStream() && !m_request.continues_stream) {
+        RecordOrigin();
+      } else {
+        StartForwarding();
+      }
     }
   }
 
@@ -125,7 +134,7 @@
       return;
     }
     m_body.append(data);
-    if (m_body.size() > kMaxBufferedBytes) {
+    if (m_body.size() > kMaxBufferedBytes && !m_recording) {
       StartForwarding();
     }
   }
@@ -136,6 +145,10 @@
     const std::unique_ptr<EndpointExchange> ended = std::move(m_exchange);
     m_refusal_timer.reset();
     EndCall();
+    if (m_recording) {
+      m_end_while_recording = result;
+      return;
+    }
     if (m_forwarding) {
       EndForwarding(result);
       return;
@@ -171,6 +184,89 @@
   TimePoint Now() const { return m_forwarder->m_context.scheduler->clock().Now(); }
   // The endpoint has not run the present attempt.
   bool IsRefused() const { return m_head.has_value() && (m_head->not_run || m_head->wrong_endpoint); }
+  // A caller may continue the stream with another request after it was interrupted.
+  bool IsResumableStream() const {
+    return m_route.kind == RouteKind::kStream && m_route.resumable && m_forwarder->m_context.stream_origins != nullptr;
+  }
+
+  // Only endpoints with the software version that began the stream may continue it.
+  void FindOrigin() {
+    m_forwarder->m_context.stream_origins->Find(
+        m_request.stream_id, m_service, m_guard.Wrap([this](const std::optional<StreamOrigin>& origin) {
+          if (m_finished) {
+            return;
+          }
+          if (!origin.has_value()) {
+            LogEnd(LogEvent::kRequestRefused, "the software version that began the stream is not known");
+            SendError(m_responder.get(), ErrorCode::kStoreUnavailable,
+                      "the metadata store does not answer; send the request again later", RequestRan::kNo,
+                      kNoEndpointRetryAfter);
+            Finish(RequestOutcome::kRefused);
+            return;
+          }
+          m_service = origin->service;
+          m_software_version = origin->software_version;
+          StartAttempt();
+        }));
+  }
+
+  // Before the caller gets any part of a stream, each instance must be able to find the software version that began it.
+  void RecordOrigin() {
+    const StreamOrigin origin{m_service, m_attempt_software_version};
+    m_recording = true;
+    m_forwarder->m_context.stream_origins->Record(m_request.id, origin,
+                                                  m_guard.Wrap([this, origin](StreamRecordOutcome outcome) {
+                                                    if (!m_finished) {
+                                                      OnOriginRecorded(origin, outcome);
+                                                    }
+                                                  }));
+  }
+
+  void OnOriginRecorded(const StreamOrigin& origin, StreamRecordOutcome outcome) {
+    m_recording = false;
+    const StreamOrigins* origins = m_forwarder->m_context.stream_origins;
+    const std::string common = origins->CommonVersion(origin.service).value_or("");
+    if (outcome == StreamRecordOutcome::kUnknown) {
+      // A row of this stream may exist or not, so no instance may continue it.
+      m_exchange.reset();
+      m_end_while_recording.reset();
+      EndCall();
+      m_may_have_run = true;
+      SendFailure(false);
+      return;
+    }
+    const bool common_is_served =
+        !common.empty() && m_forwarder->m_context.endpoints->HasSoftwareVersion(origin.service, common);
+    if (outcome == StreamRecordOutcome::kNotRecorded && common != origin.software_version && common_is_served) {
+      // Without a row, the stream counts as begun by the common version, so it has to be.
+      m_exchange.reset();
+      m_end_while_recording.reset();
+      EndCall();
+      m_software_version = common;
+      m_may_have_run = true;
+      ++m_run_count;
+      if (m_run_count < m_route.max_attempts && HasTimeLeft()) {
+        StartAttempt();
+      } else {
+        SendFailure(false);
+      }
+      return;
+    }
+    if (common != origin.software_version) {
+      m_software_version = origin.software_version;
+    }
+    if (!m_end_while_recording.has_value()) {
+      StartForwarding();
+      return;
+    }
+    const EndpointCallResult result = *m_end_while_recording;
+    m_end_while_recording.reset();
+    if (result.outcome == EndpointCallOutcome::kComplete) {
+      StartForwarding();
+    }
+    OnEnd(result);
+  }
+
   // Closes the connection of an attempt whose refusal does not end, and continues as after its end.
   void EndRefusedAttempt(const std::string& reason) {
     EndpointCallResult result;
@@ -262,6 +358,17 @@
     Finish(succeeded ? RequestOutcome::kSucceeded : RequestOutcome::kFailed);
   }
 
+  std::string RefusalReason() const {
+    if (m_software_version.has_value() &&
+        !m_forwarder->m_context.endpoints->HasSoftwareVersion(m_service, *m_software_version)) {
+      return "no endpoint has the software version that began the stream";
+    }
+    if (m_permit_deadline.has_value()) {
+      return "the rate limits of all endpoints are reached";
+    }
+    return m_refusals > 0 ? "all endpoints are full" : "no endpoint is reachable";
+  }
+
   // Sends an error, which depends on whether an endpoint may have run the request; or the last server error of an
   // endpoint, if there is one.
   void SendFailure(bool timed_out) {
@@ -272,10 +379,7 @@
       return;
     }
     if (!m_may_have_run && !timed_out) {
-      const bool limited = m_permit_deadline.has_value();
-      LogEnd(LogEvent::kRequestRefused, limited          ? "the rate limits of all endpoints are reached"
-                                        : m_refusals > 0 ? "all endpoints are full"
-                                                         : "no endpoint is reachable");
+      LogEnd(LogEvent::kRequestRefused, RefusalReason());
       SendError(m_responder.get(), ErrorCode::kNoEndpoint, "no endpoint can take the request now; send it again later",
                 RequestRan::kNo, std::max(m_permit_wait, kNoEndpointRetryAfter));
       Finish(RequestOutcome::kRefused);
@@ -290,6 +394,7 @@
 
   void OnDeadline() {
     StopWaiting();
+    m_recording = false;
     m_exchange.reset();
     m_refusal_timer.reset();
     EndCall();
@@ -354,6 +459,7 @@
     record.streamed = m_route.kind == RouteKind::kStream;
     record.first_byte = m_first_byte;
     m_forwarder->m_context.metrics->OnRequestEnd(record);
+    m_finished = true;
     m_exchange.reset();
     EndCall();
     StopWaiting();
@@ -378,7 +484,19 @@
   std::unique_ptr<EndpointExchange> m_exchange;
   std::unique_ptr<Timer> m_refusal_timer;
   size_t m_refusal_bytes = 0;
+  // The service that runs the request.
+  std::string m_service;
+  // Only endpoints with this software version may run the request; any if absent.
+  std::optional<std::string> m_software_version;
+  // The origin of the stream is being recorded; the parts that arrive meanwhile are buffered.
+  bool m_recording = false;
+  // The attempt has ended in the meantime.
+  std::optional<EndpointCallResult> m_end_while_recording;
+  bool m_finished = false;
+  CallbackGuard m_guard;
   std::string m_endpoint;
+  // The software version of that endpoint when the attempt began.
+  std::string m_attempt_software_version;
   std::set<std::string> m_tried;
   std::optional<EndpointResponseHead> m_head;
   std::string m_body;
@@ -405,8 +523,14 @@
 
 void RequestForwarder::Request::StartAttempt() {
   StopWaiting();
-  const std::string& service = ChooseService(m_route, Hash64(m_request.id));
-  const std::vector<const DirectoryEndpoint*> usable = m_forwarder->m_context.endpoints->Usable(service);
+  std::vector<const DirectoryEndpoint*> usable = m_forwarder->m_context.endpoints->Usable(m_service);
+  if (m_software_version.has_value()) {
+    usable.erase(std::remove_if(usable.begin(), usable.end(),
+                                [this](const DirectoryEndpoint* endpoint) {
+                                  return endpoint->entry.software_version != *m_software_version;
+                                }),
+                 usable.end());
+  }
   const DirectoryEndpoint* endpoint = ChooseWithPermit(
       m_forwarder->m_context.permits, usable, [this](const std::vector<const DirectoryEndpoint*>& candidates) {
         return ChooseForRequest(candidates, m_forwarder->m_context.zone, m_tried, &m_forwarder->m_random);
@@ -425,6 +549,7 @@
   m_head.reset();
   m_body.clear();
   m_endpoint = endpoint->entry.id;
+  m_attempt_software_version = endpoint->entry.software_version;
   m_tried.insert(m_endpoint);
   EndpointCall call;
   call.endpoint_id = m_endpoint;
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -12,6 +12,7 @@
 #include "coordination/endpoint_caller.h"
 #include "coordination/scheduler.h"
 #include "coordination/send_permits.h"
+#include "coordination/stream_origins.h"
 #include "coordination/usage_sink.h"
 #include "daemon/request_metrics.h"
 #include "gateway/incoming_request.h"
@@ -30,6 +31,7 @@
   SendPermits* permits = nullptr;
   UsageSink* usage = nullptr;
   RequestMetrics* metrics = nullptr;
+  StreamOrigins* stream_origins = nullptr;
   // The availability zone of this instance.
   std::string zone;
 };
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/fakes/fake_table_store.h"
 #include "tests/fakes/manual_scheduler.h"
 
 namespace quetzalridge {
@@ -97,6 +98,39 @@
       entries[i].id = "e" + std::to_string(i);
       entries[i].service = kService;
       entries[i].slots = 6;
+      entries[i].software_version = "v" + std::to_string(i);
+    }
+    directory.Update(entries, false);
+  }
+
+  // Sends a request for a stream that may be continued, or for the rest of the stream `continued`.
+  void SendStream(const std::string& id, const std::string& continued = "") {
+    view = CallerView();
+    ServiceRoute route;
+    route.name = "stream";
+    route.kind = RouteKind::kStream;
+    route.resumable = true;
+    route.services = {{kService, 1}};
+    route.max_attempts = 2;
+    route.timeout = Duration::Seconds(5);
+    IncomingRequest request;
+    request.id = id;
+    request.method = "POST";
+    request.continues_stream = !continued.empty();
+    request.stream_id = continued;
+    forwarder.Forward(std::move(request), route, "w", std::make_shared<FakeResponder>(&view));
+    scheduler.Advance(Duration::Milliseconds(10));
+  }
+  // Lets only these endpoints serve.
+  void Serve(const std::set<size_t>& served) {
+    std::vector<EndpointEntry> entries;
+    for (const size_t i : served) {
+      EndpointEntry entry;
+      entry.id = "e" + std::to_string(i);
+      entry.service = kService;
+      entry.slots = 6;
+      entry.software_version = "v" + std::to_string(i);
+      entries.push_back(entry);
     }
     directory.Update(entries, false);
   }
@@ -131,9 +165,13 @@
   EndpointDirectory directory{&scheduler.clock()};
   ScriptedEndpoints endpoints;
   TestPermits permits;
+  FakeTable table{&scheduler, 1};
+  FakeTableStore store{&table, &scheduler};
+  StreamOrigins origins{&store, &scheduler, &directory, [this] { return scheduler.Now().ms(); }};
   NoUsage usage;
   NoMetrics metrics;
-  RequestForwarder forwarder{{&scheduler, &routes, &directory, &endpoints, &permits, &usage, &metrics, "a"}, 1};
+  RequestForwarder forwarder{{&scheduler, &routes, &directory, &endpoints, &permits, &usage, &metrics, &origins, "a"},
+                             1};
   CallerView view;
 };
 
@@ -239,5 +277,97 @@
   CHECK(fixture.view.status == 503);
 }
 
+// Begins a stream on the endpoint and sends its first event.
+void BeginStream(ForwarderFixture* fixture, const std::string& id, size_t endpoint) {
+  fixture->Serve({endpoint});
+  fixture->SendStream(id);
+  EndpointCallObserver* observer = fixture->endpoints.attempts.back()->observer;
+  observer->OnHead(ForwarderFixture::Head(200, false));
+  observer->OnBody("id: 1\ndata: a\n\n");
+  fixture->scheduler.Advance(Duration::Milliseconds(10));
+  REQUIRE(fixture->view.body == "id: 1\ndata: a\n\n");
+}
+
+TEST_CASE("a continued stream goes only to the software version that began it") {
+  for (const size_t first : {size_t{0}, size_t{1}}) {
+    ForwarderFixture fixture;
+    // The first stream sets the common version.
+    BeginStream(&fixture, "other", 0);
+    BeginStream(&fixture, "r", first);
+    fixture.Serve({0, 1});
+    for (int attempt = 0; attempt < 8; ++attempt) {
+      fixture.SendStream("r" + std::to_string(attempt), "r");
+      CHECK(fixture.endpoints.attempts.back()->call.endpoint_id == "e" + std::to_string(first));
+    }
+  }
+}
+
+TEST_CASE("another instance continues a stream on the software version that began it after all were restarted") {
+  ForwarderFixture fixture;
+  BeginStream(&fixture, "other", 0);
+  BeginStream(&fixture, "r", 1);
+  fixture.Serve({0, 1});
+  StreamOrigins origins(&fixture.store, &fixture.scheduler, &fixture.directory,
+                        [&fixture] { return fixture.scheduler.Now().ms(); });
+  std::optional<StreamOrigin> found;
+  origins.Find("r", kService, [&found](const std::optional<StreamOrigin>& origin) { found = origin; });
+  fixture.scheduler.Advance(Duration::Milliseconds(10));
+  REQUIRE(found.has_value());
+  CHECK(found->software_version == "v1");
+}
+
+// Guards against a stream that is joined from two versions because the first one has left.
+TEST_CASE("a stream is refused as not run when no endpoint has the software version that began it") {
+  ForwarderFixture fixture;
+  BeginStream(&fixture, "r", 0);
+  fixture.Serve({1});
+  const size_t before = fixture.endpoints.attempts.size();
+  fixture.SendStream("r2", "r");
+  CHECK(fixture.view.status == 503);
+  CHECK(fixture.endpoints.attempts.size() == before);
+}
+
+TEST_CASE("a continued stream is refused as not run while the table does not answer after a restart") {
+  ForwarderFixture fixture;
+  fixture.table.unavailable = true;
+  fixture.SendStream("r2", "r");
+  fixture.scheduler.Advance(Duration::Seconds(4));
+  CHECK(fixture.view.status == 503);
+  CHECK(fixture.endpoints.attempts.empty());
+}
+
+// Guards against streams without a row that count as begun by another version than theirs.
+TEST_CASE("a stream begins on the common software version when its origin cannot be recorded") {
+  ForwarderFixture fixture;
+  BeginStream(&fixture, "other", 0);
+  fixture.Serve({1});
+  fixture.SendStream("r");
+  ScriptedEndpoints::Attempt* attempt = fixture.endpoints.attempts.back().get();
+  REQUIRE(attempt->call.endpoint_id == "e1");
+  fixture.Serve({0, 1});
+  fixture.table.unavailable = true;
+  attempt->observer->OnHead(ForwarderFixture::Head(200, false));
+  attempt->observer->OnBody("id: 1\ndata: a\n\n");
+  fixture.scheduler.Advance(Duration::Seconds(1));
+  CHECK(fixture.view.body.empty());
+  CHECK(!attempt->open);
+  CHECK(fixture.endpoints.attempts.back()->call.endpoint_id == "e0");
+}
+
+TEST_CASE("a stream that ends while its origin is recorded reaches its caller whole") {
+  ForwarderFixture fixture;
+  BeginStream(&fixture, "other", 0);
+  fixture.Serve({1});
+  fixture.SendStream("r");
+  EndpointCallObserver* observer = fixture.endpoints.attempts.back()->observer;
+  observer->OnHead(ForwarderFixture::Head(200, false));
+  observer->OnBody("id: 1\ndata: a\n\n");
+  observer->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  CHECK(!fixture.view.ended);
+  fixture.scheduler.Advance(Duration::Milliseconds(10));
+  CHECK(fixture.view.ended);
+  CHECK(fixture.view.body == "id: 1\ndata: a\n\n");
+}
+
 }  // namespace
 }  // namespace quetzalridge
