--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -18,6 +18,7 @@
 constexpr char kPlainPrefix[] = "/lookup/";
 constexpr char kSingleRunPrefix[] = "/order/";
 constexpr char kBatchPrefix[] = "/sort/";
+constexpr char kStreamPrefix[] = "/stream/";
 constexpr char kKey[] = "key-of-buyers";
 
 // Sends plain requests, some of which must run once at most, and checks their answers.
@@ -39,6 +40,40 @@
   int m_answered = 0;
 };
 
+// Reads streams, takes up those that break off at any node, and checks that no stream is joined from two software
+// versions.
+class StreamCallers {
+ public:
+  StreamCallers(EventLoop* loop, SoakLog* log, NodeFleet* fleet, uint64_t seed);
+
+  void BeginOne();
+  int whole() const { return m_whole; }
+  int continued() const { return m_continued; }
+
+ private:
+  struct Stream {
+    std::string name;
+    int attempts = 0;
+    // The attempt that brought the first event.
+    std::string first_attempt;
+    int events = 0;
+    std::string text;
+  };
+
+  void Send(const std::shared_ptr<Stream>& stream);
+  void OnAnswer(const std::shared_ptr<Stream>& stream, const std::string& id, const HttpResponse& response);
+
+  EventLoop* m_loop;
+  SoakLog* m_log;
+  NodeFleet* m_fleet;
+  Random m_random;
+  HttpClient m_client;
+  std::list<std::unique_ptr<Timer>> m_timers;
+  int m_begun = 0;
+  int m_whole = 0;
+  int m_continued = 0;
+};
+
 // A trainer: names versions, submits batch jobs, reads their results at any node and ends them.
 class Trainer {
  public:
