Keep streams of different workspaces apart, and refuse unnamed ones between versions

Cause: read of the change. The row of a stream was named by the caller's id alone, so a caller of another workspace that knew an id could write it first. A request with Last-Event-Id that names no stream counted as one of the common version, also while two versions serve. The service of a request followed its header Resumes on every route. Change: the name of a stream has its workspace; an unnamed stream is continued only while all endpoints have one software version; only requests that continue a stream use its id. Waiting requests are started again only if they still wait. Result: a test of the unnamed stream; all tests of state, coordination, gateway and platform pass.

--- a/src/coordination/stream_origins.cc
+++ b/src/coordination/stream_origins.cc
@@ -118,7 +118,8 @@
     }
     const StreamOrigin common{service, *common_version};
     if (stream.empty()) {
-      callback(common);
+      const bool certain = m_endpoints->HasOnlySoftwareVersion(service, common.software_version);
+      callback(certain ? std::optional<StreamOrigin>(common) : std::nullopt);
       return;
     }
     const std::string key = StreamKey(stream);
--- a/src/coordination/stream_origins.h
+++ b/src/coordination/stream_origins.h
@@ -45,7 +45,7 @@
   // run within the call.
   void Record(const std::string& stream, const StreamOrigin& origin, std::function<void(StreamRecordOutcome)> callback);
   // Finds where a stream began. `service` is that of streams without a row. The callback receives nothing if the table
-  // does not answer.
+  // does not answer, and for a stream without a name unless all endpoints of the service have one software version.
   void Find(const std::string& stream, const std::string& service,
             std::function<void(std::optional<StreamOrigin>)> callback);
   // The common version of the service as last read; nothing if it was never read.
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -81,11 +81,12 @@
     m_deadline = m_started_at + limit;
     m_deadline_timer = m_forwarder->m_context.scheduler->After(limit - kResponseMargin, [this] { OnDeadline(); });
     m_responder->SetCloseCallback([this] { OnCallerDisconnected(); });
-    m_service = ChooseService(m_route, Hash64(m_request.stream_id.empty() ? m_request.id : m_request.stream_id));
-    if (IsResumableStream() && m_request.continues_stream) {
+    if (ContinuesStream()) {
+      m_service = ChooseService(m_route, Hash64(m_request.stream_id));
       FindOrigin();
       return;
     }
+    m_service = ChooseService(m_route, Hash64(m_request.id));
     StartAttempt();
   }
 
@@ -105,7 +106,7 @@
       CountUsage();
     }
     if (m_route.kind == RouteKind::kStream && head.status < kFirstNonSuccess) {
-      if (IsResumableStream() && !m_request.continues_stream) {
+      if (IsResumableStream() && !ContinuesStream()) {
         RecordOrigin();
       } else {
         StartForwarding();
@@ -189,10 +190,15 @@
     return m_route.kind == RouteKind::kStream && m_route.resumable && m_forwarder->m_context.stream_origins != nullptr;
   }
 
+  bool ContinuesStream() const { return IsResumableStream() && m_request.continues_stream; }
+  // The name of a stream in StreamOrigins, from the id of the attempt that began it. Workspaces do not share streams.
+  std::string StreamName(const std::string& id) const { return m_workspace + "/" + id; }
+
   // Only endpoints with the software version that began the stream may continue it.
   void FindOrigin() {
+    const std::string name = m_request.stream_id.empty() ? "" : StreamName(m_request.stream_id);
     m_forwarder->m_context.stream_origins->Find(
-        m_request.stream_id, m_service, m_guard.Wrap([this](const std::optional<StreamOrigin>& origin) {
+        name, m_service, m_guard.Wrap([this](const std::optional<StreamOrigin>& origin) {
           if (m_finished) {
             return;
           }
@@ -214,7 +220,7 @@
   void RecordOrigin() {
     const StreamOrigin origin{m_service, m_attempt_software_version};
     m_recording = true;
-    m_forwarder->m_context.stream_origins->Record(m_request.id, origin,
+    m_forwarder->m_context.stream_origins->Record(StreamName(m_request.id), origin,
                                                   m_guard.Wrap([this, origin](StreamRecordOutcome outcome) {
                                                     if (!m_finished) {
                                                       OnOriginRecorded(origin, outcome);
@@ -578,11 +584,11 @@
 }
 
 void RequestForwarder::OnPermits() {
+  // A request that finds no permit waits again.
   const std::set<std::pair<int, uint64_t>> waiting = m_waiting;
-  for (const auto& [priority, number] : waiting) {
-    const auto request = m_active.find(number);
-    if (request != m_active.end()) {
-      request->second->StartAttempt();
+  for (const auto& entry : waiting) {
+    if (m_waiting.count(entry) > 0) {
+      m_active.at(entry.second)->StartAttempt();
     }
   }
 }
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -105,6 +105,12 @@
   });
 }
 
+bool EndpointDirectory::HasOnlySoftwareVersion(const std::string& service, const std::string& version) const {
+  return std::none_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
+    return entry.second.entry.service == service && entry.second.entry.software_version != version;
+  });
+}
+
 void EndpointDirectory::OnEventInterval(const std::string& id, Duration interval) {
   DirectoryEndpoint* endpoint = FindMutable(id);
   if (endpoint == nullptr) {
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -87,6 +87,8 @@
 
   // Whether a ready endpoint of the service has the software version, also one that is avoided now.
   bool HasSoftwareVersion(const std::string& service, const std::string& version) const;
+  // Whether all endpoints of the service have the software version, also those that are draining or missing.
+  bool HasOnlySoftwareVersion(const std::string& service, const std::string& version) const;
 
   // Records the time between two events of a streamed response of the endpoint.
   void OnEventInterval(const std::string& id, Duration interval);
--- a/tests/coordination/stream_origins_test.cc
+++ b/tests/coordination/stream_origins_test.cc
@@ -88,11 +88,19 @@
   fixture.Serve({"v1"});
   StreamOrigins other(&fixture.store, &fixture.scheduler, &fixture.directory, [] { return int64_t{0}; });
   std::string found;
-  other.Find("", kService, [&found](const std::optional<StreamOrigin>& origin) { found = origin->software_version; });
+  other.Find("b", kService, [&found](const std::optional<StreamOrigin>& origin) { found = origin->software_version; });
   fixture.Serve({"v2"});
   CHECK(fixture.Find("a") == found);
 }
 
+TEST_CASE("a stream without a name is continued only while all endpoints have one software version") {
+  OriginsFixture fixture;
+  fixture.Serve({"v1"});
+  CHECK(fixture.Find("") == "v1");
+  fixture.Serve({"v1", "v2"});
+  CHECK(fixture.Find("").empty());
+}
+
 TEST_CASE("a late write of an origin fails once the stream was continued") {
   OriginsFixture fixture;
   fixture.Serve({"v1", "v2"});
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -310,7 +310,7 @@
   StreamOrigins origins(&fixture.store, &fixture.scheduler, &fixture.directory,
                         [&fixture] { return fixture.scheduler.Now().ms(); });
   std::optional<StreamOrigin> found;
-  origins.Find("r", kService, [&found](const std::optional<StreamOrigin>& origin) { found = origin; });
+  origins.Find("w/r", kService, [&found](const std::optional<StreamOrigin>& origin) { found = origin; });
   fixture.scheduler.Advance(Duration::Milliseconds(10));
   REQUIRE(found.has_value());
   CHECK(found->software_version == "v1");
