--- a/src/coordination/rate_limiter.cc
+++ b/src/coordination/rate_limiter.cc
@@ -184,7 +184,9 @@
     endpoint.limit = request.limit;
     endpoint.limit_at = limit_at;
   }
-  return endpoint.pacer.Request(Now(), endpoint.limit);
+  const PermitReply reply = endpoint.pacer.Request(Now(), endpoint.limit);
+  ++(reply.granted ? m_granted : m_refused);
+  return reply;
 }
 
 void RateLimiter::RemoveUnused() {
--- a/src/coordination/rate_limiter.h
+++ b/src/coordination/rate_limiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,6 +61,9 @@
 
   // Grants or refuses a permit to another instance, or to this one.
   PermitReply Grant(const PermitRequest& request);
+  // Permits that this instance has granted and refused, to itself and to others.
+  int64_t granted() const { return m_granted; }
+  int64_t refused() const { return m_refused; }
   // The listener is called when a permit was granted or may be requested again.
   void AddListener(std::function<void()> listener) { m_listeners.push_back(std::move(listener)); }
 
@@ -96,6 +100,8 @@
   RateLimiterContext m_context;
   std::map<std::string, Permit> m_permits;
   std::map<std::string, GrantedEndpoint> m_granted_endpoints;
+  int64_t m_granted = 0;
+  int64_t m_refused = 0;
   std::vector<std::function<void()>> m_listeners;
   CallbackGuard m_guard;
 };
--- a/tests/coordination/rate_limiter_test.cc
+++ b/tests/coordination/rate_limiter_test.cc
@@ -51,6 +51,26 @@
   }
 }
 
+// Guards against shares of a limit that instances without work keep from the others: with a fixed share for each of
+// four instances, the one that has work would get a quarter.
+TEST_CASE("an instance that alone has work uses the whole rate limit of an endpoint") {
+  BatchFixture fixture(1);
+  fixture.engines.event_gap = Duration::Milliseconds(400);
+  fixture.engines.rate_limits = {{"engine-0", kLimit}};
+  for (const char* name : {"one", "two", "three", "four"}) {
+    fixture.StartInstance(name);
+  }
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", 300)) == SubmitOutcome::kAccepted);
+  fixture.scheduler.Advance(Duration::Seconds(5));
+  const size_t before = fixture.engines.runs.size();
+  constexpr int kSeconds = 20;
+  fixture.scheduler.Advance(Duration::Seconds(kSeconds));
+  const auto runs =
+      std::count_if(fixture.engines.runs.begin() + static_cast<std::ptrdiff_t>(before), fixture.engines.runs.end(),
+                    [](const ItemRunRecord& run) { return run.endpoint == "engine-0"; });
+  CHECK(runs >= 0.8 * kLimit * kSeconds);
+}
+
 // Answers the calls of one instance with a head that names a limit, at once.
 class LimitedEndpoint : public EndpointCaller {
  public:
