Lift a rate limit only on a successful response to a later call

What callers would see: bursts at an endpoint in need. Cause: read of the change. Any response without the limit lifted it: a refusal or an error, which need not name it, and a response to a call that was sent before the limit was set. Change: only a response below 500 that ran, to a call started after the limit was last received, lifts it. Evidence: "only a successful response to a later call lifts a rate limit" (new).

--- a/src/coordination/rate_limiter.cc
+++ b/src/coordination/rate_limiter.cc
@@ -18,6 +18,8 @@
 // State of an endpoint for which no permit was requested in this time is removed.
 constexpr Duration kUnusedLifetime = Duration::Seconds(60);
 
+constexpr int kFirstServerError = 500;
+
 std::string RateText(std::optional<double> rate) {
   if (!rate.has_value()) {
     return "-";
@@ -33,16 +35,13 @@
 class RateLimiter::Exchange : public EndpointExchange, public EndpointCallObserver {
  public:
   Exchange(RateLimiter* limiter, std::string endpoint, EndpointCallObserver* observer)
-      : m_limiter(limiter), m_endpoint(std::move(endpoint)), m_observer(observer) {}
+      : m_limiter(limiter), m_endpoint(std::move(endpoint)), m_started_at(limiter->Now()), m_observer(observer) {}
 
   void Begin(EndpointCall call) { m_exchange = m_limiter->m_context.caller->Start(std::move(call), this); }
 
   // The observer may destroy this exchange in each of these calls, so each of them is the last statement.
   void OnHead(const EndpointResponseHead& head) override {
-    // Another endpoint has sent the response.
-    if (!head.wrong_endpoint) {
-      m_limiter->OnRateLimit(m_endpoint, head.rate_limit);
-    }
+    m_limiter->OnHead(m_endpoint, head, m_started_at);
     m_observer->OnHead(head);
   }
   void OnBody(std::string_view data) override { m_observer->OnBody(data); }
@@ -52,6 +51,7 @@
  private:
   RateLimiter* m_limiter;
   std::string m_endpoint;
+  TimePoint m_started_at;
   EndpointCallObserver* m_observer;
   std::unique_ptr<EndpointExchange> m_exchange;
 };
@@ -199,18 +199,24 @@
   }
 }
 
-void RateLimiter::OnRateLimit(const std::string& endpoint, std::optional<double> limit) {
+// A refusal or a server error may come from a part of the endpoint that does not know its limit, and a response to an
+// earlier call may have been made before the limit was set. Neither lifts a limit.
+void RateLimiter::OnHead(const std::string& endpoint, const EndpointResponseHead& head, TimePoint started_at) {
   const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
-  if (known == nullptr) {
+  if (known == nullptr || head.wrong_endpoint) {
+    return;
+  }
+  const bool may_lift = !head.not_run && head.status < kFirstServerError && started_at > known->rate_limit_at;
+  if (!head.rate_limit.has_value() && known->rate_limit.has_value() && !may_lift) {
     return;
   }
-  if (known->rate_limit != limit) {
+  if (known->rate_limit != head.rate_limit) {
     Log(LogEvent::kEndpointRateLimit, {{"endpoint", endpoint},
-                                       {"requests_per_s", RateText(limit)},
+                                       {"requests_per_s", RateText(head.rate_limit)},
                                        {"before", RateText(known->rate_limit)},
                                        {"own_in_flight", std::to_string(known->in_flight)}});
   }
-  m_context.endpoints->OnRateLimit(endpoint, limit);
+  m_context.endpoints->OnRateLimit(endpoint, head.rate_limit);
 }
 
 }  // namespace quetzalridge
--- a/src/coordination/rate_limiter.h
+++ b/src/coordination/rate_limiter.h
@@ -94,7 +94,8 @@
   // The instance that grants the permits for the endpoint; empty if no instance is known.
   std::string GrantingInstance(const std::string& endpoint) const;
   void OnReply(const std::string& endpoint, std::optional<PermitReply> reply);
-  void OnRateLimit(const std::string& endpoint, std::optional<double> limit);
+  // Records the limit in the head of a response to a call that was started at `started_at`.
+  void OnHead(const std::string& endpoint, const EndpointResponseHead& head, TimePoint started_at);
   void RemoveUnused();
 
   RateLimiterContext m_context;
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -51,6 +51,7 @@
   TimePoint avoid_until;
   // Number of requests per second that the endpoint accepts from all instances together, as in its latest response.
   std::optional<double> rate_limit;
+  // When a response last had the limit, or lifted it.
   TimePoint rate_limit_at;
   // The registry no longer has the entry; see EndpointDirectory::Update.
   bool missing = false;
--- a/tests/coordination/rate_limiter_test.cc
+++ b/tests/coordination/rate_limiter_test.cc
@@ -77,11 +77,19 @@
   std::unique_ptr<EndpointExchange> Start(EndpointCall, EndpointCallObserver* observer) override {
     ++calls;
     EndpointResponseHead head;
-    head.status = 200;
+    head.status = status;
+    head.not_run = status == 503;
     head.rate_limit = limit;
-    observer->OnHead(head);
+    if (!holds_head) {
+      observer->OnHead(head);
+    }
+    held_observer = observer;
     return nullptr;
   }
+  int status = 200;
+  // The test sends the head.
+  bool holds_head = false;
+  EndpointCallObserver* held_observer = nullptr;
   std::optional<double> limit = 2.0;
   int calls = 0;
 };
@@ -118,7 +126,9 @@
     const int before = endpoint.calls;
     EndpointCall call;
     call.endpoint_id = "e";
-    exchange = limiter.Start(std::move(call), &observer);
+    // Time passes between the response to one call and the start of the next.
+    scheduler.Advance(Duration::Milliseconds(1));
+    exchanges.push_back(limiter.Start(std::move(call), &observer));
     scheduler.Advance(Duration::Milliseconds(1));
     return endpoint.calls > before;
   }
@@ -130,9 +140,39 @@
   std::vector<std::string> live = {"other"};
   RateLimiter limiter{{&scheduler, &endpoint, &directory, &client, "own", [this] { return live; }}};
   SilentObserver observer;
-  std::unique_ptr<EndpointExchange> exchange;
+  void GrantPermit() {
+    limiter.Request("e");
+    client.reply(PermitReply{true, Duration()});
+  }
+  std::vector<std::unique_ptr<EndpointExchange>> exchanges;
 };
 
+// Guards against bursts because a refusal, an error or a response to an earlier call does not name the limit.
+TEST_CASE("only a successful response to a later call lifts a rate limit") {
+  LimiterFixture fixture;
+  fixture.endpoint.holds_head = true;
+  REQUIRE(fixture.Call());
+  EndpointCallObserver* earlier = fixture.endpoint.held_observer;
+  fixture.endpoint.holds_head = false;
+  REQUIRE(fixture.Call());
+  CHECK(!fixture.limiter.MaySend("e"));
+  EndpointResponseHead without_limit;
+  without_limit.status = 200;
+  earlier->OnHead(without_limit);
+  CHECK(!fixture.limiter.MaySend("e"));
+  fixture.endpoint.limit.reset();
+  for (const int status : {503, 500, 504}) {
+    fixture.endpoint.status = status;
+    fixture.GrantPermit();
+    REQUIRE(fixture.Call());
+    CHECK(!fixture.limiter.MaySend("e"));
+  }
+  fixture.endpoint.status = 200;
+  fixture.GrantPermit();
+  REQUIRE(fixture.Call());
+  CHECK(fixture.limiter.MaySend("e"));
+}
+
 // Guards against callers that forget to ask for a permit.
 TEST_CASE("a call to an endpoint with a rate limit is not sent without a permit") {
   LimiterFixture fixture;
