--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -494,7 +494,7 @@
   std::string m_service;
   // Only endpoints with this software version may run the request; any if absent.
   std::optional<std::string> m_software_version;
-  // The origin of the stream is being recorded; the parts that arrive meanwhile are buffered.
+  // The origin of the stream is being recorded; arriving parts of the response are buffered.
   bool m_recording = false;
   // The attempt has ended in the meantime.
   std::optional<EndpointCallResult> m_end_while_recording;
