--- a/src/coordination/stream_origins.cc
+++ b/src/coordination/stream_origins.cc
@@ -145,7 +145,7 @@
   });
 }
 
-void StreamOrigins::WithCommonVersion(const std::string& service, VersionCallback callback) {
+void StreamOrigins::WithCommonVersion(const std::string& service, const VersionCallback& callback) {
   StartOnce();
   const auto known = m_common_versions.find(service);
   if (known != m_common_versions.end() && Now() - known->second.read_at <= kCommonVersionLifetime) {
@@ -179,7 +179,7 @@
 }
 
 void StreamOrigins::SetCommonVersion(const std::string& service, int64_t row_version, const std::string& version,
-                                     VersionCallback callback) {
+                                     const VersionCallback& callback) {
   const std::string key = VersionKey(service);
   TableTransaction transaction;
   transaction.id = RandomHex(kTransactionIdBytes);
--- a/src/coordination/stream_origins.h
+++ b/src/coordination/stream_origins.h
@@ -72,9 +72,9 @@
   void StartOnce();
   TimePoint Now() const { return m_scheduler->clock().Now(); }
   // Runs the callback with the common version of the service, which is set if the service has none yet.
-  void WithCommonVersion(const std::string& service, VersionCallback callback);
+  void WithCommonVersion(const std::string& service, const VersionCallback& callback);
   void SetCommonVersion(const std::string& service, int64_t row_version, const std::string& version,
-                        VersionCallback callback);
+                        const VersionCallback& callback);
   // The version of most endpoints of the service, or an empty string.
   std::string MostFrequentVersion(const std::string& service) const;
   void Tick();
