Count the time without an endpoint anew for each common software version

What callers would see: a stream continued at another software version than the one that began it. Cause: read of the change. An instance that read a new common version kept the time since which the old one had no endpoint, and could change the common version again before a minute had passed, while streams of the version in between may still come again. Change: the time is reset when the version read is another one. Evidence: "the time without an endpoint is not carried over ..." failed (v3 instead of v2), passes.

--- a/src/coordination/stream_origins.cc
+++ b/src/coordination/stream_origins.cc
@@ -170,6 +170,9 @@
     }
     CommonVersionEntry& entry = m_common_versions[service];
     if (row.version >= entry.row_version) {
+      if (row.value != entry.version) {
+        entry.unserved_since.reset();
+      }
       entry.version = row.value;
       entry.row_version = row.version;
       entry.read_at = read_at;
--- a/tests/coordination/stream_origins_test.cc
+++ b/tests/coordination/stream_origins_test.cc
@@ -83,6 +83,21 @@
   CHECK(fixture.Find("late") == "v2");
 }
 
+TEST_CASE("the time without an endpoint is not carried over to the next common software version") {
+  OriginsFixture fixture;
+  fixture.Serve({"v1"});
+  CHECK(fixture.Record("a", "v1") == StreamRecordOutcome::kRecorded);
+  fixture.Serve({"v2"});
+  fixture.scheduler.Advance(Duration::Seconds(45));
+  // Another instance has changed the common version, which has just left as well.
+  const std::string key = std::string("stream-versions/") + kService;
+  fixture.table.Apply({"other", {{key, fixture.table.Row(key).version}}, {{key, "v2"}}});
+  fixture.Serve({"v3"});
+  CHECK(fixture.Find("b") == "v2");
+  fixture.scheduler.Advance(Duration::Seconds(20));
+  CHECK(fixture.Find("c") == "v2");
+}
+
 TEST_CASE("instances that set the common software version at once agree on it") {
   OriginsFixture fixture;
   fixture.Serve({"v1"});
