--- a/src/coordination/stream_origins.cc
+++ b/src/coordination/stream_origins.cc
@@ -88,21 +88,15 @@
       callback(StreamRecordOutcome::kRecorded);
       return;
     }
-    const std::string key = StreamKey(stream);
-    TableTransaction transaction;
-    transaction.id = RandomHex(kTransactionIdBytes);
-    transaction.checks = {{key, 0}};
-    transaction.writes = {{key, EncodeRow(origin, m_wall_ms())}};
-    m_store->Transact(std::move(transaction), m_guard.Wrap([this, key, callback](const TransactResult& result) {
+    WriteOrigin(StreamKey(stream), origin, [callback](const TransactResult& result) {
       if (result.outcome == TransactOutcome::kCommitted) {
-        m_written_rows.push_back({key, result.revision, Now()});
         callback(StreamRecordOutcome::kRecorded);
         return;
       }
       // A row that exists already has another origin, so this stream must not continue from here either.
       callback(result.outcome == TransactOutcome::kUnavailable ? StreamRecordOutcome::kNotRecorded
                                                                : StreamRecordOutcome::kUnknown);
-    }));
+    });
   });
 }
 
@@ -123,13 +117,8 @@
       return;
     }
     const std::string key = StreamKey(stream);
-    TableTransaction transaction;
-    transaction.id = RandomHex(kTransactionIdBytes);
-    transaction.checks = {{key, 0}};
-    transaction.writes = {{key, EncodeRow(common, m_wall_ms())}};
-    m_store->Transact(std::move(transaction), m_guard.Wrap([this, key, common, callback](const TransactResult& result) {
+    WriteOrigin(key, common, [key, common, callback](const TransactResult& result) {
       if (result.outcome == TransactOutcome::kCommitted) {
-        m_written_rows.push_back({key, result.revision, Now()});
         callback(common);
         return;
       }
@@ -141,10 +130,25 @@
         }
       }
       callback(origin);
-    }));
+    });
   });
 }
 
+void StreamOrigins::WriteOrigin(const std::string& key, const StreamOrigin& origin,
+                                std::function<void(const TransactResult&)> callback) {
+  TableTransaction transaction;
+  transaction.id = RandomHex(kTransactionIdBytes);
+  transaction.checks = {{key, 0}};
+  transaction.writes = {{key, EncodeRow(origin, m_wall_ms())}};
+  m_store->Transact(std::move(transaction),
+                    m_guard.Wrap([this, key, callback = std::move(callback)](const TransactResult& result) {
+                      if (result.outcome == TransactOutcome::kCommitted) {
+                        m_written_rows.push_back({key, result.revision, Now()});
+                      }
+                      callback(result);
+                    }));
+}
+
 void StreamOrigins::WithCommonVersion(const std::string& service, const VersionCallback& callback) {
   StartOnce();
   const auto known = m_common_versions.find(service);
--- a/src/coordination/stream_origins.h
+++ b/src/coordination/stream_origins.h
@@ -71,6 +71,9 @@
   // services from then on.
   void StartOnce();
   TimePoint Now() const { return m_scheduler->clock().Now(); }
+  // Writes the row of a stream unless it exists, and notes it for its removal.
+  void WriteOrigin(const std::string& key, const StreamOrigin& origin,
+                   std::function<void(const TransactResult&)> callback);
   // Runs the callback with the common version of the service, which is set if the service has none yet.
   void WithCommonVersion(const std::string& service, const VersionCallback& callback);
   void SetCommonVersion(const std::string& service, int64_t row_version, const std::string& version,
