Log for how long no endpoint has responded when an endpoint is avoided

One function now avoids an endpoint and logs it (three copies before), with the time since any endpoint responded to the instance.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -7,6 +7,7 @@
 
 #include "base/hash.h"
 #include "base/log_event.h"
+#include "coordination/avoid_endpoint.h"
 
 namespace quetzalridge {
 
@@ -404,10 +405,7 @@
   } else if (refused) {
     m_context->endpoints->OnFull(endpoint);
   } else if (run->stale() || (result.outcome != EndpointCallOutcome::kComplete && run->new_events() == 0)) {
-    const Duration avoided_for = m_context->endpoints->OnNoResponse(endpoint);
-    Log(LogEvent::kEndpointAvoided, {{"endpoint", endpoint},
-                                     {"for_ms", std::to_string(avoided_for.ms())},
-                                     {"reason", run->stale() ? "old model version" : result.detail}});
+    AvoidEndpoint(m_context->endpoints, endpoint, run->stale() ? "old model version" : result.detail);
   }
   const bool no_progress =
       !refused && !complete && run->new_events() == 0 && result.outcome != EndpointCallOutcome::kNotSent;
--- a/src/coordination/reward_call_dispatcher.cc
+++ b/src/coordination/reward_call_dispatcher.cc
@@ -7,6 +7,7 @@
 
 #include "base/hash.h"
 #include "base/log_event.h"
+#include "coordination/avoid_endpoint.h"
 #include "state/endpoint_choice.h"
 
 namespace quetzalridge {
@@ -210,9 +211,7 @@
   }
   pending.timeouts += result.timed_out ? 1 : 0;
   if (!attempt->head().has_value()) {
-    const Duration avoided_for = m_context.endpoints->OnNoResponse(endpoint);
-    Log(LogEvent::kEndpointAvoided,
-        {{"endpoint", endpoint}, {"for_ms", std::to_string(avoided_for.ms())}, {"reason", result.detail}});
+    AvoidEndpoint(m_context.endpoints, endpoint, result.detail);
   }
   if (complete && head.status == kStatusRunFailed) {
     ++pending.failed_responses;
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -10,6 +10,7 @@
 #include "base/error.h"
 #include "base/hash.h"
 #include "base/log_event.h"
+#include "coordination/avoid_endpoint.h"
 #include "protocol/error_body.h"
 #include "state/endpoint_choice.h"
 
@@ -331,9 +332,7 @@
     }
     const bool deadline_reached = result.timed_out && !HasTimeLeft();
     if (!m_head.has_value() && !deadline_reached) {
-      const Duration avoidance = endpoints->OnNoResponse(m_endpoint);
-      Log(LogEvent::kEndpointAvoided,
-          {{"endpoint", m_endpoint}, {"for_ms", std::to_string(avoidance.ms())}, {"reason", result.detail}});
+      AvoidEndpoint(endpoints, m_endpoint, result.detail);
     }
   }
 
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -111,7 +111,12 @@
   });
 }
 
+std::optional<Duration> EndpointDirectory::SilenceOfAll() const {
+  return m_last_response_at.has_value() ? std::optional<Duration>(m_clock->Now() - *m_last_response_at) : std::nullopt;
+}
+
 void EndpointDirectory::OnEventInterval(const std::string& id, Duration interval) {
+  m_last_response_at = m_clock->Now();
   DirectoryEndpoint* endpoint = FindMutable(id);
   if (endpoint == nullptr) {
     return;
@@ -143,6 +148,7 @@
 }
 
 void EndpointDirectory::OnResponse(const std::string& id) {
+  m_last_response_at = m_clock->Now();
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     endpoint->failures = 0;
     endpoint->responded_at = m_clock->Now();
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -95,6 +95,8 @@
   void OnEventInterval(const std::string& id, Duration interval);
   // Returns the mean time between two events; 0 if no event was recorded in the last few seconds.
   double MsPerEvent(const DirectoryEndpoint& endpoint) const;
+  // Time since any endpoint last responded or sent an event to this instance; nothing if none has.
+  std::optional<Duration> SilenceOfAll() const;
   // Whether the endpoint has responded, or sent an event, within the last few seconds.
   bool RespondedLately(const DirectoryEndpoint& endpoint) const;
   void OnCallStarted(const std::string& id);
@@ -118,6 +120,7 @@
   const Clock* m_clock;
   bool m_known = false;
   bool m_in_grace_period = false;
+  std::optional<TimePoint> m_last_response_at;
   std::map<std::string, DirectoryEndpoint> m_endpoints;
 };
 
