--- a/tests/soak/users_platform.cc
+++ b/tests/soak/users_platform.cc
@@ -36,7 +36,19 @@
 }  // namespace
 
 UsersPlatform::UsersPlatform(EventLoop* loop, SoakLog* log, uint64_t seed)
-    : m_log(log), m_random(seed), m_server(loop, Options(), this) {}
+    : m_loop(loop), m_log(log), m_random(seed), m_server(loop, Options(), this) {}
+
+UsersPlatform::View::View(EventLoop* loop, UsersPlatform* platform, Addresses addresses)
+    : m_platform(platform), m_addresses(std::move(addresses)), m_server(loop, Options(), this) {}
+
+void UsersPlatform::View::OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  m_platform->Serve(std::move(request), std::move(responder), m_addresses);
+}
+
+int UsersPlatform::AddView(std::map<std::string, std::string> addresses) {
+  m_views.push_back(std::make_unique<View>(m_loop, this, std::move(addresses)));
+  return m_views.back()->port();
+}
 
 void UsersPlatform::Put(const std::string& table, const std::string& key, const Json& value) {
   m_rows[{table, "", key}] = {EncodeBase64(value.dump()), ++m_version};
@@ -48,6 +60,10 @@
 }
 
 void UsersPlatform::OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  Serve(std::move(request), std::move(responder), {});
+}
+
+void UsersPlatform::Serve(HttpRequest request, std::shared_ptr<HttpResponder> responder, const Addresses& addresses) {
   if (request.path == "/usage") {
     TakeUsage(request, responder.get());
     return;
@@ -59,7 +75,7 @@
   if (request.path == "/api/rows-tx") {
     Transact(request, responder);
   } else if (request.path == "/api/rows-get") {
-    ReadRows(request, responder.get());
+    ReadRows(request, responder.get(), addresses);
   } else if (request.path == "/api/rows-parts") {
     ListParts(request, responder.get());
   } else {
@@ -127,7 +143,7 @@
   return json;
 }
 
-void UsersPlatform::ReadRows(const HttpRequest& request, HttpResponder* responder) const {
+void UsersPlatform::ReadRows(const HttpRequest& request, HttpResponder* responder, const Addresses& addresses) const {
   const std::string table = QueryParameter(request.query, "Table");
   const std::string part = QueryParameter(request.query, "part");
   const std::string to = QueryParameter(request.query, "To");
@@ -144,7 +160,16 @@
       has_more = true;
       break;
     }
-    rows.push_back(Describe(it->first, it->second));
+    Row row = it->second;
+    if (!addresses.empty() && table == "servers") {
+      Json entry = Json::parse(*DecodeBase64(row.value));
+      const auto shown = addresses.find(entry.at("Addr").get<std::string>());
+      if (shown != addresses.end()) {
+        entry["Addr"] = shown->second;
+        row.value = EncodeBase64(entry.dump());
+      }
+    }
+    rows.push_back(Describe(it->first, row));
   }
   SendJson(responder, platform::kStatusOk,
            {{"Rows", rows}, {"HasMore", has_more}, {"Ver", m_version}, {"NowMs", m_log->Now().ms()}});
--- a/tests/soak/users_platform.h
+++ b/tests/soak/users_platform.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "base/random.h"
 #include "tests/soak/soak_log.h"
@@ -20,6 +21,9 @@
   UsersPlatform(EventLoop* loop, SoakLog* log, uint64_t seed);
 
   int port() const { return m_server.port(); }
+  // Opens a further port, on which the registry has other addresses: by the address of a replica, the one that is
+  // shown instead.
+  int AddView(std::map<std::string, std::string> addresses);
   // The store answers that it did nothing.
   bool refuses = false;
   // Share of the answers to writes that are lost, half of them before the write is applied.
@@ -34,6 +38,21 @@
   int usage_reports() const { return static_cast<int>(m_usage.size()); }
 
  private:
+  using Addresses = std::map<std::string, std::string>;
+
+  // Serves one view.
+  class View : public HttpHandler {
+   public:
+    View(EventLoop* loop, UsersPlatform* platform, Addresses addresses);
+    void OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) override;
+    int port() const { return m_server.port(); }
+
+   private:
+    UsersPlatform* m_platform;
+    Addresses m_addresses;
+    HttpServer m_server;
+  };
+
   using RowKey = std::tuple<std::string, std::string, std::string>;
   struct Row {
     // base64, as on the wire.
@@ -41,19 +60,22 @@
     int64_t version = 0;
   };
 
+  void Serve(HttpRequest request, std::shared_ptr<HttpResponder> responder, const Addresses& addresses);
   void Transact(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   bool Apply(const nlohmann::json& transaction, nlohmann::json* answer);
-  void ReadRows(const HttpRequest& request, HttpResponder* responder) const;
+  void ReadRows(const HttpRequest& request, HttpResponder* responder, const Addresses& addresses) const;
   void ListParts(const HttpRequest& request, HttpResponder* responder) const;
   void TakeUsage(const HttpRequest& request, HttpResponder* responder);
   static nlohmann::json Describe(const RowKey& key, const Row& row);
 
+  EventLoop* m_loop;
   SoakLog* m_log;
   Random m_random;
   std::map<RowKey, Row> m_rows;
   int64_t m_version = 0;
   std::map<int64_t, std::string> m_usage;
   HttpServer m_server;
+  std::vector<std::unique_ptr<View>> m_views;
 };
 
 }  // namespace quetzalridge::soak
