Release the duty of model versions while its holder reaches no endpoint

Orders must not go through another instance, since endpoints take two machines for two holders. Cause: a lease says that its holder runs, not that it can carry the duty out. DutyManager asks each duty's owner now, releases the lease once the duty is idle, and does not acquire it. Duties without such a condition are released first when an instance has more than its share; otherwise two instances pass a duty back that only one of them can carry out (the test found this).

--- a/src/coordination/duty_manager.cc
+++ b/src/coordination/duty_manager.cc
@@ -13,7 +13,7 @@
 // After this many renewal intervals, an available lease is acquired even by an instance that already has its fair
 // share.
 constexpr int64_t kUnclaimedLeaseGraceRenewals = 3;
-// How often duties are checked for idleness while draining.
+// How often duties are checked for idleness while their leases are to be released.
 constexpr Duration kDrainPollInterval = Duration::Milliseconds(200);
 
 // With at most this many instances, each instance reads the rows of all leases. With more, each lease has this many
@@ -28,10 +28,11 @@
 DutyManager::DutyManager(TableStore* store, Scheduler* scheduler, DutyManagerOptions options)
     : m_store(store), m_scheduler(scheduler), m_options(std::move(options)) {}
 
-void DutyManager::AddDuty(const std::string& name, Duty* duty) {
+void DutyManager::AddDuty(const std::string& name, Duty* duty, std::function<bool()> can_run) {
   Entry& entry = m_entries[name];
   entry = {};
   entry.duty = duty;
+  entry.can_run = std::move(can_run);
   entry.lease = std::make_unique<Lease>(m_store, m_scheduler, m_options.lease, name);
   entry.lease->SetChangedCallback([this] { UpdateAll(); });
 }
@@ -156,6 +157,10 @@
   const TimePoint now = m_scheduler->clock().Now();
   for (auto& [name, entry] : m_entries) {
     NotifyDuty(&entry, now);
+    if (!entry.releasing && entry.lease->IsRecordedHolder() && !CanRun(entry)) {
+      entry.releasing = true;
+      entry.duty->Stop();
+    }
     if (entry.releasing) {
       ReleaseIfIdle(&entry, now);
     } else {
@@ -164,9 +169,13 @@
   }
   if (m_draining) {
     CheckDrained();
-  } else {
-    ReleaseExcess();
+    return;
   }
+  ReleaseExcess();
+  const bool releases = std::any_of(m_entries.begin(), m_entries.end(), [](const auto& entry) {
+    return entry.second.releasing && entry.second.lease->IsRecordedHolder();
+  });
+  m_release_timer = releases ? m_scheduler->After(kDrainPollInterval, [this] { UpdateAll(); }) : nullptr;
 }
 
 void DutyManager::CheckDrained() {
@@ -213,7 +222,7 @@
   if (!entry->row_read) {
     return;
   }
-  if (!entry->lease->CanAcquire(now)) {
+  if (!CanRun(*entry) || !entry->lease->CanAcquire(now)) {
     entry->seen_available = false;
     return;
   }
@@ -239,11 +248,14 @@
     return;
   }
   const TimePoint now = m_scheduler->clock().Now();
-  for (auto& [name, entry] : m_entries) {
-    if (entry.lease->IsHeld(now)) {
-      entry.releasing = true;
-      entry.duty->Stop();
-      return;
+  // A duty that some instances may be unable to carry out is released last, since they would not acquire it.
+  for (const bool restricted : {false, true}) {
+    for (auto& [name, entry] : m_entries) {
+      if (entry.lease->IsHeld(now) && (entry.can_run != nullptr) == restricted) {
+        entry.releasing = true;
+        entry.duty->Stop();
+        return;
+      }
     }
   }
 }
--- a/src/coordination/duty_manager.h
+++ b/src/coordination/duty_manager.h
@@ -37,8 +37,11 @@
     m_own_id = std::move(own_id);
     m_live_instances = std::move(live_instances);
   }
-  // `duty` must stay valid until it is removed or this object is destroyed.
-  void AddDuty(const std::string& name, Duty* duty);
+  // `duty` must stay valid until it is removed or this object is destroyed. While `can_run` returns false, this process
+  // cannot carry the duty out: it does not acquire the lease, and releases it. The duty can always run if absent.
+  void AddDuty(const std::string& name, Duty* duty, std::function<bool()> can_run = nullptr);
+  // Must be called when the result of a function `can_run` has changed.
+  void OnCanRunChanged() { UpdateAll(); }
   // Stops and removes the duty. Its lease is released if the duty is idle, and expires otherwise.
   void RemoveDuty(const std::string& name);
   std::vector<std::string> DutyNames() const;
@@ -52,6 +55,7 @@
  private:
   struct Entry {
     Duty* duty = nullptr;
+    std::function<bool()> can_run;
     std::unique_ptr<Lease> lease;
     // Whether the last call to the duty was OnAcquired rather than OnLost.
     bool notified_held = false;
@@ -76,6 +80,7 @@
   void NotifyDuty(Entry* entry, TimePoint now);
   void ReleaseIfIdle(Entry* entry, TimePoint now);
   void AcquireIfDue(Entry* entry, TimePoint now);
+  static bool CanRun(const Entry& entry) { return !entry.can_run || entry.can_run(); }
   void ReleaseExcess();
   // Returns the number of duties divided by the number of live instances, rounded up.
   int FairShare() const;
@@ -89,6 +94,7 @@
   int64_t m_tick_count = 0;
   std::map<std::string, Entry> m_entries;
   std::unique_ptr<Timer> m_timer;
+  std::unique_ptr<Timer> m_release_timer;
   bool m_draining = false;
   std::function<void()> m_drained_callback;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/tests/coordination/lease_test.cc
+++ b/tests/coordination/lease_test.cc
@@ -264,6 +264,31 @@
   CHECK(f.instances[3]->manager.HeldCount() == 4);
 }
 
+TEST_CASE("a duty moves away from an instance that cannot carry it out, and does not come back in the meantime") {
+  ManualScheduler scheduler;
+  FakeTable table(&scheduler, 1);
+  bool can_run[] = {true, true};
+  std::vector<std::unique_ptr<Instance>> instances;
+  std::vector<std::unique_ptr<RequestingDuty>> duties;
+  for (size_t i = 0; i < 2; ++i) {
+    DutyManagerOptions options;
+    options.lease.holder = "instance-" + std::to_string(i);
+    instances.push_back(std::make_unique<Instance>(&scheduler, &table, options, 2, true));
+    duties.push_back(std::make_unique<RequestingDuty>(true));
+    instances[i]->manager.AddDuty("models", duties[i].get(), [&can_run, i] { return can_run[i]; });
+  }
+  const auto holds = [&](size_t i) { return instances[i]->manager.FindLease("models")->IsHeld(scheduler.Now()); };
+  scheduler.Advance(Duration::Seconds(20));
+  REQUIRE(holds(0) != holds(1));
+  const size_t first = holds(0) ? 0 : 1;
+  can_run[first] = false;
+  instances[first]->manager.OnCanRunChanged();
+  CHECK(!holds(first));
+  scheduler.Advance(Duration::Seconds(30));
+  CHECK(!holds(first));
+  CHECK(holds(1 - first));
+}
+
 // Guards against three failures: the number of lease reads grows with the product of instances and duties; no other
 // candidate takes a lease over when its holder fails; nobody takes it over when all of its candidates have failed.
 TEST_CASE("with many instances only the candidates read a lease often, and others take it over when those are gone") {
