Find all failed paths at once when new connections are refused and old ones live on

The duty asks for half of the endpoints, not for one.

Test: endpoint_relay_test, one lost path of three before, three now.

--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -30,6 +30,9 @@
 constexpr Duration kMaxSilenceLimit = Duration::Seconds(3);
 // A timer that fires later than this was held up with the whole process, which explains the silence.
 constexpr Duration kMaxTimerDelay = Duration::Milliseconds(100);
+// Time between the beginnings of two sweeps, and the number of endpoints that are probed at once.
+constexpr Duration kSweepInterval = Duration::Seconds(2);
+constexpr size_t kSweepStep = 16;
 constexpr Duration kMinTimerDelay = Duration::Milliseconds(10);
 
 }  // namespace
@@ -258,6 +261,7 @@
 
 void EndpointRelay::OnEndpointsChanged() {
   m_paths.Retain(KnownEndpoints());
+  NotifyReach();
 }
 
 std::set<std::string> EndpointRelay::KnownEndpoints() const {
@@ -336,7 +340,6 @@
 }
 
 void EndpointRelay::OnPathFailed(const PathCheck& check) {
-  const bool was_isolated = m_paths.is_isolated();
   const std::vector<std::string> lost = m_paths.OnPathFailed(check.endpoint, check.failed_since, KnownEndpoints());
   if (lost.empty()) {
     ReleaseHeldEnds(check.endpoint);
@@ -361,7 +364,8 @@
     }
   }
   ProbeLostPaths();
-  NotifyIsolation(was_isolated);
+  ContinueSweep();
+  NotifyReach();
   // Last, since it calls observers.
   for (const std::string& endpoint : lost) {
     ReleaseHeldEnds(endpoint);
@@ -369,9 +373,32 @@
   EndSilentCalls(check.endpoint, check.failed_since);
 }
 
-void EndpointRelay::NotifyIsolation(bool was_isolated) {
-  if (was_isolated != m_paths.is_isolated() && m_isolation_changed) {
-    m_isolation_changed();
+bool EndpointRelay::ReachesMost() const {
+  return static_cast<size_t>(m_paths.lost_count()) * 2 <= m_context.endpoints->endpoints().size();
+}
+
+void EndpointRelay::NotifyReach() {
+  const bool reaches_most = ReachesMost();
+  if (reaches_most != std::exchange(m_reached_most, reaches_most) && m_reach_changed) {
+    m_reach_changed();
+  }
+}
+
+// Connections that live on while new ones fail hide that the paths have failed.
+void EndpointRelay::ContinueSweep() {
+  if (m_sweep.empty() && (!m_sweep_began_at.has_value() || Now() - *m_sweep_began_at >= kSweepInterval)) {
+    m_sweep_began_at = Now();
+    for (const auto& [id, endpoint] : m_context.endpoints->endpoints()) {
+      m_sweep.push_back(id);
+    }
+  }
+  for (size_t probed = 0; probed < kSweepStep && !m_sweep.empty();) {
+    const std::string endpoint = m_sweep.back();
+    m_sweep.pop_back();
+    if (m_paths.IsDirect(endpoint)) {
+      ProbeSuspect(endpoint);
+      ++probed;
+    }
   }
 }
 
@@ -436,9 +463,8 @@
 }
 
 void EndpointRelay::OnProbeResult(const std::string& endpoint, TimePoint began_at, bool responded) {
-  const bool was_isolated = m_paths.is_isolated();
   if (m_paths.OnProbeResult(endpoint, responded)) {
-    NotifyIsolation(was_isolated);
+    NotifyReach();
     if (m_paths.lost_count() == 0) {
       Log(LogEvent::kEndpointPathsRestored, {{"last", endpoint}});
     }
--- a/src/coordination/endpoint_relay.h
+++ b/src/coordination/endpoint_relay.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,11 +51,11 @@
   // Answers another instance: whether this one has reached the endpoint within the last `age`, or reaches it now.
   void CheckReachability(const std::string& endpoint, Duration age, const std::function<void(Reachability)>& callback);
 
-  // The callback runs when the result of is_isolated() has changed.
-  void SetIsolationCallback(std::function<void()> callback) { m_isolation_changed = std::move(callback); }
+  // The callback runs when the result of ReachesMost() has changed.
+  void SetReachChangedCallback(std::function<void()> callback) { m_reach_changed = std::move(callback); }
 
-  // This instance reaches no endpoint, although other instances do.
-  bool is_isolated() const { return m_paths.is_isolated(); }
+  // The paths to at least half of the endpoints work.
+  bool ReachesMost() const;
   bool IsDirect(const std::string& endpoint) const { return m_paths.IsDirect(endpoint); }
   int lost_paths() const { return m_paths.lost_count(); }
   // Calls that other instances have accepted from this one.
@@ -72,7 +73,9 @@
   void AskNext(const std::shared_ptr<PathCheck>& check);
   void OnAnswer(const std::shared_ptr<PathCheck>& check, Reachability answer);
   void OnPathFailed(const PathCheck& check);
-  void NotifyIsolation(bool was_isolated);
+  void NotifyReach();
+  // Probes further endpoints while paths are found to have failed, so that no call has to find that out.
+  void ContinueSweep();
   // Probes an endpoint because calls to it get no response. If the probe gets none either, checks the path, or ends
   // those calls if the path is known to have failed.
   void ProbeSuspect(const std::string& endpoint);
@@ -90,7 +93,11 @@
   EndpointRelayContext m_context;
   EndpointPaths m_paths;
   RelayPeers m_peers;
-  std::function<void()> m_isolation_changed;
+  std::function<void()> m_reach_changed;
+  bool m_reached_most = true;
+  // Endpoints that are still to be probed in the present sweep, and when the sweep began.
+  std::vector<std::string> m_sweep;
+  std::optional<TimePoint> m_sweep_began_at;
   // Calls in flight over own connections.
   std::set<Exchange*> m_direct_calls;
   // Calls that have ended without a response, until it is known whether their path has failed.
--- a/tests/coordination/endpoint_relay_test.cc
+++ b/tests/coordination/endpoint_relay_test.cc
@@ -192,7 +192,7 @@
   RelayFixture::Respond(f.relayed[0], "answer");
   CHECK(first.body == "answer");
   CHECK(first.result->outcome == EndpointCallOutcome::kComplete);
-  CHECK(f.relay->is_isolated());
+  CHECK(f.relay->lost_paths() == 3);
   Outcome second;
   const auto two = f.Send("e1", &second);
   CHECK(f.direct.size() == 1);
@@ -222,7 +222,7 @@
   Outcome first;
   const auto one = f.Send("e0", &first);
   f.scheduler.Advance(Duration::Milliseconds(20));
-  REQUIRE(f.relay->is_isolated());
+  REQUIRE(f.relay->lost_paths() == 3);
   for (const std::string& other : f.others) {
     f.refusals[other] = RelayRefusal::kNoPath;
   }
@@ -377,7 +377,22 @@
   f.scheduler.Advance(Duration::Milliseconds(20));
   REQUIRE(outcome.result.has_value());
   CHECK(outcome.result->path_failed);
-  CHECK(f.relay->is_isolated());
+  CHECK(f.relay->lost_paths() == 3);
+}
+
+TEST_CASE("when new connections are refused while old ones live on, one call finds out for all endpoints") {
+  RelayFixture f;
+  f.refuses = false;
+  Outcome stream;
+  const auto old_connection = f.Send("e1", &stream);
+  f.reaches_none = true;
+  f.refuses = true;
+  Outcome outcome;
+  const auto call = f.Send("e0", &outcome);
+  f.relay->OnContact("e1");
+  f.scheduler.Advance(kStep * 4);
+  CHECK(f.relay->lost_paths() == 3);
+  CHECK(!f.relay->ReachesMost());
 }
 
 TEST_CASE("an instance without others calls endpoints as before") {
