Refuse requests that a planned stop would cut off, and count all open requests before the process exits

After the minimum serving time, when callers find other instances, a request is accepted only if its own limit ends before the process does; else it is refused at once as not run.

--- a/src/gateway/graceful_shutdown.cc
+++ b/src/gateway/graceful_shutdown.cc
@@ -9,6 +9,8 @@
 constexpr Duration kCheckInterval = Duration::Milliseconds(50);
 // The process exits this long before the platform would kill it.
 constexpr Duration kExitMargin = Duration::Milliseconds(100);
+// The last response is sent this long before the platform would kill the process.
+constexpr Duration kLastEndMargin = Duration::Milliseconds(200);
 
 }  // namespace
 
@@ -24,6 +26,11 @@
   WaitUntilIdle();
 }
 
+// In the minimum serving time, callers do not know of the shutdown yet, and would find no other instance.
+bool GracefulShutdown::MayAccept(Duration limit) const {
+  return !m_started || Elapsed() < m_options.min_serving_time || Elapsed() + limit < m_options.grace - kLastEndMargin;
+}
+
 void GracefulShutdown::ScheduleCheck(void (GracefulShutdown::*check)()) {
   m_timer = m_scheduler->After(kCheckInterval, [this, check] { (this->*check)(); });
 }
--- a/src/gateway/graceful_shutdown.h
+++ b/src/gateway/graceful_shutdown.h
@@ -38,6 +38,9 @@
 
   void Start();
   bool started() const { return m_started; }
+  // Whether a request that takes at most `limit` may still be accepted. A request that may not be is refused at once,
+  // since the end of the process would cut it off.
+  bool MayAccept(Duration limit) const;
 
  private:
   Duration Elapsed() const { return m_scheduler->clock().Now() - m_started_at; }
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -47,6 +47,11 @@
 
 }  // namespace
 
+Duration RequestLimit(const ServiceRoute& route, std::optional<Duration> time_left) {
+  const Duration limit = route.timeout > Duration() ? route.timeout : kDefaultTimeout;
+  return time_left.has_value() ? std::min(limit, *time_left) : limit;
+}
+
 void SendError(HttpResponder* responder, ErrorCode code, const std::string& message, RequestRan ran,
                Duration retry_after) {
   HttpHeaders headers = {{"content-type", "application/json"}};
@@ -77,10 +82,7 @@
   }
 
   void Start() {
-    Duration limit = m_route.timeout > Duration() ? m_route.timeout : kDefaultTimeout;
-    if (m_request.time_left.has_value()) {
-      limit = std::min(limit, *m_request.time_left);
-    }
+    const Duration limit = RequestLimit(m_route, m_request.time_left);
     m_deadline = m_started_at + limit;
     m_deadline_timer = m_forwarder->m_context.scheduler->After(limit - kResponseMargin, [this] { OnDeadline(); });
     m_responder->SetCloseCallback([this] { OnCallerDisconnected(); });
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -66,6 +67,9 @@
   std::set<std::pair<int, uint64_t>> m_waiting;
 };
 
+// How long a request of the route may take; `time_left` is how long its caller waits, if it says so.
+Duration RequestLimit(const ServiceRoute& route, std::optional<Duration> time_left);
+
 // Sends an error of this service as the response. `retry_after` is sent if it is positive.
 void SendError(HttpResponder* responder, ErrorCode code, const std::string& message, RequestRan ran,
                Duration retry_after = Duration());
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -333,6 +333,8 @@
 
   void StopKeepAlive() { h2o_context_request_shutdown(&m_context); }
 
+  int active_requests() const { return m_active_requests; }
+
   int open_connections() const { return static_cast<int>(m_connections.size()); }
 
   bool ReloadTls() {
@@ -358,7 +360,11 @@
     h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
     auto responder = std::make_shared<H2oResponder>(request);
     void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ResponderHolder), &DisposeHolder);
-    new (memory) ResponderHolder{responder, [owner, socket] { owner->AwaitRequest(socket); }};
+    ++owner->m_active_requests;
+    new (memory) ResponderHolder{responder, [owner, socket] {
+                                   --owner->m_active_requests;
+                                   owner->AwaitRequest(socket);
+                                 }};
     owner->Watch(responder);
     try {
       owner->Handle(request, socket, responder);
@@ -528,6 +534,7 @@
   h2o_accept_ctx_t m_accept{};
   h2o_socket_t* m_listener = nullptr;
   int m_port = 0;
+  int m_active_requests = 0;
   std::map<h2o_socket_t*, std::unique_ptr<Connection>> m_connections;
   std::vector<std::weak_ptr<H2oResponder>> m_watched;
   std::unique_ptr<Timer> m_watch_timer;
@@ -554,6 +561,10 @@
   return m_impl->open_connections();
 }
 
+int HttpServer::active_requests() const {
+  return m_impl->active_requests();
+}
+
 bool HttpServer::ReloadTls() {
   return m_impl->ReloadTls();
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -70,6 +70,8 @@
   // Still accepts connections, but ends each one after its present request.
   void StopKeepAlive();
   int open_connections() const;
+  // Requests that were read whole and whose response is not complete.
+  int active_requests() const;
   // Reads the certificate files again; false, with the old ones still in use, when they are not usable.
   bool ReloadTls();
 
--- a/tests/gateway/graceful_shutdown_test.cc
+++ b/tests/gateway/graceful_shutdown_test.cc
@@ -78,5 +78,21 @@
   CHECK(fixture.finished_at.has_value());
 }
 
+// Guards against requests that are accepted late in the grace time, and cut off without an answer at its end.
+TEST_CASE("a request that may take longer than the process runs is refused, once callers can find another instance") {
+  ShutdownFixture fixture;
+  fixture.active = 1;
+  GracefulShutdown shutdown = fixture.MakeShutdown();
+  const Duration limit = Duration::Seconds(2);
+  CHECK(shutdown.MayAccept(Duration::Seconds(60)));
+  shutdown.Start();
+  CHECK(shutdown.MayAccept(Duration::Seconds(60)));
+  fixture.scheduler.Advance(Duration::Seconds(4));
+  CHECK(shutdown.MayAccept(limit));
+  CHECK_FALSE(shutdown.MayAccept(Duration::Seconds(60)));
+  fixture.scheduler.Advance(Duration::Seconds(2));
+  CHECK_FALSE(shutdown.MayAccept(limit));
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- /dev/null
+++ b/tests/platform/node_cluster.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <unistd.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/node.h"
+#include "platform/wire_names.h"
+#include "tests/soak/replica.h"
+#include "tests/soak/users_platform.h"
+#include "transport/http_client.h"
+
+namespace quetzalridge::platform {
+
+inline constexpr int kCallerPort = 18'700;
+inline constexpr int kReadinessPort = 18'701;
+inline constexpr int kPeerPort = 18'702;
+inline constexpr int kMetricsPort = 18'703;
+inline constexpr int kEndpoints = 4;
+inline constexpr int kEngines = 2;
+inline constexpr char kHost[] = "agency.example";
+
+// An instance, and its own way to each endpoint.
+struct TestInstance {
+  std::string ip;
+  std::vector<std::unique_ptr<history::TcpRelay>> paths;
+  std::unique_ptr<Node> node;
+};
+
+// Three instances in this process, before four endpoints of a plain service and two engines.
+class Cluster {
+ public:
+  Cluster() : m_log(&m_loop.clock()), m_platform(&m_loop, &m_log, 1), m_client(&m_loop) {
+    const nlohmann::json route = {{"Name", "plain"},      {"Host", kHost},     {"Prefix", "/lookup/"},
+                                  {"Kind", "idempotent"}, {"TimeoutMs", 2000}, {"Service", soak::kPlainService},
+                                  {"MaxAttempts", 3},     {"Public", false}};
+    m_platform.Put(
+        "op", "config",
+        {{"Version", 1},
+         {"Routes", {route}},
+         {"Services",
+          {{{"Name", soak::kPlainService}},
+           {{"Name", soak::kEngineService}, {"Engine", {{"Slots", 8}, {"Models", {{{"Name", soak::kModel}}}}}}}}},
+         {"Tenants", {{{"Name", soak::kWorkspace}, {"ApiKeys", {"key"}}}}}});
+    for (int i = 0; i < kEndpoints; ++i) {
+      m_replicas.push_back(std::make_unique<soak::Replica>(&m_loop, &m_log, &m_platform, soak::kPlainService, i, "v1"));
+    }
+    for (int i = 0; i < kEngines; ++i) {
+      m_replicas.push_back(
+          std::make_unique<soak::Replica>(&m_loop, &m_log, &m_platform, soak::kEngineService, i, "v1"));
+    }
+    for (int i = 0; i < 3; ++i) {
+      AddInstance("node-" + std::to_string(i), i);
+    }
+    // The instances know each other and the endpoints after this time.
+    RunFor(Duration::Seconds(3));
+  }
+
+  TestInstance& instance(size_t i) { return *m_instances[i]; }
+  soak::SoakLog& log() { return m_log; }
+
+  // An engine. Its address is that of its first start.
+  const soak::Replica& engine(int i) const { return *m_replicas[static_cast<size_t>(kEndpoints + i)]; }
+  soak::Replica& endpoint(int i) { return *m_replicas[static_cast<size_t>(i)]; }
+  void NameVersion(int64_t version) {
+    m_platform.Put("op", std::string("version/") + soak::kModel, {{"Model", soak::kModel}, {"Version", version}});
+  }
+
+  void SetPaths(size_t i, history::TcpRelay::Mode mode) {
+    for (const auto& path : m_instances[i]->paths) {
+      path->SetMode(mode);
+    }
+  }
+
+  void RunFor(Duration duration) {
+    const TimePoint end = m_loop.clock().Now() + duration;
+    while (m_loop.clock().Now() < end) {
+      m_loop.RunOnce(Duration::Milliseconds(5));
+    }
+  }
+
+  // Sends a request to one instance. The callback receives the status, 0 if no whole response came, and whether the
+  // body is that of an endpoint.
+  void Send(size_t i, std::function<void(int status, bool whole)> callback) {
+    const std::string id = "request-" + std::to_string(++m_requests);
+    HttpCall call;
+    call.address = m_instances[i]->ip + ":" + std::to_string(kCallerPort);
+    call.method = "POST";
+    call.target = "/lookup/" + id;
+    call.headers = {{"host", kHost}, {kRequestIdHeader, id}, {kDeadlineHeader, "1500"}, {kApiKeyHeader, "key"}};
+    call.body = "body of " + id;
+    call.total_timeout = Duration::Seconds(3);
+    call.fresh_connection = true;
+    m_client.Fetch(std::move(call), [id, callback = std::move(callback)](const HttpResponse& response) {
+      callback(response.result.outcome == CallOutcome::kWhole ? response.status : 0,
+               response.body == soak::PlainAnswer(id, "body of " + id));
+    });
+  }
+
+  // Sends requests to one instance, one after the other. Returns how many were served.
+  int Serve(size_t i, int requests) {
+    int served = 0;
+    for (int n = 0; n < requests; ++n) {
+      bool ended = false;
+      Send(i, [&](int status, bool whole) {
+        ended = true;
+        served += status == kStatusOk && whole ? 1 : 0;
+      });
+      while (!ended) {
+        m_loop.RunOnce(Duration::Milliseconds(5));
+      }
+    }
+    return served;
+  }
+
+ private:
+  void AddInstance(const std::string& name, int index) {
+    auto instance = std::make_unique<TestInstance>();
+    instance->ip = "127.251." + std::to_string(1 + getpid() % 250) + "." + std::to_string(1 + index);
+    std::map<std::string, std::string> addresses;
+    for (const auto& replica : m_replicas) {
+      instance->paths.push_back(std::make_unique<history::TcpRelay>(replica->relay()->port()));
+      addresses[replica->relay()->address()] = instance->paths.back()->address();
+    }
+    NodeSettings settings;
+    settings.instance = name;
+    settings.zone = "a";
+    settings.ip = instance->ip;
+    settings.caller_address = instance->ip + ":" + std::to_string(kCallerPort);
+    settings.readiness_address = instance->ip + ":" + std::to_string(kReadinessPort);
+    settings.peer_port = kPeerPort;
+    settings.metrics_port = kMetricsPort;
+    settings.store_address = "127.0.0.1:" + std::to_string(m_platform.AddView(std::move(addresses)));
+    instance->node = std::make_unique<Node>(&m_loop, settings);
+    m_instances.push_back(std::move(instance));
+  }
+
+  EventLoop m_loop;
+  soak::SoakLog m_log;
+  soak::UsersPlatform m_platform;
+  std::vector<std::unique_ptr<soak::Replica>> m_replicas;
+  std::vector<std::unique_ptr<TestInstance>> m_instances;
+  HttpClient m_client;
+  int m_requests = 0;
+};
+
+}  // namespace quetzalridge::platform
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -14,7 +14,6 @@
 using Json = nlohmann::json;
 
 constexpr Duration kEventGap = Duration::Milliseconds(25);
-constexpr Duration kPlainWork = Duration::Milliseconds(15);
 constexpr int kSlots = 8;
 constexpr int kLeastEvents = 4;
 constexpr uint64_t kMoreEvents = 150;
@@ -125,7 +124,7 @@
   const auto timer = m_timers.emplace(m_timers.end());
   const std::string signature = m_id + "." + std::to_string(++m_plain_runs);
   m_log->AddScore(id, signature, m_log->Now());
-  *timer = m_loop->After(kPlainWork, [this, timer, id, signature, body = request.body, responder] {
+  *timer = m_loop->After(m_plain_work, [this, timer, id, signature, body = request.body, responder] {
     const std::unique_ptr<Timer> ended = std::move(*timer);
     m_timers.erase(timer);
     responder->Send(platform::kStatusOk, {{platform::kRequestIdHeader, id}, {platform::kSignatureHeader, signature}},
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -41,6 +41,8 @@
   void EndRuns();
   // Names this limit of requests per second in its answers from now on; none if it is 0.
   void SetRateLimit(double limit) { m_rate_limit = limit; }
+  // How long plain requests take from now on.
+  void SetPlainWork(Duration time) { m_plain_work = time; }
   history::TcpRelay* relay() { return &m_relay; }
   // The version of the model that is loaded.
   int64_t version() const { return m_version; }
@@ -75,6 +77,7 @@
   std::string m_id;
   std::string m_software;
   double m_rate_limit = 0.0;
+  Duration m_plain_work = Duration::Milliseconds(15);
   int64_t m_renewals = 0;
   int64_t m_version = 1;
   int64_t m_orders = 0;
