Give the soak nodes that lose all their ways to replicas

Each node has relays of its own to the replicas, which are refused or go silent, for one node or for most of them, also beside all other faults.

--- a/tests/soak/node_fleet.cc
+++ b/tests/soak/node_fleet.cc
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace quetzalridge::soak {
@@ -27,14 +28,20 @@
 
 }  // namespace
 
-NodeFleet::NodeFleet(EventLoop* loop, SoakLog* log, UsersPlatform* platform, const std::string& folder, int count)
+NodeFleet::NodeFleet(EventLoop* loop, SoakLog* log, UsersPlatform* platform, const std::string& folder, int count,
+                     const std::vector<int>& replica_ports)
     : m_loop(loop), m_log(log), m_platform(platform), m_folder(folder), m_caller_port(kCallerPort) {
   for (int i = 0; i < count; ++i) {
     auto node = std::make_unique<SoakNode>();
     node->name = "node-" + std::to_string(i + 1);
     node->ip = Loopback(i);
     node->settings_file = folder + "/" + node->name + ".json";
-    node->platform_relay = std::make_unique<history::TcpRelay>(platform->port());
+    std::map<std::string, std::string> addresses;
+    for (const int port : replica_ports) {
+      node->replica_relays.push_back(std::make_unique<history::TcpRelay>(port));
+      addresses["127.0.0.1:" + std::to_string(port)] = node->replica_relays.back()->address();
+    }
+    node->platform_relay = std::make_unique<history::TcpRelay>(platform->AddView(std::move(addresses)));
     m_nodes.push_back(std::move(node));
   }
   for (const std::unique_ptr<SoakNode>& node : m_nodes) {
@@ -127,6 +134,17 @@
   node->timer = m_loop->After(time, [node] { node->platform_relay->SetMode(history::TcpRelay::Mode::kPass); });
 }
 
+void NodeFleet::Strand(SoakNode* node, history::TcpRelay::Mode mode, Duration time) {
+  m_log->Note("replicas away from " + node->name + " for " + std::to_string(time.ms()) + " ms");
+  const auto set_mode = [node](history::TcpRelay::Mode value) {
+    for (const std::unique_ptr<history::TcpRelay>& relay : node->replica_relays) {
+      relay->SetMode(value);
+    }
+  };
+  set_mode(mode);
+  node->strand_timer = m_loop->After(time, [set_mode] { set_mode(history::TcpRelay::Mode::kPass); });
+}
+
 void NodeFleet::DelayRelay(SoakNode* node, int64_t delay_ms, Duration time) {
   m_log->Note("platform slow for " + node->name);
   node->platform_relay->SetDelayMs(delay_ms);
@@ -136,7 +154,11 @@
 void NodeFleet::Heal() {
   for (const std::unique_ptr<SoakNode>& node : m_nodes) {
     node->timer.reset();
+    node->strand_timer.reset();
     node->platform_relay->SetMode(history::TcpRelay::Mode::kPass);
+    for (const std::unique_ptr<history::TcpRelay>& relay : node->replica_relays) {
+      relay->SetMode(history::TcpRelay::Mode::kPass);
+    }
     node->platform_relay->SetDelayMs(0);
     Resume(node.get());
     if (node->process == nullptr) {
--- a/tests/soak/node_fleet.h
+++ b/tests/soak/node_fleet.h
@@ -22,17 +22,22 @@
   int starts = 0;
   std::unique_ptr<history::ChildProcess> process;
   std::unique_ptr<history::TcpRelay> platform_relay;
+  // Its own ways to the replicas.
+  std::vector<std::unique_ptr<history::TcpRelay>> replica_relays;
   bool paused = false;
   bool stopping = false;
   // When a stopped process was last gone, paused or cut off.
   TimePoint disturbed_until;
   std::unique_ptr<Timer> timer;
+  std::unique_ptr<Timer> strand_timer;
 };
 
 // The processes under test. Ends only those that it started, by their ids.
 class NodeFleet {
  public:
-  NodeFleet(EventLoop* loop, SoakLog* log, UsersPlatform* platform, const std::string& folder, int count);
+  // `replica_ports` are those at which the registry shows the replicas.
+  NodeFleet(EventLoop* loop, SoakLog* log, UsersPlatform* platform, const std::string& folder, int count,
+            const std::vector<int>& replica_ports);
 
   std::vector<std::unique_ptr<SoakNode>>& nodes() { return m_nodes; }
   std::string CallerAddress(const SoakNode& node) const { return node.ip + ":" + std::to_string(m_caller_port); }
@@ -43,6 +48,8 @@
   void Stop(SoakNode* node);
   void Pause(SoakNode* node, Duration time);
   void DisturbRelay(SoakNode* node, history::TcpRelay::Mode mode, Duration time);
+  // Cuts the node off from all replicas, while callers, the store and the other nodes reach it.
+  void Strand(SoakNode* node, history::TcpRelay::Mode mode, Duration time);
   void DelayRelay(SoakNode* node, int64_t delay_ms, Duration time);
   // Ends all faults and starts what is down.
   void Heal();
--- a/tests/soak/node_soak_main.cc
+++ b/tests/soak/node_soak_main.cc
@@ -100,7 +100,11 @@
       const char* service = i < kEngines ? kEngineService : kPlainService;
       m_replicas.push_back(std::make_unique<Replica>(loop, &m_log, &m_platform, service, i, AnySoftware()));
     }
-    m_fleet = std::make_unique<NodeFleet>(loop, &m_log, &m_platform, folder, options.nodes);
+    std::vector<int> ports;
+    for (const std::unique_ptr<Replica>& replica : m_replicas) {
+      ports.push_back(replica->relay()->port());
+    }
+    m_fleet = std::make_unique<NodeFleet>(loop, &m_log, &m_platform, folder, options.nodes, ports);
     m_callers = std::make_unique<PlainCallers>(loop, &m_log, m_fleet.get(), m_random.Next());
     m_streams = std::make_unique<StreamCallers>(loop, &m_log, m_fleet.get(), m_random.Next());
     m_trainer = std::make_unique<Trainer>(loop, &m_log, m_fleet.get(), &m_platform, m_random.Next());
@@ -165,7 +169,7 @@
   void Inject() {
     SoakNode* node = m_fleet->nodes()[m_random.Below(m_fleet->nodes().size())].get();
     Replica* replica = m_replicas[m_random.Below(m_replicas.size())].get();
-    switch (m_random.Below(16)) {
+    switch (m_random.Below(18)) {
       case 0:
       case 1:
         m_fleet->Kill(node, Draw(200, 2500));
@@ -221,6 +225,20 @@
         m_log.Note("a replica lifts its rate limit");
         replica->SetRateLimit(0.0);
         break;
+      case 15:
+        m_fleet->Strand(node, m_random.Chance(0.5) ? Mode::kCut : Mode::kSilent, Draw(2000, 8000));
+        break;
+      case 16: {
+        // All nodes but one or two.
+        const Mode mode = m_random.Chance(0.5) ? Mode::kCut : Mode::kSilent;
+        const Duration time = Draw(2000, 8000);
+        for (const std::unique_ptr<SoakNode>& each : m_fleet->nodes()) {
+          if (each.get() != node && m_random.Chance(0.7)) {
+            m_fleet->Strand(each.get(), mode, time);
+          }
+        }
+        break;
+      }
       default:
         if (m_random.Chance(0.3)) {
           for (const std::unique_ptr<SoakNode>& each : m_fleet->nodes()) {
