Bring lost paths back together after a few successful probes

Each endpoint was probed twice before its path came back. Paths that failed together come back together now, after three rounds of probes (seven endpoints) without a failure; a path that fails while others work stays lost and does not hold the others back.

--- a/src/state/endpoint_paths.cc
+++ b/src/state/endpoint_paths.cc
@@ -7,8 +7,9 @@
 
 namespace {
 
-// A path that has just failed may work again for a moment, so one response is not enough to return to it.
-constexpr int kSuccessesToRestore = 2;
+// Paths that have just failed may work again for a moment, so one response is not enough to return to them. These
+// rounds probe seven endpoints; probing each of a thousand would cost a connection for each.
+constexpr int kRoundsToRestore = 3;
 // Time between two rounds of probes, after one that failed and after one that succeeded.
 constexpr Duration kProbeInterval = Duration::Milliseconds(500);
 constexpr Duration kNextRoundDelay = Duration::Milliseconds(50);
@@ -44,11 +45,14 @@
   };
   if (m_lost.empty()) {
     m_round_size = 1;
+    m_good_rounds = 0;
+    m_first_success_at.reset();
     m_next_probes_at = m_clock->Now();
   }
   add(endpoint);
   if (!HasAnyContactSince(failed_since)) {
     m_isolated = true;
+    m_first_success_at.reset();
     std::for_each(endpoints.begin(), endpoints.end(), add);
   }
   return lost;
@@ -78,9 +82,13 @@
     return {};
   }
   std::vector<std::pair<TimePoint, std::string>> candidates;
-  candidates.reserve(m_lost.size());
+  std::vector<std::pair<TimePoint, std::string>> failed_alone;
   for (const auto& [endpoint, path] : m_lost) {
-    candidates.emplace_back(path.probed_at, endpoint);
+    (FailedAlone(path) ? failed_alone : candidates).emplace_back(path.probed_at, endpoint);
+  }
+  // A path that stays lost must not keep the others from coming back.
+  if (candidates.empty()) {
+    candidates = std::move(failed_alone);
   }
   // Those that were probed longest ago come first.
   std::sort(candidates.begin(), candidates.end());
@@ -98,25 +106,33 @@
 bool EndpointPaths::OnProbeResult(const std::string& endpoint, bool responded) {
   m_probing.erase(endpoint);
   m_round_failed = m_round_failed || !responded;
-  bool restored = false;
   const auto path = m_lost.find(endpoint);
   if (path != m_lost.end()) {
-    path->second.successes = responded ? path->second.successes + 1 : 0;
-    restored = path->second.successes >= kSuccessesToRestore;
-    if (restored) {
-      m_lost.erase(path);
-      m_isolated = false;
-    }
+    path->second.failed_at = responded ? std::nullopt : std::optional<TimePoint>(m_clock->Now());
   }
-  if (m_probing.empty()) {
-    EndRound();
+  if (responded && !m_first_success_at.has_value()) {
+    m_first_success_at = m_clock->Now();
   }
-  return restored;
+  return m_probing.empty() && EndRound();
+}
+
+bool EndpointPaths::FailedAlone(const LostPath& path) const {
+  return path.failed_at.has_value() && m_first_success_at.has_value() && *path.failed_at >= *m_first_success_at;
 }
 
-void EndpointPaths::EndRound() {
+bool EndpointPaths::EndRound() {
+  m_good_rounds = m_round_failed ? 0 : m_good_rounds + 1;
+  const bool restores = m_good_rounds >= kRoundsToRestore;
+  if (restores) {
+    m_good_rounds = 0;
+    m_isolated = false;
+    for (auto it = m_lost.begin(); it != m_lost.end();) {
+      it = FailedAlone(it->second) ? std::next(it) : m_lost.erase(it);
+    }
+  }
   m_round_size = m_round_failed ? 1 : std::min(m_round_size * 2, kMaxRoundSize);
   m_next_probes_at = m_clock->Now() + (m_round_failed ? kProbeInterval : kNextRoundDelay);
+  return restores;
 }
 
 }  // namespace quetzalridge
--- a/src/state/endpoint_paths.h
+++ b/src/state/endpoint_paths.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,9 +42,9 @@
   void Retain(const std::set<std::string>& endpoints);
 
   // Returns the endpoints to which a probe is due, and counts them as being probed. A round of probes begins with one
-  // endpoint and doubles while all of them succeed, so that paths come back quickly, but not all at once.
+  // endpoint and doubles while all of them succeed.
   std::vector<std::string> BeginProbes();
-  // Returns true if the path to the endpoint works again.
+  // Returns true if paths count as working again: all but those that failed while others worked.
   bool OnProbeResult(const std::string& endpoint, bool responded);
   // When the next round of probes is due. Meaningful only while a path has failed.
   TimePoint next_probes_at() const { return m_next_probes_at; }
@@ -51,20 +52,28 @@
  private:
   struct LostPath {
     TimePoint probed_at;
-    int successes = 0;
+    // When a probe last got no response.
+    std::optional<TimePoint> failed_at;
   };
 
-  void EndRound();
+  // The path failed after another one had been found to work again.
+  bool FailedAlone(const LostPath& path) const;
+  // Returns true if paths were restored.
+  bool EndRound();
 
   const Clock* m_clock;
   std::map<std::string, TimePoint> m_contacts;
   TimePoint m_last_contact;
   bool m_has_contact = false;
   bool m_isolated = false;
+  // When a probe first succeeded since the paths have failed.
+  std::optional<TimePoint> m_first_success_at;
   std::map<std::string, LostPath> m_lost;
   std::set<std::string> m_probing;
   size_t m_round_size = 1;
   bool m_round_failed = false;
+  // Number of rounds in a row in which all probed endpoints responded.
+  int m_good_rounds = 0;
   TimePoint m_next_probes_at;
 };
 
--- a/tests/state/endpoint_paths_test.cc
+++ b/tests/state/endpoint_paths_test.cc
@@ -15,6 +15,7 @@
 struct PathsFixture {
   ManualClock clock;
   EndpointPaths paths{&clock};
+  size_t probes = 0;
 
   TimePoint Now() const { return clock.Now(); }
 
@@ -25,6 +26,7 @@
     while (Now() < end) {
       const std::vector<std::string> round = paths.BeginProbes();
       largest = std::max(largest, round.size());
+      probes += round.size();
       for (const std::string& endpoint : round) {
         paths.OnProbeResult(endpoint, responding.count(endpoint) > 0);
       }
@@ -93,16 +95,27 @@
   CHECK(f.paths.lost_count() == 3);
 }
 
-TEST_CASE("after the cut the paths to many endpoints are back within two seconds, without a herd of connections") {
+TEST_CASE("after the cut the paths to a thousand endpoints are back within a second, after a few connections") {
   PathsFixture f;
   std::set<std::string> many;
   for (int i = 0; i < 1000; ++i) {
     many.insert("e" + std::to_string(i));
   }
   f.paths.OnPathFailed("e0", f.Now(), many);
-  CHECK(f.Probe({}, Duration::Seconds(3)) == 1);
-  CHECK(f.Probe(many, Duration::Seconds(3)) <= 64);
+  f.Probe({}, Duration::Seconds(3));
+  f.probes = 0;
+  f.Probe(many, Duration::Seconds(1));
   CHECK(f.paths.lost_count() == 0);
+  CHECK(f.probes <= 8);
+}
+
+TEST_CASE("when some paths work again and others do not, only the first are called over own connections") {
+  PathsFixture f;
+  f.paths.OnPathFailed("e0", f.Now(), kAll);
+  f.Probe({"e1", "e2"}, Duration::Seconds(10));
+  CHECK(!f.paths.IsDirect("e0"));
+  CHECK(f.paths.IsDirect("e1"));
+  CHECK(f.paths.IsDirect("e2"));
 }
 
 TEST_CASE("an endpoint that is new while no path works is not called over own connections") {
