--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -238,6 +238,69 @@
   CHECK_FALSE(fixture.view.ended);
 }
 
+// Guards against the text of another endpoint's error in the middle of a stream.
+TEST_CASE("a stream that has begun and breaks off gets nothing from another endpoint, and does not end as complete") {
+  for (const bool resumable : {false, true}) {
+    ForwarderFixture fixture;
+    if (resumable) {
+      fixture.SendStream("r");
+    } else {
+      fixture.Send(RouteKind::kStream);
+    }
+    EndpointResponseHead head = ForwarderFixture::Head(200, false);
+    fixture.Observer(0)->OnHead(head);
+    fixture.Observer(0)->OnBody("id: 1\ndata: a\n\n");
+    fixture.scheduler.Advance(Duration::Milliseconds(50));
+    REQUIRE(fixture.view.body == "id: 1\ndata: a\n\n");
+    fixture.Observer(0)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kTruncated));
+    fixture.scheduler.Advance(Duration::Seconds(1));
+    CHECK(fixture.endpoints.attempts.size() == 1);
+    CHECK(fixture.view.body == "id: 1\ndata: a\n\n");
+    CHECK(fixture.view.aborted);
+    CHECK_FALSE(fixture.view.ended);
+  }
+}
+
+// Guards against the start of a first endpoint's stream in front of the response of a second one.
+TEST_CASE("a stream that breaks off while its origin is recorded leaves nothing in the response of the next endpoint") {
+  ForwarderFixture fixture;
+  fixture.SendStream("r");
+  fixture.Observer(0)->OnHead(ForwarderFixture::Head(200, false));
+  fixture.Observer(0)->OnBody("id: 1\nda");
+  fixture.Observer(0)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kTruncated));
+  fixture.scheduler.Advance(Duration::Milliseconds(50));
+  for (size_t attempt = 1; attempt < fixture.endpoints.attempts.size(); ++attempt) {
+    fixture.Observer(attempt)->OnHead(ForwarderFixture::Head(500, false));
+    fixture.Observer(attempt)->OnBody("error text");
+    fixture.Observer(attempt)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  }
+  fixture.scheduler.Advance(Duration::Seconds(1));
+  CHECK(fixture.view.body.find("id: 1\ndaerror") == std::string::npos);
+  CHECK((fixture.view.status != 200 || fixture.view.aborted));
+}
+
+TEST_CASE("a request that no instance can send to any endpoint is refused at once as not run, without other attempts") {
+  ForwarderFixture fixture;
+  fixture.Send(RouteKind::kNonIdempotent);
+  EndpointCallResult result = ForwarderFixture::Result(EndpointCallOutcome::kNotSent);
+  result.path_failed = true;
+  fixture.Observer(0)->OnEnd(result);
+  CHECK(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.view.status == 503);
+  // The endpoint is not at fault.
+  CHECK(fixture.directory.IsUsable(*fixture.directory.Find(fixture.endpoints.attempts[0]->call.endpoint_id)));
+}
+
+TEST_CASE("a non-idempotent request whose answer is lost at the instance that passed it on is not called not run") {
+  ForwarderFixture fixture;
+  fixture.Send(RouteKind::kNonIdempotent);
+  EndpointCallResult result = ForwarderFixture::Result(EndpointCallOutcome::kNoResponse);
+  result.peer_failed = true;
+  fixture.Observer(0)->OnEnd(result);
+  CHECK(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.view.status == 502);
+}
+
 TEST_CASE("a request goes to an endpoint without a rate limit while there is no permit for the other") {
   ForwarderFixture fixture;
   fixture.permits.limited = {"e0"};
--- a/tests/platform/node_cluster.h
+++ b/tests/platform/node_cluster.h
@@ -40,10 +40,16 @@
     const nlohmann::json route = {{"Name", "plain"},      {"Host", kHost},     {"Prefix", "/lookup/"},
                                   {"Kind", "idempotent"}, {"TimeoutMs", 2000}, {"Service", soak::kPlainService},
                                   {"MaxAttempts", 3},     {"Public", false}};
+    nlohmann::json stream = route;
+    stream["Name"] = "stream";
+    stream["Prefix"] = "/stream/";
+    stream["Kind"] = "stream";
+    stream["TimeoutMs"] = 9000;
+    stream["Service"] = soak::kEngineService;
     m_platform.Put(
         "op", "config",
         {{"Version", 1},
-         {"Routes", {route}},
+         {"Routes", {route, stream}},
          {"Services",
           {{{"Name", soak::kPlainService}},
            {{"Name", soak::kEngineService}, {"Engine", {{"Slots", 8}, {"Models", {{{"Name", soak::kModel}}}}}}}}},
@@ -103,6 +109,26 @@
     });
   }
 
+  // Begins a stream of many events at one instance. Destroying the result closes the caller's connection.
+  std::unique_ptr<HttpExchange> BeginStream(size_t i, HttpCallObserver* observer) {
+    const std::string item = "long-item-" + std::to_string(LongItem());
+    HttpCall call;
+    call.address = m_instances[i]->ip + ":" + std::to_string(kCallerPort);
+    call.method = "POST";
+    call.target = "/stream/" + item;
+    call.headers = {{"host", kHost}, {kRequestIdHeader, item}, {kDeadlineHeader, "9000"}, {kApiKeyHeader, "key"}};
+    call.body = "body of " + item;
+    call.fresh_connection = true;
+    return m_client.Start(std::move(call), observer);
+  }
+  int RunningStreams() const {
+    int running = 0;
+    for (int i = 0; i < kEngines; ++i) {
+      running += engine(i).running();
+    }
+    return running;
+  }
+
   // Sends requests to one instance, one after the other. Returns how many were served.
   int Serve(size_t i, int requests) {
     int served = 0;
@@ -120,6 +146,15 @@
   }
 
  private:
+  // The number of an item with more than 100 events.
+  static int LongItem() {
+    int number = 0;
+    while (soak::EventsOf("long-item-" + std::to_string(number)) < 100) {
+      ++number;
+    }
+    return number;
+  }
+
   void AddInstance(const std::string& name, int index) {
     auto instance = std::make_unique<TestInstance>();
     instance->ip = "127.251." + std::to_string(1 + getpid() % 250) + "." + std::to_string(1 + index);
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -44,6 +44,8 @@
   // How long plain requests take from now on.
   void SetPlainWork(Duration time) { m_plain_work = time; }
   history::TcpRelay* relay() { return &m_relay; }
+  // Number of items and streams that run.
+  int running() const { return static_cast<int>(m_runs.size()); }
   // The version of the model that is loaded.
   int64_t version() const { return m_version; }
   // The machine that sent the last order; empty before the first one.
--- a/tests/transport/http_client_framing_test.cc
+++ b/tests/transport/http_client_framing_test.cc
@@ -59,6 +59,23 @@
   CHECK(fixture.Run(call, "HTTP/1.1 200 OK\r\n\r\nto the e").result.outcome != CallOutcome::kWhole);
 }
 
+// Guards against a response with an empty or short body that passes for a whole one.
+TEST_CASE("a response whose head or body stops anywhere and is closed in order is never whole") {
+  const std::string answer = kWholeAnswer;
+  for (const bool accepts_unframed_body : {false, true}) {
+    for (size_t size = 0; size < answer.size(); ++size) {
+      RawFixture fixture;
+      HttpCall call = fixture.Call();
+      call.accepts_unframed_body = accepts_unframed_body;
+      // The server sends nothing for an empty answer and closes.
+      const HttpResponse response = fixture.Run(call, answer.substr(0, size));
+      INFO(size);
+      CHECK(response.result.outcome != CallOutcome::kWhole);
+      CHECK((response.status == 0) == (size < answer.find("whole")));
+    }
+  }
+}
+
 // Guards against bytes after an answer that become part of the next one.
 TEST_CASE("a connection with bytes after the answer is not used again") {
   RawFixture fixture;
--- a/tests/transport/http_test.cc
+++ b/tests/transport/http_test.cc
@@ -1,5 +1,10 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
@@ -8,6 +13,19 @@
 namespace quetzalridge {
 namespace {
 
+// All connected TCP sockets of this process.
+std::vector<int> ConnectedSockets() {
+  std::vector<int> sockets;
+  for (int fd = 0; fd < 1024; ++fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0 && peer.sin_family == AF_INET) {
+      sockets.push_back(fd);
+    }
+  }
+  return sockets;
+}
+
 // Answers by path, so that each test can ask for one way of answering.
 class PathHandler : public HttpHandler {
  public:
@@ -174,5 +192,23 @@
   SUCCEED();
 }
 
+// Such a timeout would also decide when keep-alive probes give up. The timeouts of calls end silent connections
+// instead.
+TEST_CASE("no library sets a TCP_USER_TIMEOUT on the connections of clients and servers") {
+  Fixture fixture;
+  fixture.client.Fetch(fixture.Call("/silent"), [](const HttpResponse&) {});
+  while (fixture.handler.silent == nullptr) {
+    fixture.loop.RunOnce(Duration::Milliseconds(5));
+  }
+  const std::vector<int> sockets = ConnectedSockets();
+  CHECK(sockets.size() >= 2);
+  for (const int fd : sockets) {
+    unsigned int timeout_ms = 1;
+    socklen_t size = sizeof(timeout_ms);
+    REQUIRE(getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, &size) == 0);
+    CHECK(timeout_ms == 0);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
