Send nothing more to an endpoint that says in a response that it leaves

Nothing read it, so an endpoint that the registry still listed as ready, or that the store could not report, got further requests. The header is decoded in platform/ and kept in the endpoint directory for one start of one endpoint: an older entry of the registry does not overwrite it, an entry that disappears and comes back neither, a new start does, and a late response of the previous start is ignored. All kinds of calls choose among the endpoints that take work; calls through another instance are refused there too, and their responses carry what the endpoint said. Work that runs there ends there.

Unit tests for the directory, the decoding (refusals, cut responses, heads of streams, 421) and the frames between instances. Not done: telling the other instances.

--- a/src/coordination/endpoint_caller.h
+++ b/src/coordination/endpoint_caller.h
@@ -53,6 +53,8 @@
   std::optional<int64_t> model_version;
   // Number of requests per second that the endpoint accepts from all instances together; absent while it sets no limit.
   std::optional<double> rate_limit;
+  // The endpoint will stop, and takes no new work.
+  bool leaving = false;
   // Identifies the endpoint and the run; empty if the response carries none.
   std::string signature;
 };
--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -45,6 +45,7 @@
         m_call(std::move(call)),
         m_observer(observer),
         m_may_relay(may_relay),
+        m_endpoint_start(relay->StartOf(m_call.endpoint_id)),
         m_began_at(relay->Now()),
         m_last_part_at(m_began_at) {}
   ~Exchange() override {
@@ -87,6 +88,9 @@
 
   void OnHead(const EndpointResponseHead& head) override {
     OnPart();
+    if (head.leaving) {
+      m_relay->RecordLeaving(m_call.endpoint_id, m_endpoint_start);
+    }
     m_observer->OnHead(head);
   }
   void OnBody(std::string_view data) override {
@@ -197,6 +201,8 @@
   EndpointCall m_call;
   EndpointCallObserver* m_observer;
   bool m_may_relay;
+  // The start of the endpoint when the call began. The endpoint may have restarted when the response arrives.
+  int64_t m_endpoint_start;
   TimePoint m_began_at;
   TimePoint m_last_part_at;
   bool m_has_part = false;
@@ -246,6 +252,21 @@
   m_paths.OnContact(endpoint);
 }
 
+void EndpointRelay::OnLeaving(const std::string& endpoint) {
+  RecordLeaving(endpoint, StartOf(endpoint));
+}
+
+int64_t EndpointRelay::StartOf(const std::string& endpoint) const {
+  const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
+  return known == nullptr ? 0 : known->entry.started_at_ms;
+}
+
+void EndpointRelay::RecordLeaving(const std::string& endpoint, int64_t started_at_ms) {
+  if (m_context.endpoints->OnLeaving(endpoint, started_at_ms)) {
+    Log(LogEvent::kEndpointListed, {{"endpoint", endpoint}, {"change", "leaving"}});
+  }
+}
+
 void EndpointRelay::OnNoConnection(const std::string& endpoint, TimePoint since) {
   if (m_paths.IsDirect(endpoint)) {
     CheckPath(endpoint, since);
--- a/src/coordination/endpoint_relay.h
+++ b/src/coordination/endpoint_relay.h
@@ -25,7 +25,7 @@
   EndpointCaller* direct = nullptr;
   EndpointProber* prober = nullptr;
   RelayClient* peers = nullptr;
-  const EndpointDirectory* endpoints = nullptr;
+  EndpointDirectory* endpoints = nullptr;
   // The other live instances.
   std::function<std::vector<std::string>()> other_instances;
   // Closes the idle connections to an address.
@@ -44,6 +44,7 @@
   std::unique_ptr<EndpointExchange> StartForPeer(EndpointCall call, EndpointCallObserver* observer);
 
   void OnContact(const std::string& endpoint) override;
+  void OnLeaving(const std::string& endpoint) override;
   void OnNoConnection(const std::string& endpoint, TimePoint since) override;
   void OnConnectionLost(const std::string& endpoint) override;
   // Must be called when the directory has changed.
@@ -68,6 +69,9 @@
 
   TimePoint Now() const { return m_context.scheduler->clock().Now(); }
   std::set<std::string> KnownEndpoints() const;
+  // The start of the endpoint that is known now; see EndpointEntry::started_at_ms.
+  int64_t StartOf(const std::string& endpoint) const;
+  void RecordLeaving(const std::string& endpoint, int64_t started_at_ms);
   // Asks other instances whether they reach the endpoint, unless such a question is open.
   void CheckPath(const std::string& endpoint, TimePoint failed_since);
   void AskNext(const std::shared_ptr<PathCheck>& check);
--- a/src/coordination/model_version_duty.cc
+++ b/src/coordination/model_version_duty.cc
@@ -136,7 +136,7 @@
   }
   std::vector<PlacementEndpoint> endpoints;
   for (const auto& [id, endpoint] : m_context.endpoints->endpoints()) {
-    if (endpoint.entry.service != service.name || endpoint.entry.phase != EndpointPhase::kReady || endpoint.missing) {
+    if (endpoint.entry.service != service.name || !endpoint.takes_work()) {
       continue;
     }
     const auto pending_load = m_pending_loads.find(id);
--- a/src/coordination/scaling_duty.cc
+++ b/src/coordination/scaling_duty.cc
@@ -58,8 +58,7 @@
   }
   for (const auto& [id, endpoint] : m_context.endpoints->endpoints()) {
     const auto zone = zones.find(endpoint.entry.zone);
-    const bool counts =
-        endpoint.entry.service == service.name && !endpoint.missing && endpoint.entry.phase == EndpointPhase::kReady;
+    const bool counts = endpoint.entry.service == service.name && endpoint.takes_work();
     if (counts && zone != zones.end()) {
       ++zone->second.endpoint_count;
     }
--- a/src/coordination/stream_origins.cc
+++ b/src/coordination/stream_origins.cc
@@ -221,7 +221,7 @@
   std::map<std::string, int> counts;
   std::string most_frequent;
   for (const auto& [id, endpoint] : m_endpoints->endpoints()) {
-    if (endpoint.entry.service == service && endpoint.entry.phase == EndpointPhase::kReady) {
+    if (endpoint.entry.service == service && endpoint.takes_work()) {
       const int count = ++counts[endpoint.entry.software_version];
       if (most_frequent.empty() || count > counts[most_frequent]) {
         most_frequent = endpoint.entry.software_version;
--- a/src/gateway/relay_handler.cc
+++ b/src/gateway/relay_handler.cc
@@ -130,7 +130,7 @@
     return RelayRefusal::kStopping;
   }
   const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
-  if (known == nullptr || known->missing || known->entry.phase != EndpointPhase::kReady) {
+  if (known == nullptr || !known->takes_work()) {
     return RelayRefusal::kUnknownEndpoint;
   }
   if (!m_context.relay->IsDirect(endpoint)) {
--- a/src/protocol/relay_codec.cc
+++ b/src/protocol/relay_codec.cc
@@ -174,7 +174,8 @@
   return Encode([&head](Output* out) {
     detail::WriteVarint(out, static_cast<uint64_t>(head.status));
     WriteHeaders(out, head.headers);
-    (*out)(static_cast<uint8_t>(head.not_run), static_cast<uint8_t>(head.wrong_endpoint));
+    (*out)(static_cast<uint8_t>(head.not_run), static_cast<uint8_t>(head.wrong_endpoint),
+           static_cast<uint8_t>(head.leaving));
     WriteOptional(out, head.model_version);
     WriteOptional(out, head.rate_limit);
     WriteText(out, head.signature);
@@ -188,6 +189,7 @@
     head->headers = ReadHeaders(in);
     head->not_run = detail::ReadBool(in);
     head->wrong_endpoint = detail::ReadBool(in);
+    head->leaving = detail::ReadBool(in);
     head->model_version = ReadOptional<int64_t>(in);
     head->rate_limit = ReadOptional<double>(in);
     head->signature = ReadText(in);
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -20,6 +20,8 @@
 constexpr Duration kSpeedLifetime = Duration::Seconds(4);
 // What a response says about an endpoint, such as its rate limit, may have changed after this time.
 constexpr Duration kResponseLifetime = Duration::Seconds(2);
+// The registry may lose the entry of an endpoint that runs for as long as the store is away.
+constexpr Duration kLeavingRetention = Duration::Seconds(600);
 // Longer than the registry keeps the address of an endpoint that has stopped.
 constexpr Duration kAvoidanceWhenReassigned = Duration::Seconds(10);
 
@@ -55,6 +57,17 @@
     endpoint.entry = entry;
     endpoint.entry.model_versions = std::move(versions);
     endpoint.missing = false;
+    const auto leaving = m_leaving.find(entry.id);
+    if (leaving != m_leaving.end() && leaving->second.started_at_ms != entry.started_at_ms) {
+      m_leaving.erase(leaving);
+    } else if (leaving != m_leaving.end()) {
+      leaving->second.listed_at = m_clock->Now();
+      endpoint.leaving = true;
+    }
+  }
+  for (auto it = m_leaving.begin(); it != m_leaving.end();) {
+    const bool forget = m_clock->Now() - it->second.listed_at >= kLeavingRetention;
+    it = forget ? m_leaving.erase(it) : std::next(it);
   }
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     DirectoryEndpoint& endpoint = it->second;
@@ -84,7 +97,7 @@
 }
 
 bool EndpointDirectory::IsUsable(const DirectoryEndpoint& endpoint) const {
-  return endpoint.entry.phase == EndpointPhase::kReady && !endpoint.missing && m_clock->Now() >= endpoint.avoid_until;
+  return endpoint.takes_work() && m_clock->Now() >= endpoint.avoid_until;
 }
 
 std::vector<const DirectoryEndpoint*> EndpointDirectory::Usable(const std::string& service) const {
@@ -100,8 +113,7 @@
 bool EndpointDirectory::HasSoftwareVersion(const std::string& service, const std::string& version) const {
   return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
     const DirectoryEndpoint& endpoint = entry.second;
-    return endpoint.entry.service == service && endpoint.entry.software_version == version &&
-           endpoint.entry.phase == EndpointPhase::kReady && !endpoint.missing;
+    return endpoint.entry.service == service && endpoint.entry.software_version == version && endpoint.takes_work();
   });
 }
 
@@ -178,6 +190,16 @@
   }
 }
 
+bool EndpointDirectory::OnLeaving(const std::string& id, int64_t started_at_ms) {
+  DirectoryEndpoint* endpoint = FindMutable(id);
+  if (endpoint == nullptr || endpoint->leaving || endpoint->entry.started_at_ms != started_at_ms) {
+    return false;
+  }
+  endpoint->leaving = true;
+  m_leaving[id] = {started_at_ms, m_clock->Now()};
+  return true;
+}
+
 void EndpointDirectory::OnRateLimit(const std::string& id, std::optional<double> limit) {
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     endpoint->rate_limit = limit;
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -56,6 +56,11 @@
   // The registry no longer has the entry; see EndpointDirectory::Update.
   bool missing = false;
   TimePoint missing_since;
+  // The endpoint has said in a response that it will stop.
+  bool leaving = false;
+
+  // The endpoint takes new work: it is ready, listed in the registry, and has not said that it will stop.
+  bool takes_work() const { return entry.phase == EndpointPhase::kReady && !missing && !leaving; }
 };
 
 // The endpoints of all services: their registry entries, and what this instance has observed in its own calls.
@@ -80,8 +85,7 @@
 
   const std::map<std::string, DirectoryEndpoint>& endpoints() const { return m_endpoints; }
   const DirectoryEndpoint* Find(const std::string& id) const;
-  // True if the endpoint is ready, not missing from the registry, and may be called now (see
-  // DirectoryEndpoint::avoid_until).
+  // True if the endpoint takes work and may be called now (see DirectoryEndpoint::avoid_until).
   bool IsUsable(const DirectoryEndpoint& endpoint) const;
   // Returns the usable endpoints of one service.
   std::vector<const DirectoryEndpoint*> Usable(const std::string& service) const;
@@ -109,6 +113,10 @@
   void OnFull(const std::string& id);
   // Records that a different endpoint has responded at the endpoint's address.
   void OnAddressReassigned(const std::string& id);
+  // Records that a response of the endpoint says that it will stop. This holds until the endpoint has started anew,
+  // whatever the registry says; `started_at_ms` is the start to which the response belongs. Returns true if it was not
+  // known.
+  bool OnLeaving(const std::string& id, int64_t started_at_ms);
   // Records the rate limit in a response of the endpoint; nothing if the response has none.
   void OnRateLimit(const std::string& id, std::optional<double> limit);
   // Records the loaded version of a model, as reported in a response.
@@ -122,6 +130,13 @@
   bool m_in_grace_period = false;
   std::optional<TimePoint> m_last_response_at;
   std::map<std::string, DirectoryEndpoint> m_endpoints;
+  // The start of each endpoint that has said that it will stop, and when it was last listed. Its entry may disappear
+  // from the registry and come back.
+  struct LeavingStart {
+    int64_t started_at_ms = 0;
+    TimePoint listed_at;
+  };
+  std::map<std::string, LeavingStart> m_leaving;
 };
 
 }  // namespace quetzalridge
--- a/tests/platform/endpoint_client_test.cc
+++ b/tests/platform/endpoint_client_test.cc
@@ -145,5 +145,28 @@
   }
 }
 
+TEST_CASE("a response says that its endpoint leaves, whatever its status and however it ends") {
+  const std::pair<const char*, bool> cases[] = {
+      {"HTTP/1.1 200 OK\r\nx-quetzalridge-server-stamp: s\r\nserver-leaving: 1\r\ncontent-length: 0\r\n\r\n", true},
+      {"HTTP/1.1 503 Full\r\nx-quetzalridge-not-run: 1\r\nServer-Leaving: 1\r\ncontent-length: 0\r\n\r\n", true},
+      {"HTTP/1.1 500 Error\r\nserver-leaving: 1\r\ncontent-length: 100\r\n\r\ncut", true},
+      {"HTTP/1.1 200 OK\r\nx-quetzalridge-server-stamp: s\r\nserver-leaving: 1\r\n\r\nid: 1\n", true},
+      {"HTTP/1.1 200 OK\r\nx-quetzalridge-server-stamp: s\r\ncontent-length: 0\r\n\r\n", false},
+      {"HTTP/1.1 200 OK\r\nx-quetzalridge-server-stamp: s\r\nserver-leaving: 0\r\ncontent-length: 0\r\n\r\n", false},
+      // Another endpoint has the address.
+      {"HTTP/1.1 421 Other\r\nserver-leaving: 1\r\ncontent-length: 0\r\n\r\n", false}};
+  for (const auto& [head, leaving] : cases) {
+    INFO(head);
+    ClientFixture fixture;
+    fixture.Start(true, Duration::Seconds(60));
+    for (int i = 0; i < 1000 && !fixture.recorder.head.has_value(); ++i) {
+      fixture.server.Poll(head);
+      fixture.loop.RunOnce(Duration::Milliseconds(1));
+    }
+    REQUIRE(fixture.recorder.head.has_value());
+    CHECK(fixture.recorder.head->leaving == leaving);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge::platform
--- a/tests/platform/node_cluster.h
+++ b/tests/platform/node_cluster.h
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -73,6 +74,14 @@
 
   // An engine. Its address is that of its first start.
   const soak::Replica& engine(int i) const { return *m_replicas[static_cast<size_t>(kEndpoints + i)]; }
+  void RemoveFromRegistry(const std::string& id) { m_platform.Remove("servers", id); }
+  // The store answers nothing to any instance, or works again.
+  void SetStoreAway(bool away) { m_platform.refuses = away; }
+  // Number of requests that an endpoint has begun to run.
+  int RunsAt(const std::string& id) const {
+    return static_cast<int>(std::count_if(m_log.runs().begin(), m_log.runs().end(),
+                                          [&id](const soak::ReplicaRun& run) { return run.replica == id; }));
+  }
   soak::Replica& endpoint(int i) { return *m_replicas[static_cast<size_t>(i)]; }
   void NameVersion(int64_t version) {
     m_platform.Put("op", std::string("version/") + soak::kModel, {{"Model", soak::kModel}, {"Version", version}});
--- a/tests/protocol/relay_codec_test.cc
+++ b/tests/protocol/relay_codec_test.cc
@@ -93,6 +93,7 @@
   head.wrong_endpoint = true;
   head.model_version = 9;
   head.rate_limit = 1.25;
+  head.leaving = true;
   head.signature = "3e1b.07";
   const std::optional<EndpointResponseHead> read = DecodeResponseHead(EncodeResponseHead(head));
   REQUIRE(read.has_value());
@@ -102,6 +103,7 @@
   CHECK(read->wrong_endpoint);
   CHECK(read->model_version == 9);
   CHECK(read->rate_limit == 1.25);
+  CHECK(read->leaving);
   CHECK(read->signature == "3e1b.07");
   for (const EndpointCallOutcome outcome : {EndpointCallOutcome::kComplete, EndpointCallOutcome::kNotSent,
                                             EndpointCallOutcome::kNoResponse, EndpointCallOutcome::kTruncated}) {
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -42,6 +42,15 @@
   return call;
 }
 
+// Records that the node has passed on a response of a replica that leaves.
+void RecordLeaving(SoakLog* log, const std::string& id, const HttpHeaders& headers) {
+  const std::string* leaving = FindHeader(headers, platform::kLeavingHeader);
+  const std::string* signature = FindHeader(headers, platform::kSignatureHeader);
+  if (leaving != nullptr && signature != nullptr) {
+    log->AddLeavingAnswer(id, signature->substr(0, signature->find('.')));
+  }
+}
+
 }  // namespace
 
 PlainCallers::PlainCallers(EventLoop* loop, SoakLog* log, NodeFleet* fleet, uint64_t seed)
@@ -54,7 +63,9 @@
   if (single_run) {
     m_log->SetSingleRun(id);
   }
-  HttpCall call = CallTo(m_fleet->CallerAddress(*nodes[m_random.Below(nodes.size())]), id);
+  const SoakNode& node = *nodes[m_random.Below(nodes.size())];
+  m_log->AddSent(id, node.name);
+  HttpCall call = CallTo(m_fleet->CallerAddress(node), id);
   call.method = "POST";
   call.target = (single_run ? kSingleRunPrefix : kPlainPrefix) + id;
   call.headers.push_back({platform::kDeadlineHeader, std::to_string(kDeadlineMs)});
@@ -65,6 +76,7 @@
 }
 
 void PlainCallers::OnAnswer(const std::string& id, const HttpResponse& response) {
+  RecordLeaving(m_log, id, response.headers);
   if (response.result.outcome != CallOutcome::kWhole) {
     return;
   }
@@ -96,7 +108,9 @@
 void StreamCallers::Send(const std::shared_ptr<Stream>& stream) {
   const std::vector<SoakNode*> nodes = m_fleet->Serving();
   const std::string id = stream->name + "-attempt-" + std::to_string(++stream->attempts);
-  HttpCall call = CallTo(m_fleet->CallerAddress(*nodes[m_random.Below(nodes.size())]), id);
+  const SoakNode& node = *nodes[m_random.Below(nodes.size())];
+  m_log->AddSent(id, node.name);
+  HttpCall call = CallTo(m_fleet->CallerAddress(node), id);
   call.method = "POST";
   call.target = kStreamPrefix + stream->name;
   call.headers.push_back({platform::kDeadlineHeader, std::to_string(kStreamDeadline.ms())});
@@ -113,6 +127,7 @@
 
 void StreamCallers::OnAnswer(const std::shared_ptr<Stream>& stream, const std::string& id,
                              const HttpResponse& response) {
+  RecordLeaving(m_log, id, response.headers);
   const bool whole = response.result.outcome == CallOutcome::kWhole;
   if (whole && IsPromise(response.status)) {
     m_log->SetRefused(id);
--- a/tests/soak/node_fleet.cc
+++ b/tests/soak/node_fleet.cc
@@ -72,6 +72,7 @@
   const std::string log = m_folder + "/" + node->name + "." + std::to_string(++node->starts) + ".log";
   node->stopping = false;
   node->paused = false;
+  m_log->ForgetLeaving(node->name);
   node->process = std::make_unique<history::ChildProcess>(
       QUETZALRIDGE_BINARY_DIR "/quetzalridge_node", std::vector<std::string>{"--settings", node->settings_file}, log);
 }
@@ -123,6 +124,7 @@
   if (node->process != nullptr && node->paused) {
     node->paused = false;
     m_log->SetResumed();
+    m_log->ForgetLeaving(node->name);
     node->process->Signal(SIGCONT);
   }
 }
--- a/tests/soak/node_soak_main.cc
+++ b/tests/soak/node_soak_main.cc
@@ -169,7 +169,7 @@
   void Inject() {
     SoakNode* node = m_fleet->nodes()[m_random.Below(m_fleet->nodes().size())].get();
     Replica* replica = m_replicas[m_random.Below(m_replicas.size())].get();
-    switch (m_random.Below(18)) {
+    switch (m_random.Below(20)) {
       case 0:
       case 1:
         m_fleet->Kill(node, Draw(200, 2500));
@@ -239,6 +239,12 @@
         }
         break;
       }
+      case 17:
+      case 18:
+        m_log.Note("a replica leaves");
+        replica->Leave();
+        m_leave_timers.push_back(m_loop->After(Draw(3000, 8000), [this, replica] { replica->Crash(AnySoftware()); }));
+        break;
       default:
         if (m_random.Chance(0.3)) {
           for (const std::unique_ptr<SoakNode>& each : m_fleet->nodes()) {
@@ -273,6 +279,7 @@
   std::unique_ptr<Trainer> m_trainer;
   std::unique_ptr<Timer> m_fault_timer;
   std::unique_ptr<Timer> m_platform_timer;
+  std::vector<std::unique_ptr<Timer>> m_leave_timers;
 };
 
 int Main(int argc, char** argv) {
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -77,6 +77,7 @@
 void Replica::Crash(const std::string& software) {
   EndRuns();
   m_software = software;
+  m_leaving = false;
   m_platform->Remove("servers", m_id);
   m_id = m_name + "-" + std::to_string(++m_starts);
   m_orders = 0;
@@ -127,7 +128,8 @@
   *timer = m_loop->After(m_plain_work, [this, timer, id, signature, body = request.body, responder] {
     const std::unique_ptr<Timer> ended = std::move(*timer);
     m_timers.erase(timer);
-    responder->Send(platform::kStatusOk, {{platform::kRequestIdHeader, id}, {platform::kSignatureHeader, signature}},
+    responder->Send(platform::kStatusOk,
+                    WithLeaving({{platform::kRequestIdHeader, id}, {platform::kSignatureHeader, signature}}),
                     PlainAnswer(id, body));
   });
 }
@@ -152,7 +154,7 @@
   if (m_rate_limit > 0.0) {
     headers.push_back({platform::kRateLimitHeader, std::to_string(m_rate_limit)});
   }
-  responder->Start(platform::kStatusOk, std::move(headers));
+  responder->Start(platform::kStatusOk, WithLeaving(std::move(headers)));
   run->timer = m_loop->After(kEventGap, [this, run] { SendEvent(run); });
 }
 
@@ -186,18 +188,25 @@
   m_last_holder = holder.substr(0, holder.find('/'));
   m_log->AddFencedCall("orders to " + m_id, m_last_holder, order.at("FencingToken").get<int64_t>());
   if (order.contains("Expect") && order.at("Expect").get<int64_t>() != m_orders) {
-    responder->Send(platform::kStatusConflict, {}, "");
+    responder->Send(platform::kStatusConflict, WithLeaving({}), "");
     return;
   }
   ++m_orders;
   m_version = std::max(m_version, order.at("Version").get<int64_t>());
   Renew();
-  responder->Send(platform::kStatusAccepted, {}, "");
+  responder->Send(platform::kStatusAccepted, WithLeaving({}), "");
+}
+
+HttpHeaders Replica::WithLeaving(HttpHeaders headers) const {
+  if (m_leaving) {
+    headers.push_back({platform::kLeavingHeader, platform::kLeavingValue});
+  }
+  return headers;
 }
 
 void Replica::Report(HttpResponder* responder) const {
   const Json report = {{"Busy", false}, {"Seq", m_orders}, {"Models", {{{"Name", kModel}, {"Version", m_version}}}}};
-  responder->Send(platform::kStatusOk, {{"content-type", "application/json"}}, report.dump());
+  responder->Send(platform::kStatusOk, WithLeaving({{"content-type", "application/json"}}), report.dump());
 }
 
 }  // namespace quetzalridge::soak
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -41,6 +41,10 @@
   void EndRuns();
   // Names this limit of requests per second in its answers from now on; none if it is 0.
   void SetRateLimit(double limit) { m_rate_limit = limit; }
+  // Says in all answers from now on that it will stop, until it starts again. The registry says that it is ready.
+  void Leave() { m_leaving = true; }
+  bool leaving() const { return m_leaving; }
+  const std::string& id() const { return m_id; }
   // How long plain requests take from now on.
   void SetPlainWork(Duration time) { m_plain_work = time; }
   history::TcpRelay* relay() { return &m_relay; }
@@ -69,6 +73,7 @@
   void SendEvent(std::list<Run>::iterator run);
   void TakeOrder(const HttpRequest& request, HttpResponder* responder);
   void Report(HttpResponder* responder) const;
+  HttpHeaders WithLeaving(HttpHeaders headers) const;
 
   EventLoop* m_loop;
   SoakLog* m_log;
@@ -80,6 +85,7 @@
   std::string m_software;
   double m_rate_limit = 0.0;
   Duration m_plain_work = Duration::Milliseconds(15);
+  bool m_leaving = false;
   int64_t m_renewals = 0;
   int64_t m_version = 1;
   int64_t m_orders = 0;
--- a/tests/soak/soak_log.h
+++ b/tests/soak/soak_log.h
@@ -38,7 +38,24 @@
   // For the reader of a failed run.
   void Note(const std::string& text) { std::cout << Now().ms() << " " << text << std::endl; }
 
+  // A caller sends a request to a node.
+  void AddSent(const std::string& request, const std::string& node) { m_sent[request] = {node, Now()}; }
+  // A node passes on a response that says that a replica leaves.
+  void AddLeavingAnswer(const std::string& request, const std::string& replica) {
+    std::optional<TimePoint>& since = m_leaving_since[{m_sent[request].node, replica}];
+    since = since.value_or(Now());
+  }
+  // The process of a node ends, and with it what it knows.
+  void ForgetLeaving(const std::string& node) {
+    for (auto& [key, since] : m_leaving_since) {
+      if (key.first == node) {
+        since.reset();
+      }
+    }
+  }
+
   void AddRun(const std::string& replica, const std::string& request) {
+    CheckNotLeaving(replica, request);
     m_runs.push_back({Now(), replica, request});
     const int count = ++m_run_counts[request];
     Check(m_refused.count(request) == 0, request + " was refused and runs at " + replica);
@@ -87,11 +104,29 @@
   int violations() const { return m_violations; }
 
  private:
+  // A request that was sent later than this after its node had passed on that a replica leaves must not reach it.
+  static constexpr Duration kDrainTime = Duration::Seconds(2);
+
+  struct SentRequest {
+    std::string node;
+    TimePoint at;
+  };
   struct Fence {
     int64_t number = 0;
     std::string holder;
   };
 
+  void CheckNotLeaving(const std::string& replica, const std::string& request) {
+    const auto sent = m_sent.find(request);
+    if (sent == m_sent.end()) {
+      return;
+    }
+    const auto since = m_leaving_since.find({sent->second.node, replica});
+    const bool known = since != m_leaving_since.end() && since->second.has_value();
+    Check(!known || sent->second.at - *since->second <= kDrainTime,
+          request + " reaches " + replica + " from " + sent->second.node + ", which knows that it leaves");
+  }
+
   const Clock* m_clock;
   int m_violations = 0;
   std::vector<ReplicaRun> m_runs;
@@ -102,6 +137,9 @@
   std::set<std::string> m_single_runs;
   std::set<std::string> m_refused;
   std::map<std::string, Fence> m_fences;
+  std::map<std::string, SentRequest> m_sent;
+  // By node and replica.
+  std::map<std::pair<std::string, std::string>, std::optional<TimePoint>> m_leaving_since;
   std::optional<TimePoint> m_resumed_at;
 };
 
--- a/tests/state/endpoint_directory_test.cc
+++ b/tests/state/endpoint_directory_test.cc
@@ -103,5 +103,63 @@
   CHECK(directory.MsPerEvent(*directory.Find("one")) == 0.0);
 }
 
+TEST_CASE("a registry entry that still says ready does not bring an endpoint back that has said that it leaves") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  directory.Update({MakeEntry("one"), MakeEntry("two")}, false);
+  CHECK(directory.OnLeaving("one", 0));
+  CHECK_FALSE(directory.OnLeaving("one", 0));
+  CHECK(directory.Usable("s").size() == 1);
+  directory.Update({MakeEntry("one"), MakeEntry("two")}, false);
+  CHECK(directory.Usable("s").size() == 1);
+}
+
+TEST_CASE("an endpoint that leaves stays out of use when its entry disappears and comes back") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  directory.Update({MakeEntry("one")}, false);
+  directory.OnLeaving("one", 0);
+  directory.Update({}, false);
+  REQUIRE(directory.Find("one") == nullptr);
+  clock.Advance(Duration::Seconds(30));
+  directory.Update({MakeEntry("one")}, false);
+  CHECK(directory.Usable("s").empty());
+}
+
+TEST_CASE("an endpoint that starts anew under its id is used again, also if its address is the same") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  EndpointEntry entry = MakeEntry("one");
+  entry.started_at_ms = 1;
+  directory.Update({entry}, false);
+  directory.OnLeaving("one", 1);
+  entry.started_at_ms = 2;
+  directory.Update({entry}, false);
+  CHECK(directory.Usable("s").size() == 1);
+  // A late response of the previous start.
+  CHECK_FALSE(directory.OnLeaving("one", 1));
+  CHECK(directory.Usable("s").size() == 1);
+}
+
+TEST_CASE("another endpoint that gets the address of one that left is used") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  directory.Update({MakeEntry("one")}, false);
+  directory.OnLeaving("one", 0);
+  directory.Update({MakeEntry("two")}, false);
+  CHECK(directory.Usable("s").size() == 1);
+}
+
+TEST_CASE("an endpoint that leaves does not count as one that can continue a stream") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  EndpointEntry entry = MakeEntry("one");
+  entry.software_version = "v1";
+  directory.Update({entry}, false);
+  REQUIRE(directory.HasSoftwareVersion("s", "v1"));
+  directory.OnLeaving("one", 0);
+  CHECK_FALSE(directory.HasSoftwareVersion("s", "v1"));
+}
+
 }  // namespace
 }  // namespace quetzalridge
