Serve the sound routes of a configuration that has a malformed one

Dropping the route is no way, because its requests would match a route with a shorter prefix and reach another service; keeping the last good configuration lets withdrawn keys live on. The malformed route stays in the table and refuses its requests as not run; the others are served. Without a readable host and prefix it is not known which requests it concerns, and the configuration is rejected as before.

--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -53,6 +53,7 @@
   kOperatorConfigApplied = 3014,
   kModelVersionNamed = 3015,
   kStoreCallFailed = 3016,
+  kRouteMalformed = 3017,
   kBatchAccepted = 4003,
   kBatchRefused = 4004,
   kBatchOwned = 4005,
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -185,7 +185,8 @@
 }
 
 const ServiceRoute* BatchRunner::Route() const {
-  return m_context->routes->FindRoute(m_spec.host, m_spec.path);
+  const ServiceRoute* route = m_context->routes->FindRoute(m_spec.host, m_spec.path);
+  return route == nullptr || !route->malformed.empty() ? nullptr : route;
 }
 
 // During an outage of the table no caller can end the job either, and the trainer still waits for the missing results,
--- a/src/coordination/reward_call_dispatcher.cc
+++ b/src/coordination/reward_call_dispatcher.cc
@@ -99,7 +99,8 @@
 
 const ServiceRoute* RewardCallDispatcher::RouteOf(const RewardCall& call) const {
   const ServiceRoute* route = m_context.routes->FindRoute(call.host, PathOf(call.target));
-  return route == nullptr || route->kind == RouteKind::kBatch ? nullptr : route;
+  const bool usable = route != nullptr && route->malformed.empty() && route->kind != RouteKind::kBatch;
+  return usable ? route : nullptr;
 }
 
 void RewardCallDispatcher::StartWaiting() {
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -29,6 +29,9 @@
 
 // A route: how the requests for one host whose path begins with `prefix` are served.
 struct ServiceRoute {
+  // Why the operator's description of the route cannot be used; empty if it can. Of a malformed route, only host and
+  // prefix are known, and its requests are refused.
+  std::string malformed;
   std::string name;
   std::string host;
   // Begins and ends with a slash.
--- a/tests/platform/decoding_test.cc
+++ b/tests/platform/decoding_test.cc
@@ -100,6 +100,38 @@
   CHECK_THROWS_AS(DecodeServingConfig("{\"Version\": 8}"), Error);
 }
 
+// Guards against callers of sound routes who are not served because of another route.
+TEST_CASE("one malformed route leaves the others in force, and its own requests find no other route") {
+  const char* const malformed[] = {
+      R"({"Name":"deep","Host":"x.example","Prefix":"/look/deep/","Kind":"idempotent"})",
+      R"({"Name":"deep","Host":"x.example","Prefix":"/look/deep/","Kind":7,"Service":"s"})",
+      R"({"Host":"x.example","Prefix":"/look/deep/","Kind":"idempotent","Service":"s"})",
+      R"({"Name":"deep","Host":"x.example","Prefix":"/look/deep/","Kind":"stream","Split":[{"Service":"s"}]})"};
+  for (const char* route : malformed) {
+    INFO(route);
+    const ServingConfig config = DecodeServingConfig(
+        std::string(R"({"Version":3,"Services":[],"Routes":[)") + route +
+        R"(,{"Name":"look","Host":"x.example","Prefix":"/look/","Kind":"idempotent","Service":"s"}]})");
+    RouteTable table;
+    REQUIRE(table.Apply(config));
+    REQUIRE(table.FindRoute("x.example", "/look/1") != nullptr);
+    CHECK(table.FindRoute("x.example", "/look/1")->name == "look");
+    CHECK(table.FindRoute("x.example", "/look/1")->malformed.empty());
+    // A shorter prefix must not catch what the operator meant for another service.
+    REQUIRE(table.FindRoute("x.example", "/look/deep/1") != nullptr);
+    CHECK(!table.FindRoute("x.example", "/look/deep/1")->malformed.empty());
+  }
+}
+
+// Without its host and prefix it is not known which requests a malformed route concerns.
+TEST_CASE("a route without host or prefix makes the whole configuration malformed") {
+  for (const char* route : {R"({"Name":"r","Prefix":"/a/","Kind":"idempotent","Service":"s"})",
+                            R"({"Name":"r","Host":"x.example","Kind":"idempotent","Service":"s"})", "7", "null"}) {
+    INFO(route);
+    CHECK_THROWS_AS(DecodeServingConfig(std::string(R"({"Version":3,"Services":[],"Routes":[)") + route + "]}"), Error);
+  }
+}
+
 TEST_CASE("model versions that trainers name are decoded") {
   CHECK(ModelOfVersionRow("version/m0") == std::optional<std::string>("m0"));
   CHECK_FALSE(ModelOfVersionRow("config").has_value());
