--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -1,6 +1,7 @@
 #include "protocol/peer_codec.h"
 
 #include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
 #include <limits>
 #include <sstream>
 #include <utility>
--- a/src/protocol/relay_codec.cc
+++ b/src/protocol/relay_codec.cc
@@ -1,6 +1,7 @@
 #include "protocol/relay_codec.h"
 
 #include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
 #include <cstdint>
 #include <sstream>
 #include <utility>
@@ -67,7 +68,8 @@
 
 template <typename Number>
 void WriteOptional(Output* out, const std::optional<Number>& number) {
-  (*out)(static_cast<uint8_t>(number.has_value()), number.value_or(Number()));
+  detail::WriteBool(out, number.has_value());
+  (*out)(number.value_or(Number()));
 }
 
 template <typename Number>
@@ -137,7 +139,8 @@
     WriteDuration(out, call.head_timeout);
     WriteDuration(out, call.idle_timeout);
     WriteOptional(out, call.resume_after);
-    (*out)(static_cast<uint8_t>(call.reads_events), static_cast<uint8_t>(call.is_repeatable));
+    detail::WriteBool(out, call.reads_events);
+    detail::WriteBool(out, call.is_repeatable);
   });
 }
 
@@ -174,8 +177,9 @@
   return Encode([&head](Output* out) {
     detail::WriteVarint(out, static_cast<uint64_t>(head.status));
     WriteHeaders(out, head.headers);
-    (*out)(static_cast<uint8_t>(head.not_run), static_cast<uint8_t>(head.wrong_endpoint),
-           static_cast<uint8_t>(head.leaving));
+    detail::WriteBool(out, head.not_run);
+    detail::WriteBool(out, head.wrong_endpoint);
+    detail::WriteBool(out, head.leaving);
     WriteOptional(out, head.model_version);
     WriteOptional(out, head.rate_limit);
     WriteText(out, head.signature);
@@ -215,8 +219,9 @@
 std::string EncodeCallResult(const EndpointCallResult& result) {
   return Encode([&result](Output* out) {
     detail::WriteVarint(out, static_cast<uint64_t>(result.outcome));
-    (*out)(static_cast<uint8_t>(result.timed_out), static_cast<uint8_t>(result.connection_failed),
-           static_cast<uint8_t>(result.path_failed));
+    detail::WriteBool(out, result.timed_out);
+    detail::WriteBool(out, result.connection_failed);
+    detail::WriteBool(out, result.path_failed);
     WriteText(out, result.detail);
   });
 }
