--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -95,10 +95,12 @@
 class BatchRunner::ItemRun : public EndpointCallObserver {
  public:
   ItemRun(BatchRunner* runner, size_t index, const EndpointEntry& endpoint)
-      : m_runner(runner), m_index(index), m_endpoint(endpoint.id), m_software_version(endpoint.software_version) {
-    m_runner->m_context->endpoints->OnCallStarted(m_endpoint);
-  }
-  ~ItemRun() override { m_runner->m_context->endpoints->OnCallEnded(m_endpoint); }
+      : m_runner(runner),
+        m_index(index),
+        m_endpoint(endpoint.id),
+        m_software_version(endpoint.software_version),
+        m_count(runner->m_context->endpoints, endpoint.id) {}
+  ~ItemRun() override = default;
   ItemRun(const ItemRun&) = delete;
   ItemRun& operator=(const ItemRun&) = delete;
 
@@ -151,6 +153,7 @@
   size_t m_index;
   std::string m_endpoint;
   std::string m_software_version;
+  EndpointCallCount m_count;
   std::optional<EndpointResponseHead> m_head;
   // The endpoint generates with a model version that is too old for the job.
   bool m_stale = false;
--- a/src/coordination/reward_call_dispatcher.cc
+++ b/src/coordination/reward_call_dispatcher.cc
@@ -41,10 +41,11 @@
 class RewardCallDispatcher::Attempt : public EndpointCallObserver {
  public:
   Attempt(RewardCallDispatcher* dispatcher, Key key, std::string endpoint)
-      : m_dispatcher(dispatcher), m_key(key), m_endpoint(std::move(endpoint)) {
-    m_dispatcher->m_context.endpoints->OnCallStarted(m_endpoint);
-  }
-  ~Attempt() override { m_dispatcher->m_context.endpoints->OnCallEnded(m_endpoint); }
+      : m_dispatcher(dispatcher),
+        m_key(key),
+        m_endpoint(std::move(endpoint)),
+        m_count(dispatcher->m_context.endpoints, m_endpoint) {}
+  ~Attempt() override = default;
   Attempt(const Attempt&) = delete;
   Attempt& operator=(const Attempt&) = delete;
 
@@ -68,6 +69,7 @@
   RewardCallDispatcher* m_dispatcher;
   Key m_key;
   std::string m_endpoint;
+  EndpointCallCount m_count;
   std::optional<EndpointResponseHead> m_head;
   std::unique_ptr<EndpointExchange> m_exchange;
 };
--- a/src/gateway/relay_handler.cc
+++ b/src/gateway/relay_handler.cc
@@ -1,8 +1,6 @@
 #include "gateway/relay_handler.h"
 
-#include <cstdlib>
-
-#include "base/log_event.h"
+#include "base/number.h"
 #include "protocol/relay_codec.h"
 #include "transport/http_relay_client.h"
 
@@ -38,13 +36,12 @@
 class RelayHandler::Call : public EndpointCallObserver {
  public:
   Call(RelayHandler* handler, uint64_t number, std::string endpoint, std::shared_ptr<HttpResponder> responder)
-      : m_handler(handler), m_number(number), m_endpoint(std::move(endpoint)), m_responder(std::move(responder)) {
-    m_handler->m_context.endpoints->OnCallStarted(m_endpoint);
-  }
-  ~Call() override {
-    m_responder->SetCloseCallback(nullptr);
-    m_handler->m_context.endpoints->OnCallEnded(m_endpoint);
-  }
+      : m_handler(handler),
+        m_number(number),
+        m_endpoint(std::move(endpoint)),
+        m_count(handler->m_context.endpoints, m_endpoint),
+        m_responder(std::move(responder)) {}
+  ~Call() override { m_responder->SetCloseCallback(nullptr); }
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
 
@@ -95,6 +92,7 @@
   RelayHandler* m_handler;
   uint64_t m_number;
   std::string m_endpoint;
+  EndpointCallCount m_count;
   std::shared_ptr<HttpResponder> m_responder;
   std::unique_ptr<EndpointExchange> m_exchange;
   std::unique_ptr<Timer> m_timer;
@@ -161,14 +159,14 @@
 
 void RelayHandler::OnReachabilityQuestion(const std::string& text, const std::shared_ptr<HttpResponder>& responder) {
   const size_t slash = text.rfind('/');
-  char* end = nullptr;
-  const int64_t age_ms = slash == std::string::npos ? -1 : std::strtoll(text.c_str() + slash + 1, &end, 10);
-  if (age_ms < 0 || *end != '\0' || slash + 1 == text.size()) {
+  const std::optional<int64_t> age_ms =
+      slash == std::string::npos ? std::nullopt : ParseInteger(text.substr(slash + 1));
+  if (!age_ms.has_value() || *age_ms < 0) {
     responder->Send(kStatusBadRequest, {}, "");
     return;
   }
   m_context.relay->CheckReachability(
-      text.substr(0, slash), Duration::Milliseconds(age_ms),
+      text.substr(0, slash), Duration::Milliseconds(*age_ms),
       [responder](Reachability reachability) { responder->Send(kStatusOk, {}, ReachabilityText(reachability)); });
 }
 
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -323,12 +323,7 @@
     }
   }
 
-  void EndCall() {
-    if (m_call_counted) {
-      m_forwarder->m_context.endpoints->OnCallEnded(m_endpoint);
-      m_call_counted = false;
-    }
-  }
+  void EndCall() { m_call_count.reset(); }
 
   void RecordFailure(const EndpointCallResult& result, bool refused) {
     EndpointDirectory* endpoints = m_forwarder->m_context.endpoints;
@@ -535,8 +530,7 @@
   // The request is in RequestForwarder::m_waiting.
   bool m_waiting = false;
   bool m_may_have_run = false;
-  // The call is reported to the endpoint directory as in flight.
-  bool m_call_counted = false;
+  std::optional<EndpointCallCount> m_call_count;
   // Parts of the response are sent to the caller as they arrive.
   bool m_forwarding = false;
   bool m_usage_counted = false;
@@ -586,8 +580,7 @@
   call.head_timeout = call.time_left;
   call.idle_timeout = m_route.kind == RouteKind::kStream ? kStreamIdleTimeout : call.time_left;
   call.is_repeatable = m_route.kind == RouteKind::kIdempotent;
-  m_forwarder->m_context.endpoints->OnCallStarted(m_endpoint);
-  m_call_counted = true;
+  m_call_count.emplace(m_forwarder->m_context.endpoints, m_endpoint);
   m_exchange = m_forwarder->m_context.endpoint_caller->Start(std::move(call), this);
 }
 
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -139,4 +140,20 @@
   std::map<std::string, LeavingStart> m_leaving;
 };
 
+// Counts a call of this instance as in flight on an endpoint, as long as this object exists.
+class EndpointCallCount {
+ public:
+  EndpointCallCount(EndpointDirectory* endpoints, std::string endpoint)
+      : m_endpoints(endpoints), m_endpoint(std::move(endpoint)) {
+    m_endpoints->OnCallStarted(m_endpoint);
+  }
+  ~EndpointCallCount() { m_endpoints->OnCallEnded(m_endpoint); }
+  EndpointCallCount(const EndpointCallCount&) = delete;
+  EndpointCallCount& operator=(const EndpointCallCount&) = delete;
+
+ private:
+  EndpointDirectory* m_endpoints;
+  std::string m_endpoint;
+};
+
 }  // namespace quetzalridge
