Check rate limits in the soak

A replica with a limit checks the users' bound: at most 1.5 times what the limit allows in any 4 s, and 5 more, once the limit is known.

The placement of versions still does not know limits.

--- a/tests/soak/node_soak_main.cc
+++ b/tests/soak/node_soak_main.cc
@@ -219,7 +219,7 @@
         break;
       case 13:
         m_log.Note("a replica sets a rate limit");
-        replica->SetRateLimit(2.0);
+        replica->SetRateLimit(1.0);
         break;
       case 14:
         m_log.Note("a replica lifts its rate limit");
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -15,6 +15,11 @@
 
 constexpr Duration kEventGap = Duration::Milliseconds(25);
 constexpr int kSlots = 8;
+// The users' bound for a rate limit: in any 4 s at most 1.5 times what it allows and 5 more, once it is known.
+constexpr Duration kLimitWindow = Duration::Seconds(4);
+constexpr Duration kLimitKnownAfter = Duration::Seconds(3);
+constexpr double kLimitTolerance = 1.5;
+constexpr double kLimitSurplus = 5.0;
 constexpr int kLeastEvents = 4;
 constexpr uint64_t kMoreEvents = 150;
 
@@ -84,6 +89,25 @@
   Renew();
 }
 
+void Replica::SetRateLimit(double limit) {
+  m_rate_limit = limit;
+  m_limited_since = m_log->Now();
+}
+
+void Replica::CheckRateLimit() {
+  const TimePoint now = m_log->Now();
+  m_begun.push_back(now);
+  while (now - m_begun.front() > kLimitWindow) {
+    m_begun.pop_front();
+  }
+  if (m_rate_limit <= 0.0 || now - m_limited_since < kLimitKnownAfter + kLimitWindow) {
+    return;
+  }
+  const double bound = kLimitTolerance * m_rate_limit * static_cast<double>(kLimitWindow.ms()) / 1000.0 + kLimitSurplus;
+  m_log->Check(static_cast<double>(m_begun.size()) <= bound,
+               m_id + " ran " + std::to_string(m_begun.size()) + " requests in 4 s, more than its limit allows");
+}
+
 void Replica::Renew() {
   Json entry = {{"Service", m_service}, {"Addr", m_relay.address()}, {"Zone", "a"},          {"Slots", kSlots},
                 {"State", "ready"},     {"Seq", ++m_renewals},       {"born", m_starts + 1}, {"Version", m_software}};
@@ -140,6 +164,7 @@
   // Attempts of one stream have different ids and the same path.
   const std::string item = request.path.substr(request.path.rfind('/') + 1);
   m_log->AddRun(m_id, id);
+  CheckRateLimit();
   m_log->Check(request.body == "body of " + item, "the body of " + item + " was changed");
   const auto run = m_runs.emplace(m_runs.end());
   run->item = item;
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -40,7 +41,7 @@
   // Ends all runs without an answer.
   void EndRuns();
   // Names this limit of requests per second in its answers from now on; none if it is 0.
-  void SetRateLimit(double limit) { m_rate_limit = limit; }
+  void SetRateLimit(double limit);
   // Says in all answers from now on that it will stop, until it starts again. The registry says that it is ready.
   void Leave() { m_leaving = true; }
   bool leaving() const { return m_leaving; }
@@ -73,6 +74,8 @@
   void SendEvent(std::list<Run>::iterator run);
   void TakeOrder(const HttpRequest& request, HttpResponder* responder);
   void Report(HttpResponder* responder) const;
+  // Checks that all nodes together keep to the rate limit.
+  void CheckRateLimit();
   HttpHeaders WithLeaving(HttpHeaders headers) const;
 
   EventLoop* m_loop;
@@ -84,6 +87,9 @@
   std::string m_id;
   std::string m_software;
   double m_rate_limit = 0.0;
+  TimePoint m_limited_since;
+  // When items and streams began to run in the last few seconds.
+  std::deque<TimePoint> m_begun;
   Duration m_plain_work = Duration::Milliseconds(15);
   bool m_leaving = false;
   int64_t m_renewals = 0;
