Do not take the arrival of relayed events for the speed of an endpoint

A head says now that another instance passes the response on; its events show that the endpoint responds, not how fast it is.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -126,7 +126,9 @@
       return;
     }
     const TimePoint now = m_runner->Now();
-    if (m_last_event_at.has_value()) {
+    if (m_head->relayed) {
+      m_runner->m_context->endpoints->OnResponse(m_endpoint);
+    } else if (m_last_event_at.has_value()) {
       m_runner->m_context->endpoints->OnEventInterval(m_endpoint, now - *m_last_event_at);
     }
     m_last_event_at = now;
--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -91,7 +91,9 @@
     if (head.leaving) {
       m_relay->RecordLeaving(m_call.endpoint_id, m_endpoint_start);
     }
-    m_observer->OnHead(head);
+    EndpointResponseHead passed_on = head;
+    passed_on.relayed = !m_is_direct;
+    m_observer->OnHead(passed_on);
   }
   void OnBody(std::string_view data) override {
     OnPart();
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -59,6 +59,8 @@
   std::map<std::string, int> slow_endpoints;
   // Number of events of items that have more events than others.
   std::map<std::string, int> long_items;
+  // Responses come through another instance, and several events arrive at once.
+  bool relayed = false;
   // Requests per second that an endpoint accepts from all instances together, by endpoint id.
   std::map<std::string, double> rate_limits;
   // Endpoints that have left the registry.
@@ -206,6 +208,7 @@
       EndpointResponseHead head;
       head.status = 200;
       head.model_version = m_engines->model_version;
+      head.relayed = m_engines->relayed;
       const auto limit = m_engines->rate_limits.find(m_call.endpoint_id);
       if (limit != m_engines->rate_limits.end()) {
         head.rate_limit = limit->second;
@@ -243,7 +246,14 @@
         m_engines->generated_at.emplace(m_call.request_id, m_process->clock().Now());
       }
       ++m_next;
-      m_observer->OnEvent(event);
+      m_held_back.push_back(event);
+      constexpr double kArrivalChance = 0.3;
+      const bool is_last = m_next > m_engines->EventsOf(m_call.request_id);
+      if (!m_engines->relayed || is_last || m_engines->random()->Chance(kArrivalChance)) {
+        for (const StreamEvent& arriving : std::exchange(m_held_back, {})) {
+          m_observer->OnEvent(arriving);
+        }
+      }
       Continue();
     }
     void End(EndpointCallOutcome outcome) {
@@ -257,6 +267,7 @@
     EndpointCall m_call;
     EndpointCallObserver* m_observer;
     int m_next = 1;
+    std::vector<StreamEvent> m_held_back;
     std::unique_ptr<Timer> m_timer;
   };
 
--- a/tests/coordination/batch_test.cc
+++ b/tests/coordination/batch_test.cc
@@ -297,6 +297,22 @@
   }
 }
 
+// Guards against items that are moved back and forth, because several events that another instance passes on at once
+// look like a fast endpoint.
+TEST_CASE("items that run through another instance are not moved for the times at which their events arrive") {
+  BatchFixture fixture(14);
+  fixture.engines.event_gap = Duration::Milliseconds(40);
+  fixture.engines.relayed = true;
+  for (int i = 0; i < 8; ++i) {
+    fixture.engines.long_items["job-item-" + std::to_string(i)] = 100;
+  }
+  fixture.StartInstance("one");
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", 8)) == SubmitOutcome::kAccepted);
+  fixture.scheduler.Advance(Duration::Seconds(6));
+  CHECK(fixture.engines.runs.size() == 8);
+  CHECK(fixture.Read("one", "job", 0).results.size() == 8);
+}
+
 // Guards against a training step that makes no progress during an outage of the table. Items may start during it, since
 // nobody can end the job then.
 TEST_CASE("items continue to start during an outage of the table") {
--- a/tests/coordination/endpoint_relay_test.cc
+++ b/tests/coordination/endpoint_relay_test.cc
@@ -38,12 +38,16 @@
 
 // What the caller of the relay received.
 struct Outcome : public EndpointCallObserver {
-  void OnHead(const EndpointResponseHead& head) override { status = head.status; }
+  void OnHead(const EndpointResponseHead& head) override {
+    status = head.status;
+    relayed = head.relayed;
+  }
   void OnBody(std::string_view data) override { body.append(data); }
   void OnEvent(const StreamEvent&) override {}
   void OnEnd(const EndpointCallResult& end) override { result = end; }
 
   int status = 0;
+  bool relayed = false;
   std::string body;
   std::optional<EndpointCallResult> result;
 };
@@ -191,6 +195,7 @@
   REQUIRE(f.relayed.size() == 1);
   RelayFixture::Respond(f.relayed[0], "answer");
   CHECK(first.body == "answer");
+  CHECK(first.relayed);
   CHECK(first.result->outcome == EndpointCallOutcome::kComplete);
   CHECK(f.relay->lost_paths() == 3);
   Outcome second;
