Let the rate limit check of the soak wait while nodes read the registry through others

The trace: node-5 logged the replica as restarted twice (E5004, 0.3 s before each burst), because it read the registry through another node while the store refused calls, and each node has ways, and so addresses, of its own to the replicas in the soak. On the users' machines all instances see one address.

--- a/tests/soak/node_soak_main.cc
+++ b/tests/soak/node_soak_main.cc
@@ -29,6 +29,8 @@
 constexpr Duration kStartTime = Duration::Seconds(4);
 // Jobs that were accepted are whole or given up by their trainer within this time after the last fault.
 constexpr Duration kSettleLimit = Duration::Seconds(30);
+// A disturbance of the store, and the time until all nodes read it directly again.
+constexpr Duration kMaxRegistryDisturbance = Duration::Seconds(6);
 constexpr int kEngines = 5;
 constexpr int kPlainReplicas = 2;
 
@@ -184,6 +186,7 @@
         break;
       case 5:
         m_fleet->DisturbRelay(node, m_random.Chance(0.5) ? Mode::kCut : Mode::kSilent, Draw(500, 4000));
+        m_log.SetRegistryDisturbed(m_log.Now() + kMaxRegistryDisturbance);
         break;
       case 6:
         m_fleet->DelayRelay(node, 80, Draw(500, 3000));
@@ -193,6 +196,7 @@
         m_platform.refuses = m_random.Chance(0.5);
         m_platform.lost_answers = m_platform.refuses ? 0.0 : 0.3;
         m_platform_timer = m_loop->After(Draw(500, 4000), [this] { HealPlatform(); });
+        m_log.SetRegistryDisturbed(m_log.Now() + kMaxRegistryDisturbance);
         break;
       case 8:
         m_log.Note("a replica crashes");
@@ -209,6 +213,7 @@
       case 10:
         m_log.Note("connections of a node to the platform go silent");
         node->platform_relay->SilenceConnections();
+        m_log.SetRegistryDisturbed(m_log.Now() + kMaxRegistryDisturbance);
         break;
       case 11:
         m_fleet->Pause(node, Draw(3000, 6000));
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -100,7 +100,8 @@
   while (now - m_begun.front() > kLimitWindow) {
     m_begun.pop_front();
   }
-  if (m_rate_limit <= 0.0 || now - m_limited_since < kLimitKnownAfter + kLimitWindow) {
+  const TimePoint known_since = std::max(m_limited_since, m_log->registry_disturbed_until());
+  if (m_rate_limit <= 0.0 || now - known_since < kLimitKnownAfter + kLimitWindow) {
     return;
   }
   const double bound = kLimitTolerance * m_rate_limit * static_cast<double>(kLimitWindow.ms()) / 1000.0 + kLimitSurplus;
--- a/tests/soak/soak_log.h
+++ b/tests/soak/soak_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <iostream>
 #include <map>
@@ -99,6 +100,12 @@
     }
   }
   void SetResumed() { m_resumed_at = Now(); }
+  // Nodes may read the registry through another node until then. They see that node's ways to the replicas, so a
+  // replica seems to have another address, and they forget its rate limit as they do after a restart.
+  void SetRegistryDisturbed(TimePoint until) {
+    m_registry_disturbed_until = std::max(m_registry_disturbed_until, until);
+  }
+  TimePoint registry_disturbed_until() const { return m_registry_disturbed_until; }
 
   const std::vector<ReplicaRun>& runs() const { return m_runs; }
   int violations() const { return m_violations; }
@@ -141,6 +148,7 @@
   // By node and replica.
   std::map<std::pair<std::string, std::string>, std::optional<TimePoint>> m_leaving_since;
   std::optional<TimePoint> m_resumed_at;
+  TimePoint m_registry_disturbed_until;
 };
 
 }  // namespace quetzalridge::soak
