Do not begin a stream whose software version no instance could find

A stream that cannot be found any more is now ended as one that may have run, unless its service has no other software version.

Test: request_forwarder_test, 200 and the text before, 502 now; with one version only it begins as before.

--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -244,7 +244,12 @@
     m_recording = false;
     const StreamOrigins* origins = m_forwarder->m_context.stream_origins;
     const std::string common = origins->CommonVersion(origin.service).value_or("");
-    if (outcome == StreamRecordOutcome::kUnknown) {
+    // Without a row and a common version, another instance would continue the stream on the version that becomes the
+    // common one later. That can only be this version if the service has no other.
+    const bool cannot_be_found =
+        outcome == StreamRecordOutcome::kNotRecorded && common.empty() &&
+        !m_forwarder->m_context.endpoints->HasOnlySoftwareVersion(origin.service, origin.software_version);
+    if (outcome == StreamRecordOutcome::kUnknown || cannot_be_found) {
       // A row of this stream may exist or not, so no instance may continue it.
       m_exchange.reset();
       m_end_while_recording.reset();
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -417,6 +417,24 @@
   CHECK(fixture.endpoints.attempts.back()->call.endpoint_id == "e0");
 }
 
+// Guards against a stream that is continued on the version that becomes the common one later.
+TEST_CASE("a stream does not begin while its version can be found nowhere and endpoints of others may continue it") {
+  for (const bool several_versions : {true, false}) {
+    ForwarderFixture fixture;
+    if (!several_versions) {
+      fixture.Serve({0});
+    }
+    // Neither a row nor a common version can be stored from the start.
+    fixture.table.unavailable = true;
+    fixture.SendStream("r");
+    fixture.Observer(0)->OnHead(ForwarderFixture::Head(200, false));
+    fixture.Observer(0)->OnBody("id: 1\ndata: a\n\n");
+    fixture.scheduler.Advance(Duration::Seconds(2));
+    CHECK(fixture.view.body.find("data: a") == (several_versions ? std::string::npos : size_t{6}));
+    CHECK(fixture.view.status == (several_versions ? 502 : 200));
+  }
+}
+
 TEST_CASE("a stream that ends while its origin is recorded reaches its caller whole") {
   ForwarderFixture fixture;
   BeginStream(&fixture, "other", 0);
