--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -83,7 +83,8 @@
       {LogEvent::kStoreCallFailed, LogSeverity::kWarning, "store_call_failed",
        "The metadata store refused a call or gave no answer."},
       {LogEvent::kRouteMalformed, LogSeverity::kError, "route_malformed",
-       "A route of the operator's configuration cannot be read; its requests are refused, the other routes are served."},
+       "A route of the operator's configuration cannot be read; its requests are refused, the other routes are "
+       "served."},
       {LogEvent::kBatchAccepted, LogSeverity::kInfo, "batch_accepted", "A batch job is stored and was acknowledged."},
       {LogEvent::kBatchRefused, LogSeverity::kWarning, "batch_refused", "A batch job was not accepted."},
       {LogEvent::kBatchOwned, LogSeverity::kInfo, "batch_owned", "This instance runs a batch job from now on."},
--- a/src/state/relay_peers.cc
+++ b/src/state/relay_peers.cc
@@ -22,8 +22,8 @@
 constexpr Duration kAvoidanceWhenUnreachable = Duration::Seconds(1);
 constexpr Duration kAvoidanceWhenStopping = Duration::Seconds(2);
 
-// Passing a call on takes little of an instance's processor. With this many shares, a quarter of the instances can carry
-// all calls, and no demand of others can occupy an instance beyond that.
+// Passing a call on takes little of an instance's processor. With this many shares, a quarter of the instances can
+// carry all calls, and no demand of others can occupy an instance beyond that.
 constexpr int kShares = 4;
 constexpr int kMinRelayedCalls = 8;
 
