Release leases for balance at ticks only, as before

Cause: the timer that releases a lease early for an instance that cannot carry its duty out also sped up the releases for balance, after which nobody carries the duty out for a while. It now runs for the first kind only.

build/history_test "orders come*": 2 of 2 cases failed before, in two runs; both pass now.

--- a/src/coordination/duty_manager.cc
+++ b/src/coordination/duty_manager.cc
@@ -172,10 +172,11 @@
     return;
   }
   ReleaseExcess();
-  const bool releases = std::any_of(m_entries.begin(), m_entries.end(), [](const auto& entry) {
-    return entry.second.releasing && entry.second.lease->IsRecordedHolder();
+  // Leases that are released for balance wait for the next tick, since nobody carries the duty out for a while.
+  const bool is_unable = std::any_of(m_entries.begin(), m_entries.end(), [](const auto& entry) {
+    return entry.second.releasing && entry.second.lease->IsRecordedHolder() && !CanRun(entry.second);
   });
-  m_release_timer = releases ? m_scheduler->After(kDrainPollInterval, [this] { UpdateAll(); }) : nullptr;
+  m_release_timer = is_unable ? m_scheduler->After(kDrainPollInterval, [this] { UpdateAll(); }) : nullptr;
 }
 
 void DutyManager::CheckDrained() {
