Log reads of the registry that come late, and how long a missing endpoint is kept

No log line said which read of a table came late, by how much, and whether it counted as the first one after an outage; nor that an endpoint is kept although the registry lacks its entry.

* E3018 table_read_late: time since the last response, the planned interval, the time of the call, failed reads, and whether the response counts as the end of an outage.

--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -54,6 +54,7 @@
   kModelVersionNamed = 3015,
   kStoreCallFailed = 3016,
   kRouteMalformed = 3017,
+  kTableReadLate = 3018,
   kBatchAccepted = 4003,
   kBatchRefused = 4004,
   kBatchOwned = 4005,
--- a/platform/table_poller.cc
+++ b/src/coordination/table_poller.cc
@@ -1,9 +1,11 @@
-#include "platform/table_poller.h"
+#include "coordination/table_poller.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace quetzalridge::platform {
+#include "base/log_event.h"
+
+namespace quetzalridge {
 
 namespace {
 
@@ -14,6 +16,8 @@
 constexpr Duration kIntervalPerInstance = Duration::Milliseconds(10);
 // If the store was unreachable for this time, its tables may lack rows for a while after it is back.
 constexpr Duration kOutageThreshold = Duration::Milliseconds(1500);
+// A response that comes later than planned by more than this is logged.
+constexpr Duration kLateResponse = Duration::Milliseconds(300);
 
 }  // namespace
 
@@ -28,6 +32,12 @@
   Poll();
 }
 
+Duration TablePoller::Age(const std::string& table) const {
+  const WatchedTable& watched = m_tables.at(table);
+  const bool has_rows = watched.newest_read_at != TimePoint();
+  return m_scheduler->clock().Now() - (has_rows ? watched.newest_read_at : watched.answered_at);
+}
+
 Duration TablePoller::Interval() const {
   const int instances = m_instance_count ? m_instance_count() : 1;
   return std::max(kMinInterval, kIntervalPerInstance * instances);
@@ -37,17 +47,31 @@
   m_timer = m_scheduler->After(Interval(), [this] { Poll(); });
   const TimePoint now = m_scheduler->clock().Now();
   for (const auto& [name, watched] : m_tables) {
-    m_store->ReadRawTable(name, [this, table = name, now](const RawRowsResult& result) { OnRows(table, now, result); });
+    m_store->ReadTable(name, [this, table = name, now](const RawRowsResult& result) { OnRows(table, now, result); });
   }
 }
 
 void TablePoller::OnRows(const std::string& name, TimePoint read_at, const RawRowsResult& result) {
   WatchedTable& watched = m_tables.at(name);
-  if (!result.ok || read_at < watched.newest_read_at) {
+  const TimePoint now = m_scheduler->clock().Now();
+  if (!result.ok) {
+    ++m_failed_reads;
+    ++watched.failed_reads;
+    return;
+  }
+  if (read_at < watched.newest_read_at) {
     return;
   }
-  const TimePoint now = m_scheduler->clock().Now();
   const bool after_outage = now - watched.answered_at >= kOutageThreshold;
+  if (after_outage || now - watched.answered_at > Interval() + kLateResponse) {
+    Log(LogEvent::kTableReadLate, {{"table", name},
+                                   {"since_last_ms", std::to_string((now - watched.answered_at).ms())},
+                                   {"interval_ms", std::to_string(Interval().ms())},
+                                   {"took_ms", std::to_string((now - read_at).ms())},
+                                   {"failed_reads", std::to_string(watched.failed_reads)},
+                                   {"after_outage", after_outage ? "yes" : "no"}});
+  }
+  watched.failed_reads = 0;
   watched.newest_read_at = read_at;
   watched.answered_at = now;
   watched.table.rows.clear();
@@ -57,4 +81,4 @@
   watched.receiver(watched.table, after_outage);
 }
 
-}  // namespace quetzalridge::platform
+}  // namespace quetzalridge
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -57,6 +57,7 @@
     endpoint.entry = entry;
     endpoint.entry.model_versions = std::move(versions);
     endpoint.missing = false;
+    endpoint.unlisted_since.reset();
     const auto leaving = m_leaving.find(entry.id);
     if (leaving != m_leaving.end() && leaving->second.started_at_ms != entry.started_at_ms) {
       m_leaving.erase(leaving);
@@ -71,14 +72,23 @@
   }
   for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
     DirectoryEndpoint& endpoint = it->second;
-    if (listed.count(it->first) > 0 || in_grace_period) {
+    if (listed.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    if (!endpoint.unlisted_since.has_value()) {
+      endpoint.unlisted_since = m_clock->Now();
+      if (in_grace_period) {
+        changes.push_back({it->first, "unlisted"});
+      }
+    }
+    if (in_grace_period) {
       ++it;
       continue;
     }
     if (!endpoint.missing) {
       endpoint.missing = true;
-      endpoint.missing_since = m_clock->Now();
-      changes.push_back({it->first, "gone"});
+      changes.push_back({it->first, "gone", m_clock->Now() - *endpoint.unlisted_since});
     }
     // An endpoint with calls in flight is kept, since these calls still refer to its entry.
     it = endpoint.in_flight == 0 ? m_endpoints.erase(it) : std::next(it);
@@ -86,6 +96,12 @@
   return changes;
 }
 
+int EndpointDirectory::unlisted_count() const {
+  return static_cast<int>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [](const auto& entry) {
+    return entry.second.unlisted_since.has_value() && !entry.second.missing;
+  }));
+}
+
 const DirectoryEndpoint* EndpointDirectory::Find(const std::string& id) const {
   const auto found = m_endpoints.find(id);
   return found == m_endpoints.end() ? nullptr : &found->second;
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -56,7 +56,8 @@
   TimePoint rate_limit_at;
   // The registry no longer has the entry; see EndpointDirectory::Update.
   bool missing = false;
-  TimePoint missing_since;
+  // Since when the registry has lacked the entry, also while the endpoint is kept in the grace period.
+  std::optional<TimePoint> unlisted_since;
   // The endpoint has said in a response that it will stop.
   bool leaving = false;
 
@@ -74,6 +75,8 @@
     std::string id;
     // A word for the log, such as "new" or "draining".
     std::string what;
+    // How long the endpoint had been missing from the registry.
+    Duration unlisted;
   };
   // Applies a read of the registry. In the grace period after an outage of the registry, missing entries are kept,
   // since live endpoints register again within this period. Returns the changes for the log.
@@ -85,6 +88,8 @@
   bool complete() const { return m_known && !m_in_grace_period; }
 
   const std::map<std::string, DirectoryEndpoint>& endpoints() const { return m_endpoints; }
+  // Number of endpoints that are kept although the registry lacks their entries.
+  int unlisted_count() const;
   const DirectoryEndpoint* Find(const std::string& id) const;
   // True if the endpoint takes work and may be called now (see DirectoryEndpoint::avoid_until).
   bool IsUsable(const DirectoryEndpoint& endpoint) const;
