Tell an outage of the store by calls that failed, not by the time between answers

Callers' requests reached endpoints that had left the registry: an answer that came 1.5 s or more after the one before counted as the end of an outage, after which missing entries are kept for 2.5 s. With 150 instances and more that was each answer, so that no missing endpoint was ever dropped, no endpoint ordered and no common software version set; below, each answer that came late, and on slow or paused instances each answer.

OutageDetector: an outage begins with a call that fails and ends with the next one that is served, and counts if it lasted 1.5 s (entries lapse 2.4 s after the beginning of one at the earliest). The time that a call may be held does not count, a call that fails after a later one was served does not count, and a call says nothing about more than its own longest duration, so a pause of the process is none. An outdated answer is no outage.

--- a/src/coordination/table_follower.cc
+++ b/src/coordination/table_follower.cc
@@ -24,8 +24,6 @@
 constexpr Duration kMaxChangeInterval = Duration::Seconds(1);
 // Also without a failure, so that no change that the store left out stays unknown.
 constexpr Duration kWholeReadInterval = Duration::Seconds(30);
-// If the store was unreachable for this time, its tables may lack rows for a while after it is back.
-constexpr Duration kOutageThreshold = Duration::Milliseconds(1500);
 // A response that comes later than expected by more than this is logged.
 constexpr Duration kLateResponse = Duration::Milliseconds(300);
 
@@ -38,7 +36,6 @@
 void TableFollower::Start() {
   for (TableEntry& entry : m_tables) {
     entry.second.current_at = Now();
-    entry.second.answered_at = Now();
     ReadWhole(&entry);
   }
 }
@@ -163,12 +160,14 @@
 void TableFollower::OnFailed(FollowedTable* table, TimePoint expected_at, const RawRowsResult& result) {
   ++m_failed_reads;
   ++table->failed_reads;
+  if (result.outcome == TableReadOutcome::kUnavailable) {
+    table->outages.OnFailed(expected_at, Now());
+  }
 }
 
 bool TableFollower::OnServed(TableEntry* entry, TimePoint sent_at, TimePoint current_at) {
   FollowedTable& table = entry->second;
-  const bool after_outage = Now() - table.answered_at >= kOutageThreshold;
-  table.answered_at = Now();
+  const bool after_outage = table.outages.OnServed(sent_at, Now());
   const Duration age = Now() - table.current_at;
   if (after_outage || age > MaxWait() + kLateResponse) {
     Log(LogEvent::kTableReadLate, {{"table", entry->first},
--- a/src/coordination/table_follower.h
+++ b/src/coordination/table_follower.h
@@ -12,6 +12,7 @@
 #include "coordination/callback_guard.h"
 #include "coordination/scheduler.h"
 #include "coordination/table_feed.h"
+#include "state/outage_detector.h"
 
 namespace quetzalridge {
 
@@ -41,8 +42,7 @@
   struct FollowedTable {
     Rows rows;
     Receiver receiver;
-    // When the last read that was served ended.
-    TimePoint answered_at;
+    OutageDetector outages;
     // The revision up to which the rows are complete; nothing before the first read.
     std::optional<int64_t> revision;
     TimePoint current_at;
--- a/tests/coordination/registry_tracking_test.cc
+++ b/tests/coordination/registry_tracking_test.cc
@@ -34,7 +34,9 @@
 // A store whose responses come late and are lost at times.
 class UnsteadyFeed : public TableFeed {
  public:
-  UnsteadyFeed(ManualScheduler* scheduler, uint64_t seed) : m_scheduler(scheduler), m_random(seed) {}
+  // Responses reach the process that `process` runs; while it is paused, they wait.
+  UnsteadyFeed(ManualScheduler* scheduler, PausableScheduler* process, uint64_t seed)
+      : m_scheduler(scheduler), m_process(process), m_random(seed) {}
 
   void ReadTable(const std::string&, Callback callback) override {
     ++reads;
@@ -127,10 +129,11 @@
   }
 
   void Respond(Duration delay, RawRowsResult result, Callback callback) {
-    m_scheduler->Post(delay, [result = std::move(result), callback = std::move(callback)] { callback(result); });
+    m_process->Post(delay, [result = std::move(result), callback = std::move(callback)] { callback(result); });
   }
 
   ManualScheduler* m_scheduler;
+  PausableScheduler* m_process;
   Random m_random;
   bool m_lost_last = false;
   int64_t m_version = 0;
@@ -145,10 +148,11 @@
 // One of many instances, which follows the registry.
 struct TrackingInstance {
   TrackingInstance(int instances, uint64_t seed)
-      : feed(&scheduler, seed),
-        follower(&feed, &scheduler, seed),
+      : process(&scheduler),
+        feed(&scheduler, &process, seed),
+        follower(&feed, &process, seed),
         directory(&scheduler.clock()),
-        tracker(&scheduler, &directory) {
+        tracker(&process, &directory) {
     for (int i = 0; i < kEndpoints; ++i) {
       feed.Put(EndpointId(i));
     }
@@ -183,6 +187,7 @@
   }
 
   ManualScheduler scheduler;
+  PausableScheduler process;
   UnsteadyFeed feed;
   TableFollower follower;
   EndpointDirectory directory;
@@ -231,6 +236,26 @@
   CHECK(longest <= bound);
 }
 
+TEST_CASE("an instance that stands still again and again does not keep an endpoint whose entry is removed") {
+  const int instances = GENERATE(from_range(std::begin(kInstanceCounts), std::end(kInstanceCounts)));
+  constexpr int kPauses = 10;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    TrackingInstance instance(instances, seed);
+    Random random(seed);
+    instance.feed.Remove(EndpointId(0));
+    for (int i = 0; i < kPauses; ++i) {
+      instance.process.Pause();
+      // Other entries change all the time.
+      instance.feed.Put(EndpointId(1));
+      instance.scheduler.Advance(Duration::Milliseconds(Between(&random, 1'500, 1'700)));
+      instance.process.Resume();
+      instance.scheduler.Advance(Duration::Milliseconds(500));
+    }
+    CAPTURE(instances, seed);
+    CHECK_FALSE(instance.IsInUse(EndpointId(0)));
+  }
+}
+
 TEST_CASE("endpoints whose entries lapse while the store is away stay in use until they register again") {
   const int instances = GENERATE(from_range(std::begin(kInstanceCounts), std::end(kInstanceCounts)));
   const bool refuses = GENERATE(false, true);
