Keep following the registry when another writer leaves an odd entry in it

Reported by operators of similar systems: one odd entry, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list, or they stopped following it.

What could happen here: a row whose value is no text made the whole read fail, so the instance no longer followed the registry; 2^32 + 8 slots were taken as 8, and 2^31 - 1 as they are, with a sum of slots that overflows; a start or a version of 1e300 was converted without a defined result; port 0 named an endpoint. Deep nesting did no harm (30,000 levels, in the entry, in a known and in an unknown field); its test stays.

Each row is decoded by itself, and one that cannot be read counts as removed; numbers of registry entries are checked before they are converted.

--- a/src/coordination/table_feed.h
+++ b/src/coordination/table_feed.h
@@ -15,7 +15,7 @@
   // The table revision at which the row was last written or removed.
   int64_t version = 0;
   std::string value;
-  // Only in changes: the row no longer exists.
+  // The row no longer exists, or its value cannot be read.
   bool removed = false;
 };
 
--- a/src/coordination/table_follower.cc
+++ b/src/coordination/table_follower.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "base/log_event.h"
 
@@ -27,6 +28,16 @@
 // A response that comes later than expected by more than this is logged.
 constexpr Duration kLateResponse = Duration::Milliseconds(300);
 
+void ApplyRows(const std::vector<RawRow>& changed, TableFollower::Rows* rows) {
+  for (const RawRow& row : changed) {
+    if (row.removed) {
+      rows->erase(row.key);
+    } else {
+      (*rows)[row.key] = row;
+    }
+  }
+}
+
 }  // namespace
 
 void TableFollower::Follow(const std::string& table, Receiver receiver) {
@@ -115,9 +126,7 @@
   }
   table.revision = result.revision;
   table.rows.clear();
-  for (const RawRow& row : result.rows) {
-    table.rows[row.key] = row;
-  }
+  ApplyRows(result.rows, &table.rows);
   table.receiver(table.rows, after_outage);
 }
 
@@ -147,13 +156,7 @@
     return;
   }
   table.revision = result.revision;
-  for (const RawRow& row : result.rows) {
-    if (row.removed) {
-      table.rows.erase(row.key);
-    } else {
-      table.rows[row.key] = row;
-    }
-  }
+  ApplyRows(result.rows, &table.rows);
   table.receiver(table.rows, after_outage);
 }
 
--- a/tests/platform/decoding_test.cc
+++ b/tests/platform/decoding_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <map>
 #include <nlohmann/json.hpp>
 
 #include "base/base64.h"
@@ -175,6 +176,62 @@
   CHECK_FALSE(DecodeRegistryEntry("i-1", "\xff\xfe").has_value());
 }
 
+// Returns the text of a sound registry entry in which one field has another value.
+std::string EntryWith(const std::string& field, const std::string& value) {
+  std::map<std::string, std::string> fields = {{"Service", R"("engines")"},
+                                               {"Addr", R"("10.0.0.1:80")"},
+                                               {"Zone", R"("a")"},
+                                               {"Version", R"("v1")"},
+                                               {"Slots", "8"},
+                                               {"State", R"("ready")"},
+                                               {"born", "5"},
+                                               {"Models", "[]"}};
+  fields[field] = value;
+  std::string text;
+  for (const auto& [name, content] : fields) {
+    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + content;
+  }
+  return text + "}";
+}
+
+TEST_CASE("a registry entry with a number too large or a port out of range names no endpoint") {
+  REQUIRE(DecodeRegistryEntry("a", EntryWith("Slots", "8")).has_value());
+  for (const char* slots : {"1e400", "1e300", "8.5", "-1", "0", "2147483647", "4294967304", "18446744073709551615",
+                            "99999999999999999999999"}) {
+    CAPTURE(slots);
+    CHECK_FALSE(DecodeRegistryEntry("a", EntryWith("Slots", slots)).has_value());
+  }
+  for (const char* born : {"1e300", "-1", "18446744073709551615", R"("5")"}) {
+    CAPTURE(born);
+    CHECK_FALSE(DecodeRegistryEntry("a", EntryWith("born", born)).has_value());
+  }
+  for (const char* version : {"1e300", "-1", "18446744073709551615"}) {
+    CAPTURE(version);
+    const std::string models = std::string(R"([{"Name":"m","Version":)") + version + "}]";
+    CHECK_FALSE(DecodeRegistryEntry("a", EntryWith("Models", models)).has_value());
+  }
+  for (const char* address : {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:-1"}) {
+    CAPTURE(address);
+    CHECK_FALSE(DecodeRegistryEntry("a", EntryWith("Addr", "\"" + std::string(address) + "\"")).has_value());
+  }
+}
+
+TEST_CASE("a deeply nested registry entry does not end the process") {
+  constexpr size_t kDepth = 30'000;
+  const std::string arrays = std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string objects;
+  for (size_t i = 0; i < kDepth / 3; ++i) {
+    objects += "{\"a\":";
+  }
+  objects += "1" + std::string(kDepth / 3, '}');
+  for (const std::string& nested : {arrays, objects}) {
+    CHECK_FALSE(DecodeRegistryEntry("a", nested).has_value());
+    CHECK_FALSE(DecodeRegistryEntry("a", EntryWith("Models", nested)).has_value());
+    // A field that is not known is ignored.
+    CHECK(DecodeRegistryEntry("a", EntryWith("other", nested)).has_value());
+  }
+}
+
 TEST_CASE("a batch submission is decoded, and items keep only headers that are forwarded") {
   const std::string body =
       R"({"Step":7,"Model":"m0","MinVersion":6,"Desired":12,"Requests":[{"Id":"e5","Path":"/jobs/3/91c4",
--- a/tests/platform/metadata_store_test.cc
+++ b/tests/platform/metadata_store_test.cc
@@ -186,6 +186,21 @@
   CHECK(changes.rows[1].removed);
 }
 
+TEST_CASE("a row that cannot be read does not keep the other rows of its table from being read") {
+  StoreFixture fixture;
+  const Json good = {{"Table", "servers"}, {"part", ""}, {"Key", "z"}, {"Value", EncodeBase64("text")}, {"Ver", 14}};
+  for (const Json& value : {Json("%%%"), Json(7), Json(nullptr), Json::array()}) {
+    const Json odd = {{"Table", "servers"}, {"part", ""}, {"Key", "a"}, {"Value", value}, {"Ver", 12}};
+    fixture.fake_store.feed_response = {{"Rows", {odd, good}}, {"Ver", 14}, {"NowMs", 1}};
+    const RawRowsResult changes = fixture.ReadChanges(11);
+    CAPTURE(value);
+    REQUIRE(changes.outcome == TableReadOutcome::kServed);
+    REQUIRE(changes.rows.size() == 2);
+    CHECK(changes.rows[0].removed);
+    CHECK(changes.rows[1].value == "text");
+  }
+}
+
 TEST_CASE("a feed that has lost its history, is outdated or is refused does not count as without changes") {
   StoreFixture fixture;
   fixture.fake_store.feed_response = {{"Rows", Json::array()}, {"Ver", 5}, {"NowMs", 1}};
