Do not continue a stream without a name while another instance knows of a further software version

What could happen here: a stream that its caller takes up again by name is looked up in the table and not affected. A stream without a name was continued if all endpoints that this instance knows have one software version; an instance that was cut off or stood still does not know of the new ones. It now also has to be certain that the table has no stream that began on another version: each such stream has a row there before its caller gets any part of it. Both conditions hold, so nothing is continued that was not before.

build/coordination_test "an instance that does not know of a new software version..." failed before (continued on v1), passes now.

--- a/src/coordination/stream_origins.cc
+++ b/src/coordination/stream_origins.cc
@@ -22,7 +22,10 @@
 // Half of it: the common version that an instance has read is still that of all streams without a row.
 constexpr Duration kCommonVersionLifetime = Duration::Seconds(30);
 constexpr Duration kTickInterval = Duration::Seconds(5);
+// Rows are kept for longer than any stream that may be continued, since the clocks of instances differ.
+constexpr Duration kRowRetention = Duration::Seconds(120);
 constexpr int kRemovalsPerTransaction = 80;
+constexpr int kRowsPerScan = 200;
 constexpr char kVersionTable[] = "stream-versions";
 constexpr char kStreamTable[] = "streams";
 
@@ -112,8 +115,14 @@
     }
     const StreamOrigin common{service, *common_version};
     if (stream.empty()) {
-      const bool certain = m_endpoints->HasOnlySoftwareVersion(service, common.software_version);
-      callback(certain ? std::optional<StreamOrigin>(common) : std::nullopt);
+      if (!m_endpoints->HasOnlySoftwareVersion(service, common.software_version)) {
+        callback(std::nullopt);
+        return;
+      }
+      // This instance may not know yet of endpoints with another version on which other instances began streams.
+      FindOtherOrigin(common, 0, "", [common, callback](std::optional<bool> found) {
+        callback(found == false ? std::optional<StreamOrigin>(common) : std::nullopt);
+      });
       return;
     }
     const std::string key = StreamKey(stream);
@@ -134,6 +143,33 @@
   });
 }
 
+// Reads one shard after the other, each from the row after `after` on.
+void StreamOrigins::FindOtherOrigin(const StreamOrigin& common, int shard, const std::string& after,
+                                    const std::function<void(std::optional<bool>)>& callback) {
+  if (shard == kShards) {
+    callback(false);
+    return;
+  }
+  m_store->Scan(
+      ShardPrefix(shard), after, kRowsPerScan, m_guard.Wrap([this, common, shard, callback](const ReadResult& read) {
+        if (!read.ok) {
+          callback(std::nullopt);
+          return;
+        }
+        for (const TableRow& row : read.rows) {
+          const std::optional<StreamRow> decoded = DecodeRow(row);
+          const bool may_continue = !decoded.has_value() || m_wall_ms() - decoded->written_ms < kRowRetention.ms();
+          if (may_continue && (!decoded.has_value() || (decoded->origin.service == common.service &&
+                                                        decoded->origin.software_version != common.software_version))) {
+            callback(true);
+            return;
+          }
+        }
+        const bool more = read.has_more && !read.rows.empty();
+        FindOtherOrigin(common, more ? shard : shard + 1, more ? read.rows.back().key : "", callback);
+      }));
+}
+
 void StreamOrigins::WriteOrigin(const std::string& key, const StreamOrigin& origin,
                                 std::function<void(const TransactResult&)> callback) {
   TableTransaction transaction;
@@ -268,7 +304,7 @@
   std::string partition;
   for (auto row = m_written_rows.begin(); row != m_written_rows.end();) {
     const TableKeyParts parts = SplitTableKey(row->key);
-    const bool due = Now() - row->written_at >= kLongestStream + kLongestStream;
+    const bool due = Now() - row->written_at >= kRowRetention;
     // A transaction has rows of one partition.
     if (!due || (!transaction.writes.empty() && parts.partition != partition) ||
         transaction.writes.size() >= kRemovalsPerTransaction) {
--- a/src/coordination/stream_origins.h
+++ b/src/coordination/stream_origins.h
@@ -45,7 +45,8 @@
   // run within the call.
   void Record(const std::string& stream, const StreamOrigin& origin, std::function<void(StreamRecordOutcome)> callback);
   // Finds where a stream began. `service` is that of streams without a row. The callback receives nothing if the table
-  // does not answer, and for a stream without a name unless all endpoints of the service have one software version.
+  // does not answer, and for a stream without a name unless all endpoints of the service have one software version and
+  // the table has no stream that began on another one.
   void Find(const std::string& stream, const std::string& service,
             std::function<void(std::optional<StreamOrigin>)> callback);
   // The common version of the service as last read; nothing if it was never read.
@@ -74,6 +75,10 @@
   // Writes the row of a stream unless it exists, and notes it for its removal.
   void WriteOrigin(const std::string& key, const StreamOrigin& origin,
                    std::function<void(const TransactResult&)> callback);
+  // Whether the table has a stream of the service that began on another than its common version and may be continued;
+  // nothing if the table does not answer. Looks at the shards from `shard` on.
+  void FindOtherOrigin(const StreamOrigin& common, int shard, const std::string& after,
+                       const std::function<void(std::optional<bool>)>& callback);
   // Runs the callback with the common version of the service, which is set if the service has none yet.
   void WithCommonVersion(const std::string& service, const VersionCallback& callback);
   void SetCommonVersion(const std::string& service, int64_t row_version, const std::string& version,
--- a/tests/coordination/stream_origins_test.cc
+++ b/tests/coordination/stream_origins_test.cc
@@ -116,6 +116,21 @@
   CHECK(fixture.Find("").empty());
 }
 
+TEST_CASE("an instance that does not know of a new software version does not continue its streams without a name") {
+  OriginsFixture fixture;
+  fixture.Serve({"v1"});
+  CHECK(fixture.Find("") == "v1");
+  // Another instance knows of the new endpoints and begins a stream there.
+  StreamOrigins other(&fixture.store, &fixture.scheduler, &fixture.directory,
+                      [&] { return fixture.scheduler.Now().ms(); });
+  other.Record("b", {kService, "v2"}, [](StreamRecordOutcome) {});
+  fixture.scheduler.Advance(Duration::Seconds(1));
+  CHECK(fixture.Find("").empty());
+  // Nobody continues it any more.
+  fixture.scheduler.Advance(Duration::Seconds(180));
+  CHECK(fixture.Find("") == "v1");
+}
+
 TEST_CASE("a late write of an origin fails once the stream was continued") {
   OriginsFixture fixture;
   fixture.Serve({"v1", "v2"});
