Read registries of more than 500 endpoints whole

A response of the store has 500 rows at most, and only the first one of a registry was read: with 1,000 endpoints, the design's target, every second one would never have been used, and each of them counted as gone. Further pages are read, and changes count from the first page's revision on.

--- a/tests/platform/metadata_store_test.cc
+++ b/tests/platform/metadata_store_test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/base64.h"
+#include "platform/caller_request_handler.h"
 #include "transport/http_server.h"
 
 namespace quetzalridge::platform {
@@ -31,12 +32,20 @@
       return;
     }
     Json rows_found = Json::array();
+    bool has_more = false;
+    const std::string from = QueryParameter(request.query, "From");
     for (const auto& [key, row] : rows) {
-      if (request.query.find("Table=" + row.at("Table").get<std::string>() + "&") != std::string::npos) {
+      if (request.query.find("Table=" + row.at("Table").get<std::string>() + "&") != std::string::npos &&
+          row.at("Key").get<std::string>() >= from) {
+        has_more = rows_found.size() == kMostRows;
+        if (has_more) {
+          break;
+        }
         rows_found.push_back(row);
       }
     }
-    const Json response = {{"Rows", rows_found}, {"HasMore", false}, {"Ver", reported_version}, {"NowMs", 1}};
+    const Json response = {{"Rows", rows_found}, {"HasMore", has_more}, {"Ver", reported_version}, {"NowMs", 1}};
+    ++reported_version;
     responder->Send(200, {}, response.dump());
   }
 
@@ -70,6 +79,9 @@
            row.at("Key").get<std::string>();
   }
 
+  // The most rows in one response, as the documentation says.
+  static constexpr size_t kMostRows = 500;
+
   std::vector<HttpRequest> requests;
   std::map<std::string, Json> rows;
   int64_t version = 0;
@@ -167,6 +179,29 @@
   CHECK_FALSE(fixture.Scan("usage/").ok);
 }
 
+TEST_CASE("a table with more rows than fit into one response is read whole") {
+  StoreFixture fixture;
+  constexpr int kRows = 1'200;
+  for (int i = 0; i < kRows; ++i) {
+    const Json row = {{"Table", "servers"},
+                      {"part", ""},
+                      {"Key", std::to_string(10'000 + i)},
+                      {"Value", EncodeBase64("text")},
+                      {"Ver", 1}};
+    fixture.fake_store.rows[FakeMetadataStore::KeyOf(row)] = row;
+  }
+  fixture.fake_store.reported_version = 7;
+  std::optional<RawRowsResult> result;
+  fixture.store.ReadTable("servers", [&result](const RawRowsResult& response) { result = response; });
+  while (!result.has_value()) {
+    fixture.loop.RunOnce(Duration::Milliseconds(10));
+  }
+  CHECK(result->outcome == TableReadOutcome::kServed);
+  CHECK(result->rows.size() == kRows);
+  // Changes that came while the later pages were read are not skipped.
+  CHECK(result->revision == 7);
+}
+
 TEST_CASE("changes of a table are read with written and removed rows") {
   StoreFixture fixture;
   fixture.fake_store.feed_response = {
