--- a/tests/soak/node_fleet.cc
+++ b/tests/soak/node_fleet.cc
@@ -29,12 +29,13 @@
 }  // namespace
 
 NodeFleet::NodeFleet(EventLoop* loop, SoakLog* log, UsersPlatform* platform, const std::string& folder, int count,
-                     const std::vector<int>& replica_ports)
+                     const std::string& program, const std::vector<int>& replica_ports)
     : m_loop(loop), m_log(log), m_platform(platform), m_folder(folder), m_caller_port(kCallerPort) {
   for (int i = 0; i < count; ++i) {
     auto node = std::make_unique<SoakNode>();
     node->name = "node-" + std::to_string(i + 1);
     node->ip = Loopback(i);
+    node->program = program;
     node->settings_file = folder + "/" + node->name + ".json";
     std::map<std::string, std::string> addresses;
     for (const int port : replica_ports) {
@@ -74,7 +75,7 @@
   node->paused = false;
   m_log->ForgetLeaving(node->name);
   node->process = std::make_unique<history::ChildProcess>(
-      QUETZALRIDGE_BINARY_DIR "/quetzalridge_node", std::vector<std::string>{"--settings", node->settings_file}, log);
+      node->program, std::vector<std::string>{"--settings", node->settings_file}, log);
 }
 
 std::vector<SoakNode*> NodeFleet::Serving() {
@@ -109,6 +110,12 @@
   node->process->Signal(SIGTERM);
 }
 
+void NodeFleet::Replace(SoakNode* node, const std::string& program) {
+  m_log->Note("replace " + node->name + " by " + program);
+  node->program = program;
+  Stop(node);
+}
+
 void NodeFleet::Pause(SoakNode* node, Duration time) {
   if (node->process == nullptr || node->paused || node->stopping) {
     return;
--- a/tests/soak/node_fleet.h
+++ b/tests/soak/node_fleet.h
@@ -19,6 +19,8 @@
   std::string name;
   std::string ip;
   std::string settings_file;
+  // The program that its next process runs.
+  std::string program;
   int starts = 0;
   std::unique_ptr<history::ChildProcess> process;
   std::unique_ptr<history::TcpRelay> platform_relay;
@@ -35,9 +37,9 @@
 // The processes under test. Ends only those that it started, by their ids.
 class NodeFleet {
  public:
-  // `replica_ports` are those at which the registry shows the replicas.
+  // `program` is what all nodes run at first; `replica_ports` are those at which the registry shows the replicas.
   NodeFleet(EventLoop* loop, SoakLog* log, UsersPlatform* platform, const std::string& folder, int count,
-            const std::vector<int>& replica_ports);
+            const std::string& program, const std::vector<int>& replica_ports);
 
   std::vector<std::unique_ptr<SoakNode>>& nodes() { return m_nodes; }
   std::string CallerAddress(const SoakNode& node) const { return node.ip + ":" + std::to_string(m_caller_port); }
@@ -46,6 +48,8 @@
 
   void Kill(SoakNode* node, Duration down);
   void Stop(SoakNode* node);
+  // Stops the node, whose next process runs `program`.
+  void Replace(SoakNode* node, const std::string& program);
   void Pause(SoakNode* node, Duration time);
   void DisturbRelay(SoakNode* node, history::TcpRelay::Mode mode, Duration time);
   // Cuts the node off from all replicas, while callers, the store and the other nodes reach it.
--- a/tests/soak/node_soak_main.cc
+++ b/tests/soak/node_soak_main.cc
@@ -39,8 +39,12 @@
   int seconds = 20;
   int nodes = 5;
   bool ignores_conditions = false;
+  // Another build of the program under test. All nodes run it at first and are replaced one by one.
+  std::string earlier_program;
 };
 
+constexpr char kProgram[] = QUETZALRIDGE_BINARY_DIR "/quetzalridge_node";
+
 Json Route(const std::string& name, const std::string& prefix, const std::string& kind, const std::string& service) {
   return {{"Name", name},           {"Host", kHost},          {"Prefix", prefix},
           {"Kind", kind},           {"TimeoutMs", 2000},      {"Service", service},
@@ -95,7 +99,8 @@
         m_random(options.seed),
         m_log(&loop->clock()),
         m_platform(loop, &m_log, m_random.Next()),
-        m_seconds(options.seconds) {
+        m_seconds(options.seconds),
+        m_earlier_program(options.earlier_program) {
     m_platform.ignores_conditions = options.ignores_conditions;
     m_platform.Put("op", "config", Config());
     for (int i = 0; i < kEngines + kPlainReplicas; ++i) {
@@ -106,7 +111,8 @@
     for (const std::unique_ptr<Replica>& replica : m_replicas) {
       ports.push_back(replica->relay()->port());
     }
-    m_fleet = std::make_unique<NodeFleet>(loop, &m_log, &m_platform, folder, options.nodes, ports);
+    m_fleet = std::make_unique<NodeFleet>(loop, &m_log, &m_platform, folder, options.nodes,
+                                          m_earlier_program.empty() ? kProgram : m_earlier_program, ports);
     m_callers = std::make_unique<PlainCallers>(loop, &m_log, m_fleet.get(), m_random.Next());
     m_streams = std::make_unique<StreamCallers>(loop, &m_log, m_fleet.get(), m_random.Next());
     m_trainer = std::make_unique<Trainer>(loop, &m_log, m_fleet.get(), &m_platform, m_random.Next());
@@ -126,8 +132,10 @@
       const Repeated streams(m_loop, kStreamInterval, [this] { m_streams->BeginOne(); });
       const Repeated steps(m_loop, kStepInterval, [this] { m_trainer->BeginStep(); });
       ScheduleFault();
+      PlanUpgrade();
       RunFor(Duration::Seconds(m_seconds));
       m_fault_timer.reset();
+      m_upgrade_timers.clear();
       Heal();
       RunFor(kStartTime);
     }
@@ -168,6 +176,34 @@
     });
   }
 
+  // An upgrade as operators do it: the first nodes, a break, the others, then some back to the earlier build and
+  // forward again.
+  void PlanUpgrade() {
+    if (m_earlier_program.empty()) {
+      return;
+    }
+    const size_t count = m_fleet->nodes().size();
+    const size_t first = (count + 1) / 2;
+    std::vector<std::pair<size_t, bool>> steps;
+    for (size_t i = 0; i < count; ++i) {
+      steps.emplace_back(i, true);
+    }
+    steps.emplace_back(0, false);
+    steps.emplace_back(1, false);
+    steps.emplace_back(0, true);
+    steps.emplace_back(1, true);
+    const Duration interval =
+        Duration::Milliseconds(m_seconds * int64_t{1000} / static_cast<int64_t>(steps.size() + 3));
+    for (size_t i = 0; i < steps.size(); ++i) {
+      const size_t slot = i + (i < first ? 1 : 2);
+      const auto [node, to_new] = steps[i];
+      m_upgrade_timers.push_back(
+          m_loop->After(interval * static_cast<int64_t>(slot), [this, node = node, to_new = to_new] {
+            m_fleet->Replace(m_fleet->nodes()[node].get(), to_new ? kProgram : m_earlier_program);
+          }));
+    }
+  }
+
   void Inject() {
     SoakNode* node = m_fleet->nodes()[m_random.Below(m_fleet->nodes().size())].get();
     Replica* replica = m_replicas[m_random.Below(m_replicas.size())].get();
@@ -277,6 +313,7 @@
   SoakLog m_log;
   UsersPlatform m_platform;
   int m_seconds;
+  std::string m_earlier_program;
   std::vector<std::unique_ptr<Replica>> m_replicas;
   std::unique_ptr<NodeFleet> m_fleet;
   std::unique_ptr<PlainCallers> m_callers;
@@ -285,6 +322,7 @@
   std::unique_ptr<Timer> m_fault_timer;
   std::unique_ptr<Timer> m_platform_timer;
   std::vector<std::unique_ptr<Timer>> m_leave_timers;
+  std::vector<std::unique_ptr<Timer>> m_upgrade_timers;
 };
 
 int Main(int argc, char** argv) {
@@ -293,9 +331,10 @@
                                  {"seconds", required_argument, nullptr, 't'},
                                  {"nodes", required_argument, nullptr, 'n'},
                                  {"ignore-conditions", no_argument, nullptr, 'i'},
+                                 {"earlier-program", required_argument, nullptr, 'e'},
                                  {nullptr, 0, nullptr, 0}};
   int flag = 0;
-  while ((flag = getopt_long(argc, argv, "s:t:n:i", long_options, nullptr)) != -1) {
+  while ((flag = getopt_long(argc, argv, "s:t:n:ie:", long_options, nullptr)) != -1) {
     switch (flag) {
       case 's':
         options.seed = std::strtoull(optarg, nullptr, 10);
@@ -309,8 +348,12 @@
       case 'i':
         options.ignores_conditions = true;
         break;
+      case 'e':
+        options.earlier_program = optarg;
+        break;
       default:
-        std::cerr << "usage: node_soak [--seed N] [--seconds N] [--nodes N] [--ignore-conditions]\n";
+        std::cerr << "usage: node_soak [--seed N] [--seconds N] [--nodes N] [--ignore-conditions] "
+                     "[--earlier-program PATH]\n";
         return 2;
     }
   }
