--- a/tests/soak/users_platform.h
+++ b/tests/soak/users_platform.h
@@ -93,7 +93,7 @@
   };
 
   std::map<RowKey, Row> m_rows;
-  // The row that each revision changed last, also if it was removed.
+  // The revision that last wrote or removed each row.
   std::map<RowKey, int64_t> m_changed;
   std::list<Watcher> m_watchers;
   int64_t m_version = 0;
