--- /dev/null
+++ b/review/common/clients.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "review/common/harness.h"
+
+namespace quetzalridge::review {
+
+// Clients that send idempotent requests over kept connections, one attempt each.
+class PlainClients {
+ public:
+  PlainClients(EventLoop* loop, Record* record, Fleet* fleet, uint64_t seed);
+
+  void SendOne();
+  int sent() const { return m_sent; }
+  int answered() const { return m_answered; }
+  // Attempts that ended without any answer.
+  int unanswered() const { return m_unanswered; }
+  int wrong() const { return m_wrong; }
+
+ private:
+  Record* m_record;
+  Fleet* m_fleet;
+  Random m_random;
+  HttpClient m_client;
+  int m_sent = 0;
+  int m_answered = 0;
+  int m_unanswered = 0;
+  int m_wrong = 0;
+};
+
+// A trainer that submits batch jobs, reads their results at any machine and ends them when they are whole, or 12 s
+// after their submission. It names no versions.
+class Trainer {
+ public:
+  Trainer(EventLoop* loop, Record* record, Fleet* fleet, uint64_t seed);
+
+  void BeginStep(int groups, int items_in_group);
+  // To be called twice a second.
+  void Advance();
+  bool AllEnded() const;
+  int accepted() const { return m_accepted; }
+  // Jobs whose results were all read before the trainer's deadline.
+  int whole() const { return m_whole; }
+  int given_up() const { return m_given_up; }
+  int wrong() const { return m_wrong; }
+
+ private:
+  struct Job {
+    std::string id;
+    std::string body;
+    size_t items = 0;
+    TimePoint began_at;
+    bool accepted = false;
+    bool waiting = false;
+    bool ended = false;
+    bool late = false;
+    std::vector<std::string> results;
+  };
+
+  std::string AnyFront();
+  void Submit(const std::shared_ptr<Job>& job);
+  void Read(const std::shared_ptr<Job>& job);
+  void End(const std::shared_ptr<Job>& job);
+
+  Record* m_record;
+  Fleet* m_fleet;
+  Random m_random;
+  HttpClient m_client;
+  int m_steps = 0;
+  int m_accepted = 0;
+  int m_whole = 0;
+  int m_given_up = 0;
+  int m_wrong = 0;
+  std::vector<std::shared_ptr<Job>> m_jobs;
+};
+
+// A machine whose process runs; any machine if none does.
+Machine* AnyRunning(Fleet* fleet, Random* random);
+
+}  // namespace quetzalridge::review
