Review case 2: jobs rest when their owner and its four watchers are lost

Cause: four machines watch the owner of a job, and a lost one counts as live until the roster has been read twice, which takes 15 s per reading with 100 machines. If the owner and its watchers are lost together, nobody takes the job over before its trainer gives up.

--- a/review/common/clients.cc
+++ b/review/common/clients.cc
@@ -11,8 +11,6 @@
 
 using Json = nlohmann::json;
 
-constexpr Duration kPatience = Duration::Seconds(12);
-
 }  // namespace
 
 Machine* AnyRunning(Fleet* fleet, Random* random) {
@@ -52,7 +50,7 @@
 }
 
 Trainer::Trainer(EventLoop* loop, Record* record, Fleet* fleet, uint64_t seed)
-    : m_record(record), m_fleet(fleet), m_random(seed), m_client(loop) {}
+    : m_loop(loop), m_record(record), m_fleet(fleet), m_random(seed), m_client(loop) {}
 
 std::string Trainer::AnyFront() {
   return m_fleet->FrontAddress(*AnyRunning(m_fleet, &m_random));
@@ -61,12 +59,12 @@
 void Trainer::BeginStep(int groups, int items_in_group) {
   auto job = std::make_shared<Job>();
   job->id = UniqueId();
-  job->began_at = TimePoint() + m_record->Elapsed();
-  job->items = static_cast<size_t>(groups) * static_cast<size_t>(items_in_group);
+  job->began_at = m_loop->clock().Now();
   Json requests = Json::array();
   for (int group = 0; group < groups; ++group) {
     for (int i = 0; i < items_in_group; ++i) {
       const std::string item = UniqueId();
+      job->items.push_back(item);
       requests.push_back({{"Id", item},
                           {"Path", kBatchPrefix + item},
                           {"Headers",
@@ -92,7 +90,7 @@
   call.target = std::string(kBatchPrefix) + job->id;
   call.fresh_connection = true;
   call.body = job->body;
-  m_record->Add("sent job=" + job->id + " items=" + std::to_string(job->items) + " to=" + call.address);
+  m_record->Add("sent job=" + job->id + " items=" + std::to_string(job->items.size()) + " to=" + call.address);
   m_client.Fetch(std::move(call), [this, job](const HttpResponse& response) {
     job->waiting = false;
     const bool whole = response.result.outcome == CallOutcome::kWhole;
@@ -122,7 +120,7 @@
       m_wrong += right ? 0 : 1;
       job->results.push_back(item);
     }
-    if (job->results.size() == job->items && !job->late) {
+    if (job->results.size() == job->items.size() && !job->late) {
       ++m_whole;
       m_record->Add("read whole job=" + job->id);
     }
@@ -143,17 +141,17 @@
 }
 
 void Trainer::Advance() {
-  const TimePoint now = TimePoint() + m_record->Elapsed();
+  const TimePoint now = m_loop->clock().Now();
   for (const std::shared_ptr<Job>& job : m_jobs) {
     if (job->waiting || job->ended) {
       continue;
     }
-    const bool whole = job->results.size() == job->items;
+    const bool whole = job->results.size() == job->items.size();
     if (!whole && !job->late && now - job->began_at > kPatience) {
       job->late = true;
       ++m_given_up;
       m_record->Add("gave up job=" + job->id + " accepted=" + (job->accepted ? "yes" : "no") +
-                    " read=" + std::to_string(job->results.size()) + " of=" + std::to_string(job->items));
+                    " read=" + std::to_string(job->results.size()) + " of=" + std::to_string(job->items.size()));
     }
     if (!job->accepted) {
       job->ended = job->late;
--- a/review/common/clients.h
+++ b/review/common/clients.h
@@ -37,6 +37,22 @@
 // after their submission. It names no versions.
 class Trainer {
  public:
+  // When the trainer stops waiting for the results of a job.
+  static constexpr Duration kPatience = Duration::Seconds(12);
+
+  struct Job {
+    std::string id;
+    std::string body;
+    std::vector<std::string> items;
+    TimePoint began_at;
+    bool accepted = false;
+    bool waiting = false;
+    bool ended = false;
+    // The trainer gave the job up at its deadline, since results were missing.
+    bool late = false;
+    std::vector<std::string> results;
+  };
+
   Trainer(EventLoop* loop, Record* record, Fleet* fleet, uint64_t seed);
 
   void BeginStep(int groups, int items_in_group);
@@ -48,25 +64,15 @@
   int whole() const { return m_whole; }
   int given_up() const { return m_given_up; }
   int wrong() const { return m_wrong; }
+  const std::vector<std::shared_ptr<Job>>& jobs() const { return m_jobs; }
 
  private:
-  struct Job {
-    std::string id;
-    std::string body;
-    size_t items = 0;
-    TimePoint began_at;
-    bool accepted = false;
-    bool waiting = false;
-    bool ended = false;
-    bool late = false;
-    std::vector<std::string> results;
-  };
-
   std::string AnyFront();
   void Submit(const std::shared_ptr<Job>& job);
   void Read(const std::shared_ptr<Job>& job);
   void End(const std::shared_ptr<Job>& job);
 
+  EventLoop* m_loop;
   Record* m_record;
   Fleet* m_fleet;
   Random m_random;
--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -199,6 +199,14 @@
   machine->restart_timer = m_loop->After(down, [this, machine] { Start(machine); });
 }
 
+void Fleet::Remove(Machine* machine) {
+  machine->restart_timer.reset();
+  if (machine->process != nullptr) {
+    machine->process->Signal(SIGKILL);
+    machine->process.reset();
+  }
+}
+
 void Fleet::Watch() {
   for (const std::unique_ptr<Machine>& machine : m_machines) {
     if (machine->process == nullptr) {
@@ -270,7 +278,9 @@
   m_record->Add("crash replica=" + m_id);
   m_down = true;
   m_missed_beats = 0;
-  m_runs.clear();
+  while (!m_runs.empty()) {
+    Forget(m_runs.begin(), false);
+  }
   m_timers.clear();
   m_plain_running = 0;
   m_order_timer.reset();
@@ -366,7 +376,8 @@
   run->next_event = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
   run->version = m_version;
   run->responder = responder;
-  responder->SetCloseCallback([this, run] { m_runs.erase(run); });
+  run->span = m_spans.insert(m_spans.end(), RunSpan{id, m_loop->clock().Now(), std::nullopt, false});
+  responder->SetCloseCallback([this, run] { Forget(run, false); });
   responder->Start(200, {{"content-type", "text/event-stream"},
                          {"x-quetzalridge-request-id", id},
                          {"x-quetzalridge-server-stamp", m_id + "." + id},
@@ -374,12 +385,19 @@
   run->timer = m_loop->After(kEventGap, [this, run] { SendEvent(run); });
 }
 
+void Replica::Forget(std::list<Run>::iterator run, bool finished) {
+  run->span->ended_at = m_loop->clock().Now();
+  run->span->finished = finished;
+  m_record->Add(std::string(finished ? "finished" : "cancelled") + " request=" + run->item + " replica=" + m_id);
+  m_runs.erase(run);
+}
+
 void Replica::SendEvent(std::list<Run>::iterator run) {
   if (run->next_event > EventsOf(run->item)) {
     run->responder->SetCloseCallback(nullptr);
     run->responder->End();
     const std::unique_ptr<Timer> ended = std::move(run->timer);
-    m_runs.erase(run);
+    Forget(run, true);
     return;
   }
   std::string event;
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -97,6 +97,8 @@
   std::string ReadyAddress(const Machine& machine) const;
   // Kills the process; the platform starts it again after `down`.
   void Kill(Machine* machine, Duration down);
+  // Kills the process; the machine never comes back.
+  void Remove(Machine* machine);
   // To be called every few milliseconds: starts ended processes again, and kills those with too much memory.
   void Watch();
 
@@ -119,6 +121,16 @@
 std::string EventData(const std::string& item, int event);
 std::string WholeOutput(const std::string& item);
 
+// The time that an item spent at a replica.
+struct RunSpan {
+  std::string item;
+  TimePoint began_at;
+  // Absent while it runs.
+  std::optional<TimePoint> ended_at;
+  // The replica made the whole output.
+  bool finished = false;
+};
+
 // A replica: runs plain requests, or items event by event, and takes orders to load a version.
 class Replica : public HttpHandler {
  public:
@@ -130,6 +142,8 @@
   void SetInterceptor(Interceptor interceptor) { m_interceptor = std::move(interceptor); }
   const std::string& id() const { return m_id; }
   const std::string& name() const { return m_name; }
+  const std::list<RunSpan>& spans() const { return m_spans; }
+  int slots() const { return m_slots; }
   int running() const { return static_cast<int>(m_runs.size()) + m_plain_running; }
   bool is_down() const { return m_down; }
   // Resets all connections and comes back under a new id after `down`. Its entry lapses after three heartbeats.
@@ -146,9 +160,12 @@
     int64_t version = 0;
     std::shared_ptr<HttpResponder> responder;
     std::unique_ptr<Timer> timer;
+    std::list<RunSpan>::iterator span;
   };
 
   void Open();
+  // Notes that a run has ended, and forgets it.
+  void Forget(std::list<Run>::iterator run, bool finished);
   void RunPlain(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void RunItem(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
   void SendEvent(std::list<Run>::iterator run);
@@ -172,6 +189,7 @@
   bool m_busy = false;
   int m_plain_running = 0;
   Interceptor m_interceptor;
+  std::list<RunSpan> m_spans;
   std::list<Run> m_runs;
   std::list<std::unique_ptr<Timer>> m_timers;
   std::list<std::weak_ptr<HttpResponder>> m_open;
