--- a/review/common/clients.cc
+++ b/review/common/clients.cc
@@ -56,7 +56,7 @@
   return m_fleet->FrontAddress(*AnyRunning(m_fleet, &m_random));
 }
 
-void Trainer::BeginStep(int groups, int items_in_group) {
+void Trainer::BeginStep(int groups, int items_in_group, const std::map<std::string, std::string>& more_headers) {
   auto job = std::make_shared<Job>();
   job->id = UniqueId();
   job->began_at = m_loop->clock().Now();
@@ -65,12 +65,15 @@
     for (int i = 0; i < items_in_group; ++i) {
       const std::string item = UniqueId();
       job->items.push_back(item);
+      Json headers = {{"X-Quetzalridge-Model", kModel},
+                      {"X-Quetzalridge-Token-Count", "1016,100"},
+                      {"X-Quetzalridge-Length-Hint", std::to_string(EventsOf(item))}};
+      for (const auto& [name, value] : more_headers) {
+        headers[name] = value;
+      }
       requests.push_back({{"Id", item},
                           {"Path", kBatchPrefix + item},
-                          {"Headers",
-                           {{"X-Quetzalridge-Model", kModel},
-                            {"X-Quetzalridge-Token-Count", "1016,100"},
-                            {"X-Quetzalridge-Length-Hint", std::to_string(EventsOf(item))}}},
+                          {"Headers", headers},
                           {"Body", EncodeBase64("prompt of " + item)},
                           {"Tokens", 1116},
                           {"Group", job->id + "-" + std::to_string(group)}});
--- a/review/common/clients.h
+++ b/review/common/clients.h
@@ -55,7 +55,8 @@
 
   Trainer(EventLoop* loop, Record* record, Fleet* fleet, uint64_t seed);
 
-  void BeginStep(int groups, int items_in_group);
+  // Each item has `more_headers` besides those of its model.
+  void BeginStep(int groups, int items_in_group, const std::map<std::string, std::string>& more_headers = {});
   // To be called twice a second.
   void Advance();
   bool AllEnded() const;
--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -329,6 +329,11 @@
     responder->Send(421, {{"x-quetzalridge-instance-id", m_id}}, "");
     return;
   }
+  const std::string expected_version = HeaderOf(request.headers, "x-quetzalridge-expect-version");
+  if (!expected_version.empty() && expected_version != std::to_string(m_version)) {
+    responder->Send(421, {{"x-quetzalridge-instance-id", m_id}}, "");
+    return;
+  }
   if (request.path == "/api/report") {
     Report(responder.get());
     return;
