--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 #include "review/common/clients.h"
 #include "review/common/harness.h"
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 #include "review/common/clients.h"
 #include "review/common/harness.h"
--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "base/hash.h"
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -6,7 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
