Bound all that is kept of responses, and the sum over all of them

Cause: SseParser kept every line of an unknown field, and its limit counted the present line and the data only. Texts of items, responses that wait for a record of their stream, and results of stored items had no limit either, and no bound held for the sum of all streams of a process.

Change: the parser keeps only fields that are read and counts all bytes since the last event. A text has at most the size of one write to the store. A MemoryBudget bounds the sum of unfinished texts, unfinished events and unread responses. Input is parsed in small pieces and large input buffers are freed. Error responses to calls for events end after the idle timeout.

Evidence: the new tests of the parser and of the endpoint client failed before (7 of 8 kinds of lines without a limit; no end of the call).

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -107,7 +107,7 @@
       {LogEvent::kRewardCallFailed, LogSeverity::kInfo, "reward_call_failed",
        "An attempt of a reward call gave no score; the line says whether it is repeated."},
       {LogEvent::kBatchTextDiscarded, LogSeverity::kInfo, "batch_text_discarded",
-       "An item starts again from the beginning: no endpoint with the software version of its text can continue it."},
+       "An item starts again from the beginning, because its text cannot be continued; the line names the reason."},
       {LogEvent::kRequestAnswered, LogSeverity::kInfo, "request_answered", "A request was answered by an endpoint."},
       {LogEvent::kRequestRefused, LogSeverity::kInfo, "request_refused",
        "A request was answered by this instance with an error."},
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -47,6 +47,8 @@
 constexpr Duration kMaxRetryDelay = Duration::Seconds(1);
 constexpr int kMaxRetryDoublings = 5;
 constexpr int kTransactionIdBytes = 8;
+// Stored results with a longer text stay in memory only while that is plentiful; the table has them too.
+constexpr size_t kSmallTextBytes = 16 << 10;
 // Partial texts are stored at this interval if enough new events have arrived. Only items that take several seconds
 // reach that number, and the loss of the text of such an item would delay a whole training step.
 constexpr Duration kCheckpointInterval = Duration::Milliseconds(1200);
@@ -121,6 +123,7 @@
 
   void OnBody(std::string_view) override {}
 
+  // This call may destroy the run.
   void OnEvent(const StreamEvent& event) override {
     if (m_stale || m_event_missing || !m_head.has_value() || m_head->status != kStatusOk) {
       return;
@@ -137,6 +140,14 @@
         item.transcript.Append(event.id, event.data, event.model_version);
     m_event_missing = append_result == EventTranscript::AppendResult::kGap;
     m_new_events += append_result == EventTranscript::AppendResult::kAdded ? 1 : 0;
+    const bool too_long = append_result == EventTranscript::AppendResult::kTooLong;
+    if (too_long || !m_runner->RecordTextMemory(m_index)) {
+      m_text_rejected = true;
+      EndpointCallResult result;
+      result.outcome = EndpointCallOutcome::kTruncated;
+      result.detail = too_long ? "the text has no end" : "the texts of all items take too much memory";
+      OnEnd(result);
+    }
   }
 
   void OnEnd(const EndpointCallResult& result) override {
@@ -148,6 +159,7 @@
   const std::optional<EndpointResponseHead>& head() const { return m_head; }
   bool stale() const { return m_stale; }
   bool event_missing() const { return m_event_missing; }
+  bool text_rejected() const { return m_text_rejected; }
   int new_events() const { return m_new_events; }
 
  private:
@@ -161,6 +173,8 @@
   bool m_stale = false;
   // An event between the last one of the transcript and the received one is missing.
   bool m_event_missing = false;
+  // The text is longer than any response of a sound endpoint, or than the memory allows.
+  bool m_text_rejected = false;
   int m_new_events = 0;
   std::optional<TimePoint> m_last_event_at;
   std::unique_ptr<EndpointExchange> m_exchange;
@@ -249,7 +263,7 @@
     placement.software_version.reset();
     endpoint = ChooseEndpoint(service, placement);
     if (endpoint != nullptr) {
-      DiscardText(index);
+      DiscardText(index, "no endpoint with its software version");
     }
   }
   if (endpoint == nullptr) {
@@ -272,20 +286,32 @@
          Now() - item.interrupted_at > kMaxContinuationWait;
 }
 
-// The stored text stays as it is; a new owner may continue it, or discard it for the same reason.
-void BatchRunner::DiscardText(size_t index) {
+// The stored text is removed when texts are stored the next time.
+void BatchRunner::DiscardText(size_t index, const std::string& reason) {
   EventTranscript& transcript = m_progress.item(index).transcript;
   Log(LogEvent::kBatchTextDiscarded, {{"job", m_spec.id},
                                       {"item", m_spec.items[index].id},
                                       {"events", std::to_string(transcript.event_count())},
-                                      {"software", transcript.software_version()}});
-  transcript.Clear();
+                                      {"bytes", std::to_string(transcript.text().size())},
+                                      {"software", transcript.software_version()},
+                                      {"reason", reason}});
+  ClearText(index);
   const auto stored = m_stored_texts.find(index);
   if (stored != m_stored_texts.end()) {
     stored->second.events = 0;
   }
 }
 
+void BatchRunner::ClearText(size_t index) {
+  m_progress.item(index).transcript.Clear();
+  m_text_memory.erase(index);
+}
+
+bool BatchRunner::RecordTextMemory(size_t index) {
+  const auto share = m_text_memory.try_emplace(index, m_context->response_memory).first;
+  return share->second.Resize(m_progress.item(index).transcript.text().size());
+}
+
 std::vector<ItemCandidate> BatchRunner::CandidatesFor(const std::string& service) const {
   std::vector<ItemCandidate> candidates;
   for (const DirectoryEndpoint* endpoint : m_context->endpoints->Usable(service)) {
@@ -399,7 +425,9 @@
       OnTextComplete(index);
       return;
     }
-    item.transcript.Clear();
+    ClearText(index);
+  } else if (run->text_rejected()) {
+    DiscardText(index, result.detail);
   } else if (status == kStatusUnprocessable && complete) {
     FinishItem(index, BatchResultState::kFailed, "the endpoint rejected it as impossible to run");
     return;
@@ -411,14 +439,15 @@
     }
   }
   const bool refused = run->head().has_value() && (run->head()->not_run || run->head()->wrong_endpoint);
+  const bool made_progress = run->new_events() > 0 && !run->text_rejected();
   if (refused && run->head()->wrong_endpoint) {
     m_context->endpoints->OnAddressReassigned(endpoint);
   } else if (refused) {
     m_context->endpoints->OnFull(endpoint);
-  } else if (run->stale() || (!complete && result.blames_endpoint() && run->new_events() == 0)) {
+  } else if (run->stale() || (!complete && result.blames_endpoint() && !made_progress)) {
     AvoidEndpoint(m_context->endpoints, endpoint, run->stale() ? "old model version" : result.detail);
   }
-  const bool no_progress = !refused && !complete && result.blames_endpoint() && run->new_events() == 0 &&
+  const bool no_progress = !refused && !complete && result.blames_endpoint() && !made_progress &&
                            result.outcome != EndpointCallOutcome::kNotSent;
   item.runs_without_progress = no_progress ? item.runs_without_progress + 1 : 0;
   Duration delay = refused ? Duration() : kRetryDelay;
@@ -585,6 +614,8 @@
     result.text = item.transcript.text();
     result.model_versions.assign(item.transcript.model_versions().begin(), item.transcript.model_versions().end());
     result.score = score;
+  } else {
+    m_text_memory.erase(index);
   }
   Log(LogEvent::kBatchItemDone, {{"job", m_spec.id},
                                  {"item", result.item},
@@ -696,11 +727,22 @@
       m_runs.erase(index);
       m_context->reward_calls->Cancel(this, index);
       m_progress.SetPhase(index, ItemPhase::kStored);
+      if (!MayCacheResult(index)) {
+        m_progress.item(index).result.reset();
+        m_text_memory.erase(index);
+      }
     }
   }
   NotifyWaiters();
 }
 
+bool BatchRunner::MayCacheResult(size_t index) const {
+  const std::optional<BatchResult>& result = m_progress.item(index).result;
+  const MemoryBudget* memory = m_context->response_memory;
+  return result.has_value() &&
+         (result->text.size() <= kSmallTextBytes || memory == nullptr || memory->used() <= memory->limit() / 2);
+}
+
 void BatchRunner::OnRows(const BatchRows& rows, TimePoint read_at) {
   if (rows.owner_version > m_rows.owner_version) {
     m_ownership_lost = true;
@@ -745,7 +787,8 @@
   for (size_t i = 0; i < m_progress.size(); ++i) {
     const ItemProgress& item = m_progress.item(i);
     const auto stored = m_stored_texts.find(i);
-    if (stored != m_stored_texts.end() && item.phase == ItemPhase::kStored) {
+    const bool is_discarded = stored != m_stored_texts.end() && stored->second.events == 0 && item.transcript.empty();
+    if (stored != m_stored_texts.end() && (item.phase == ItemPhase::kStored || is_discarded)) {
       for (size_t row = 0; row < stored->second.rows; ++row) {
         transaction.writes.push_back({PartialTextKey(m_spec.model, m_spec.items[i].id, row), std::nullopt});
       }
@@ -796,6 +839,9 @@
     if (!index.has_value() || m_progress.item(*index).phase != ItemPhase::kWaiting) {
       continue;
     }
+    if (partial.text.size() > EventTranscript::kMaxBytes) {
+      continue;
+    }
     EventTranscript transcript;
     transcript.Restore(partial);
     // On such a route, a text that is not complete may have to be continued by another version.
@@ -803,7 +849,12 @@
     const bool longer = transcript.event_count() > m_progress.item(*index).transcript.event_count();
     if (IsUsable(transcript) && !may_mix && longer) {
       m_progress.item(*index).transcript = std::move(transcript);
+      if (!RecordTextMemory(*index)) {
+        ClearText(*index);
+        continue;
+      }
       m_progress.item(*index).interrupted_at = Now();
+      m_stored_texts[*index] = {partial.event_count, EncodePartialText(partial, "", kMaxRowBytes).size()};
       ++used;
       if (partial.complete) {
         OnTextComplete(*index);
@@ -818,7 +869,7 @@
   for (const PartialText& text : texts) {
     const std::optional<size_t> index = m_progress.FindItem(text.item);
     if (!index.has_value() || !text.complete || m_progress.item(*index).phase != ItemPhase::kWaiting ||
-        !m_spec.items[*index].reward_call.has_value()) {
+        !m_spec.items[*index].reward_call.has_value() || text.text.size() > EventTranscript::kMaxBytes) {
       continue;
     }
     EventTranscript transcript;
@@ -827,6 +878,10 @@
       continue;
     }
     m_progress.item(*index).transcript = std::move(transcript);
+    if (!RecordTextMemory(*index)) {
+      ClearText(*index);
+      continue;
+    }
     m_progress.SetPhase(*index, ItemPhase::kAwaitingScore);
     // The rows are split in the same way as they were when the text was stored.
     m_complete_text_rows[*index] = EncodePartialText(text, RandomHex(kTransactionIdBytes), kMaxRowBytes).size();
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -17,6 +17,7 @@
 #include "state/batch_progress.h"
 #include "state/endpoint_choice.h"
 #include "state/endpoint_directory.h"
+#include "state/memory_budget.h"
 #include "state/serving_config.h"
 
 namespace quetzalridge {
@@ -30,6 +31,8 @@
   EndpointCaller* caller = nullptr;
   // Endpoints have no rate limits if null.
   SendPermits* permits = nullptr;
+  // Limits the memory of the texts of unfinished items. Not limited if null.
+  MemoryBudget* response_memory = nullptr;
   // Decides about the reward calls of all jobs. The BatchCoordinator's own default if null.
   const RewardCallPolicy* reward_call_policy = nullptr;
   // Set by the BatchCoordinator, which owns it.
@@ -141,7 +144,10 @@
   // Only endpoints with the software version of the item's text may continue it. Whether the item may start again from
   // the beginning on another endpoint, because none of them serves or has taken it for a while.
   bool MayRestart(size_t index, const std::string& service) const;
-  void DiscardText(size_t index);
+  void DiscardText(size_t index, const std::string& reason);
+  void ClearText(size_t index);
+  // Records the size of the item's text. Returns false if the text must be discarded.
+  bool RecordTextMemory(size_t index);
   void MoveItem(size_t index, const DirectoryEndpoint& target);
   void StartItemAt(size_t index, const DirectoryEndpoint& endpoint);
   void OnRunEnded(size_t index, const std::string& endpoint, const EndpointCallResult& result);
@@ -162,6 +168,8 @@
   void Append();
   void OnAppended(const std::vector<size_t>& appended, const TransactResult& result);
   void ApplyResultList(const BatchResultList& result_list, int64_t version);
+  // Whether a result that the table has stays in memory, too.
+  bool MayCacheResult(size_t index) const;
   void NotifyWaiters();
 
   const BatchContext* m_context;
@@ -177,6 +185,8 @@
   std::map<std::string, std::string> m_group_endpoints;
   // The endpoint of the last finished run of an item, by item index. The next run avoids it.
   std::map<size_t, std::string> m_last_endpoints;
+  // The memory of the texts of unfinished items, by item index.
+  std::map<size_t, MemoryBudget::Share> m_text_memory;
   // Callbacks of WaitForResult, with their positions.
   std::vector<std::pair<size_t, std::function<void()>>> m_waiters;
   std::function<void()> m_items_ready;
--- a/src/gateway/relay_handler.cc
+++ b/src/gateway/relay_handler.cc
@@ -40,6 +40,7 @@
         m_number(number),
         m_endpoint(std::move(endpoint)),
         m_count(handler->m_context.endpoints, m_endpoint),
+        m_memory(handler->m_context.response_memory),
         m_responder(std::move(responder)) {}
   ~Call() override { m_responder->SetCloseCallback(nullptr); }
   Call(const Call&) = delete;
@@ -69,7 +70,8 @@
  private:
   void Write(RelayFrameType type, std::string_view content) {
     m_responder->Write(EncodeRelayFrame(type, content));
-    if (m_responder->pending_bytes() > kMaxPendingBytes) {
+    const size_t pending = m_responder->pending_bytes();
+    if (!m_memory.Resize(pending) || pending > kMaxPendingBytes) {
       m_responder->Abort();
       Finish();
     }
@@ -82,6 +84,7 @@
 
   void Finish() {
     m_exchange.reset();
+    m_memory.Release();
     m_responder->SetCloseCallback(nullptr);
     // Runs in a later turn of the event loop, since this function may be called within a callback of this object.
     m_timer = m_handler->m_context.scheduler->After(
@@ -92,6 +95,7 @@
   uint64_t m_number;
   std::string m_endpoint;
   EndpointCallCount m_count;
+  MemoryBudget::Share m_memory;
   std::shared_ptr<HttpResponder> m_responder;
   std::unique_ptr<EndpointExchange> m_exchange;
   std::unique_ptr<Timer> m_timer;
--- a/src/gateway/relay_handler.h
+++ b/src/gateway/relay_handler.h
@@ -11,6 +11,7 @@
 #include "coordination/endpoint_relay.h"
 #include "coordination/scheduler.h"
 #include "state/endpoint_directory.h"
+#include "state/memory_budget.h"
 #include "state/relay_peers.h"
 #include "transport/http_server.h"
 
@@ -24,6 +25,8 @@
   // Number of live instances, including this one.
   std::function<int()> instance_count;
   std::function<bool()> is_stopping;
+  // Limits the memory of responses that other instances have not read yet. Not limited if null.
+  MemoryBudget* response_memory = nullptr;
 };
 
 // Passes calls on to endpoints for other instances that have lost their paths to them.
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -74,7 +74,8 @@
         m_route(route),
         m_workspace(std::move(workspace)),
         m_responder(std::move(responder)),
-        m_started_at(Now()) {}
+        m_started_at(Now()),
+        m_memory(forwarder->m_context.response_memory) {}
 
   ~Request() override {
     EndCall();
@@ -132,17 +133,28 @@
     }
     if (m_forwarding) {
       m_responder->Write(data);
-      if (m_responder->pending_bytes() > kMaxPendingBytes) {
-        LogEnd(LogEvent::kRequestAbandoned, "the caller does not read the response");
-        m_responder->Abort();
-        Finish(RequestOutcome::kCallerError);
+    } else {
+      m_body.append(data);
+      if (m_body.size() > kMaxBufferedBytes && !m_recording) {
+        StartForwarding();
       }
+    }
+    const size_t kept = m_body.size() + m_responder->pending_bytes();
+    if (m_memory.Resize(kept) && kept <= kMaxPendingBytes) {
       return;
     }
-    m_body.append(data);
-    if (m_body.size() > kMaxBufferedBytes && !m_recording) {
-      StartForwarding();
+    if (m_forwarding) {
+      LogEnd(LogEvent::kRequestAbandoned, "the caller does not read the response");
+      m_responder->Abort();
+      Finish(RequestOutcome::kCallerError);
+      return;
     }
+    // The endpoint may have run the request, and nothing was sent to the caller yet.
+    m_recording = false;
+    m_exchange.reset();
+    EndCall();
+    m_may_have_run = true;
+    SendFailure(false);
   }
 
   void OnEvent(const StreamEvent&) override {}
@@ -480,6 +492,8 @@
     m_forwarder->m_context.metrics->OnRequestEnd(record);
     m_finished = true;
     m_exchange.reset();
+    m_body.clear();
+    m_memory.Release();
     EndCall();
     StopWaiting();
     m_responder->SetCloseCallback(nullptr);
@@ -538,6 +552,8 @@
   std::optional<EndpointCallCount> m_call_count;
   // Parts of the response are sent to the caller as they arrive.
   bool m_forwarding = false;
+  // The buffered part of the response, and what the caller has not read yet.
+  MemoryBudget::Share m_memory;
   bool m_usage_counted = false;
 };
 
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -18,6 +18,7 @@
 #include "daemon/request_metrics.h"
 #include "gateway/incoming_request.h"
 #include "state/endpoint_directory.h"
+#include "state/memory_budget.h"
 #include "state/serving_config.h"
 #include "transport/http_server.h"
 
@@ -35,6 +36,8 @@
   StreamOrigins* stream_origins = nullptr;
   // The availability zone of this instance.
   std::string zone;
+  // Limits the memory of responses that callers have not read yet. Not limited if null.
+  MemoryBudget* response_memory = nullptr;
 };
 
 // Forwards plain requests and requests for streams to endpoints, and sends the endpoints' responses to the callers
--- a/src/protocol/sse_parser.cc
+++ b/src/protocol/sse_parser.cc
@@ -12,8 +12,12 @@
 
 std::vector<SseEvent> SseParser::Feed(std::string_view piece) {
   std::vector<SseEvent> events;
+  if (m_overflowed) {
+    return events;
+  }
   for (char c : piece) {
-    if (m_overflowed) {
+    if (++m_event_bytes > m_max_event_bytes) {
+      m_overflowed = true;
       break;
     }
     const bool is_second_of_crlf = m_after_cr && c == '\n';
@@ -26,7 +30,6 @@
       continue;
     }
     m_line.push_back(c);
-    m_overflowed = m_line.size() + m_event.data.size() > m_max_event_bytes;
   }
   return events;
 }
@@ -45,6 +48,7 @@
         m_event.type = "message";
       }
       events->push_back(std::move(m_event));
+      m_event_bytes = 0;
     }
     m_event = {};
     m_has_data = false;
@@ -66,8 +70,8 @@
     m_event.type = value;
   } else if (field == "id") {
     m_event.id = value;
-  } else if (!field.empty()) {
-    m_event.other_fields.emplace_back(field, value);
+  } else if (!field.empty() && field == m_extension_field) {
+    m_event.extension = value;
   }
 }
 
--- a/src/state/event_transcript.cc
+++ b/src/state/event_transcript.cc
@@ -22,6 +22,9 @@
       return AppendResult::kDuplicate;
     }
   }
+  if (m_text.size() + data.size() >= kMaxBytes || m_versions.size() >= kMaxVersions) {
+    return AppendResult::kTooLong;
+  }
   if (m_count > 0) {
     m_text.push_back('\n');
   }
--- a/src/state/event_transcript.h
+++ b/src/state/event_transcript.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -33,7 +34,13 @@
     kDuplicate,
     // An event between the last one and this one is missing.
     kGap,
+    // The text would be longer than kMaxBytes, or have more than kMaxVersions model versions.
+    kTooLong,
   };
+  // A longer text does not fit into one write of the metadata store, which takes 1 MB in base64.
+  static constexpr size_t kMaxBytes = 680'000;
+  // The versions change every few minutes at most, so a text has one or two.
+  static constexpr size_t kMaxVersions = 100;
 
   // Called when a run begins, which continues after the last event of the transcript. If there is one, the run must be
   // on an endpoint with software_version().
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -38,6 +38,10 @@
 constexpr size_t kMaxForeignBytes = 1 << 20;
 // Bytes of a chunked body between two pieces of data: chunk sizes, their extensions, and trailers.
 constexpr size_t kMaxChunkOverheadBytes = 64 << 10;
+// What a socket has read is parsed in pieces of this size: removing a small message from a buffer moves the rest of it.
+constexpr size_t kMaxParsedPiece = 16 << 10;
+// A socket's buffer that has grown beyond this is freed once it is empty. h2o would keep it with the connection.
+constexpr size_t kMaxKeptInputCapacity = 64 << 10;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -349,20 +353,31 @@
       self->Finish(CallOutcome::kNotSent, "the kept connection was closed by the peer");
       return;
     }
-    h2o_buffer_t** input = &socket->input;
-    if (self->m_head.has_value() && self->m_skipping) {
-      self->m_foreign_bytes += (*input)->size;
-    }
-    self->m_input.append((*input)->bytes, (*input)->size);
-    h2o_buffer_consume(input, (*input)->size);
-    if (!self->Parse()) {
-      return;
+    while (socket->input->size > 0) {
+      self->TakeInput(&socket->input);
+      if (!self->Parse()) {
+        return;
+      }
     }
     if (error != nullptr) {
       self->OnConnectionEnd(error);
     }
   }
 
+  // Moves the next piece of what the socket has read to m_input.
+  void TakeInput(h2o_buffer_t** input) {
+    const size_t size = std::min((*input)->size, kMaxParsedPiece);
+    if (m_head.has_value() && m_skipping) {
+      m_foreign_bytes += size;
+    }
+    m_input.append((*input)->bytes, size);
+    h2o_buffer_consume(input, size);
+    if ((*input)->size == 0 && (*input)->capacity > kMaxKeptInputCapacity) {
+      h2o_buffer_dispose(input);
+      h2o_buffer_init(input, &h2o_socket_buffer_prototype);
+    }
+  }
+
   // False when the call has ended and was deleted.
   bool Parse() {
     while (true) {
@@ -556,7 +571,8 @@
   void FinishWhole() {
     const std::string* header = FindHeader(m_head->headers, "connection");
     const bool closes = header != nullptr && ToLower(*header).find("close") != std::string::npos;
-    const bool keeps = !m_call.fresh_connection && !closes && m_head->minor_version > 0 && m_input.empty() &&
+    const bool has_more_input = !m_input.empty() || m_connection->socket()->input->size > 0;
+    const bool keeps = !m_call.fresh_connection && !closes && m_head->minor_version > 0 && !has_more_input &&
                        !m_writing && m_head->framing != BodyFraming::kUntilClose;
     const Duration idle_time = IdleTimeOf(m_head->headers);
     if (keeps && idle_time > Duration()) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -90,7 +90,7 @@
   std::unique_ptr<HttpExchange> Start(HttpCall call, HttpCallObserver* observer);
   // Collects the whole response, at most `max_body_bytes` of it. The call goes on until it ends or the client is
   // destroyed.
-  void Fetch(HttpCall call, std::function<void(const HttpResponse&)> callback, size_t max_body_bytes = 64 << 20);
+  void Fetch(HttpCall call, std::function<void(const HttpResponse&)> callback, size_t max_body_bytes = 4 << 20);
   // Closes the idle connections to an address.
   void DropIdle(const std::string& address);
   // Connections made since the start.
--- a/src/transport/http_object_store.cc
+++ b/src/transport/http_object_store.cc
@@ -10,6 +10,7 @@
 constexpr int kSuccessLast = 299;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
+constexpr size_t kMaxObjectBytes = 64 << 20;
 
 ObjectOutcome OutcomeOf(const HttpResponse& response) {
   if (response.result.outcome != CallOutcome::kWhole) {
@@ -51,14 +52,17 @@
   call.connect_timeout = m_options.connect_timeout;
   call.head_timeout = m_options.request_timeout;
   call.idle_timeout = m_options.request_timeout;
-  m_client->Fetch(std::move(call), [callback = std::move(callback)](const HttpResponse& response) {
-    ObjectResult result;
-    result.outcome = OutcomeOf(response);
-    if (result.outcome == ObjectOutcome::kOk) {
-      result.data = response.body;
-    }
-    callback(result);
-  });
+  m_client->Fetch(
+      std::move(call),
+      [callback = std::move(callback)](const HttpResponse& response) {
+        ObjectResult result;
+        result.outcome = OutcomeOf(response);
+        if (result.outcome == ObjectOutcome::kOk) {
+          result.data = response.body;
+        }
+        callback(result);
+      },
+      kMaxObjectBytes);
 }
 
 }  // namespace quetzalridge
--- a/src/transport/http_table_store.cc
+++ b/src/transport/http_table_store.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int kRowsPerPartitionScan = 1000;
+// Larger than the rows of one scan.
+constexpr size_t kMaxResponseBytes = 64 << 20;
 
 }  // namespace
 
@@ -31,34 +33,42 @@
 
 void HttpTableStore::Transact(TableTransaction transaction, TransactCallback callback) {
   HttpCall call = Call("/table/transact", EncodeTransaction(transaction), m_options.request_timeout);
-  m_client->Fetch(std::move(call), [callback = std::move(callback)](const HttpResponse& response) {
-    TransactResult result;
-    if (response.result.outcome == CallOutcome::kNotSent) {
-      result.outcome = TransactOutcome::kUnavailable;
-    } else if (response.result.outcome == CallOutcome::kWhole) {
-      result = DecodeTransactResponse(response.status, response.body);
-    } else {
-      result.outcome = TransactOutcome::kUnknown;
-    }
-    callback(result);
-  });
+  m_client->Fetch(
+      std::move(call),
+      [callback = std::move(callback)](const HttpResponse& response) {
+        TransactResult result;
+        if (response.result.outcome == CallOutcome::kNotSent) {
+          result.outcome = TransactOutcome::kUnavailable;
+        } else if (response.result.outcome == CallOutcome::kWhole) {
+          result = DecodeTransactResponse(response.status, response.body);
+        } else {
+          result.outcome = TransactOutcome::kUnknown;
+        }
+        callback(result);
+      },
+      kMaxResponseBytes);
 }
 
 void HttpTableStore::Read(std::vector<std::string> keys, ReadCallback callback) {
   HttpCall call = Call("/table/read", EncodeRead(keys), m_options.read_timeout);
   m_client->Fetch(
-      std::move(call), [keys = std::move(keys), callback = std::move(callback)](const HttpResponse& response) {
+      std::move(call),
+      [keys = std::move(keys), callback = std::move(callback)](const HttpResponse& response) {
         const bool whole = response.result.outcome == CallOutcome::kWhole;
         callback(whole ? AlignRowsWithKeys(DecodeRowsResponse(response.status, response.body), keys) : ReadResult{});
-      });
+      },
+      kMaxResponseBytes);
 }
 
 void HttpTableStore::Scan(std::string prefix, std::string after, int limit, ReadCallback callback) {
   HttpCall call = Call("/table/scan", EncodeScan(prefix, after, limit), m_options.read_timeout);
-  m_client->Fetch(std::move(call), [callback = std::move(callback)](const HttpResponse& response) {
-    const bool whole = response.result.outcome == CallOutcome::kWhole;
-    callback(whole ? DecodeRowsResponse(response.status, response.body) : ReadResult{});
-  });
+  m_client->Fetch(
+      std::move(call),
+      [callback = std::move(callback)](const HttpResponse& response) {
+        const bool whole = response.result.outcome == CallOutcome::kWhole;
+        callback(whole ? DecodeRowsResponse(response.status, response.body) : ReadResult{});
+      },
+      kMaxResponseBytes);
 }
 
 // This table service has no partitions; the keys hold them.
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -28,6 +28,7 @@
 constexpr int kScoreEndpoints = 2;
 constexpr int kScoreSlots = 4;
 
+constexpr size_t kResponseMemory = 2 << 20;
 constexpr Duration kBatchRetention = Duration::Seconds(120);
 
 // A run of an item that an instance started on an endpoint.
@@ -65,6 +66,8 @@
   std::map<std::string, double> rate_limits;
   // Endpoints that have left the registry.
   std::set<std::string> stopped;
+  // Endpoints that send events of this size without ids and without end, by endpoint id.
+  std::map<std::string, size_t> endless_endpoints;
   // Software versions of endpoints, by endpoint id.
   std::map<std::string, std::string> software_versions;
   double truncation_chance = 0.0;
@@ -231,6 +234,15 @@
       m_timer = m_process->After(m_engines->GapAt(m_call.endpoint_id), [this] { SendEvent(); });
     }
     void SendEvent() {
+      const auto endless = m_engines->endless_endpoints.find(m_call.endpoint_id);
+      if (endless != m_engines->endless_endpoints.end()) {
+        StreamEvent event;
+        event.data = std::string(endless->second, 'x');
+        Continue();
+        // Last, since it may destroy this run.
+        m_observer->OnEvent(event);
+        return;
+      }
       if (m_engines->random()->Chance(m_engines->truncation_chance)) {
         End(EndpointCallOutcome::kTruncated);
         return;
@@ -366,6 +378,7 @@
       context.endpoints = &directory;
       context.caller = &caller;
       context.permits = &caller;
+      context.response_memory = &response_memory;
       context.wall_ms = [fixture] { return fixture->scheduler.Now().ms(); };
       context.instance = name;
       context.incarnation = name + "-" + std::to_string(start);
@@ -378,6 +391,7 @@
     CheckFilterStore store;
     RouteTable routes;
     EndpointDirectory directory;
+    MemoryBudget response_memory{kResponseMemory};
     FakeEngineCaller engines;
     FixturePermitClient permits;
     RateLimiter caller;
--- a/tests/platform/endpoint_client_test.cc
+++ b/tests/platform/endpoint_client_test.cc
@@ -127,6 +127,33 @@
   CHECK(error_fixture.recorder.result->outcome == EndpointCallOutcome::kTruncated);
 }
 
+// Guards against processes that run out of memory when an endpoint sends lines that belong to no event (review case 1).
+TEST_CASE("a stream of lines without an event is cut off long before its idle timeout") {
+  for (const char* line : {"nan\n", ": a\n", "data\n", "\n"}) {
+    INFO(line);
+    ClientFixture fixture;
+    fixture.Start(true, Duration::Seconds(60));
+    std::string lines;
+    while (lines.size() < 16 << 10) {
+      lines += line;
+    }
+    fixture.SendWithoutEnd(kEventHead, lines);
+    REQUIRE(fixture.recorder.result.has_value());
+    CHECK(fixture.recorder.result->outcome == EndpointCallOutcome::kTruncated);
+    CHECK(fixture.recorder.events == 0);
+  }
+}
+
+// Guards against items that stand still at an endpoint whose error response comes byte by byte and does not end.
+TEST_CASE("an error response to a call for events ends after its idle timeout, whatever bytes arrive") {
+  ClientFixture fixture;
+  fixture.Start(true, Duration::Milliseconds(200));
+  fixture.SendWithoutEnd("HTTP/1.1 500 Error\r\n\r\n", "a");
+  REQUIRE(fixture.recorder.result.has_value());
+  CHECK(fixture.recorder.result->outcome == EndpointCallOutcome::kTruncated);
+  CHECK(fixture.recorder.result->timed_out);
+}
+
 TEST_CASE("the rate limit of a response is reported, and a malformed one is ignored") {
   const std::pair<const char*, std::optional<double>> cases[] = {
       {"4.5", 4.5}, {"0", std::nullopt}, {"-1", std::nullopt}, {"many", std::nullopt}, {"inf", std::nullopt}};
--- a/tests/protocol/sse_test.cc
+++ b/tests/protocol/sse_test.cc
@@ -88,6 +88,27 @@
   CHECK(parser.Feed("\n\ndata: y\n\n").empty());
 }
 
+// Guards against memory that grows with lines which belong to no event (review case 1).
+TEST_CASE("lines without the end of an event count towards the limit of an event, whatever they hold") {
+  for (const char* line : {"nan\n", "retry: 1\n", ": comment\n", "event: x\n", "id: 1\n", "data\n", "\n", "\r\n"}) {
+    INFO(line);
+    SseParser parser(1000);
+    for (int i = 0; i < 2000 && !parser.overflowed(); ++i) {
+      parser.Feed(line);
+    }
+    CHECK(parser.overflowed());
+  }
+}
+
+// Guards against slow but sound streams that are cut: only bytes since the last event count.
+TEST_CASE("a long stream of events with comments in between stays within the limit of an event") {
+  SseParser parser(100);
+  for (int i = 0; i < 1000; ++i) {
+    CHECK(parser.Feed(": comment\n\nretry: 1\nid: 1\ndata: abc\n\n").size() == 1);
+  }
+  CHECK_FALSE(parser.overflowed());
+}
+
 // Guards against streams that are accepted as complete although tokens are repeated or malformed, or follow the end.
 TEST_CASE("a completions stream is valid only when its tokens are in order and nothing follows its end") {
   const auto token = [](int index) { return "data: {\"token_index\":" + std::to_string(index) + "}\n\n"; };
