Drop the text of a run whose events have no ids when the next run begins

A trainer could get a text that is joined from two runs: an item whose first run sent events without ids and broke off was sent again from its beginning, and the new events were appended to the old ones.

The class is a text that cannot be continued and is kept.

Test: the first test of event_transcript_test failed before (text 'nan a b', versions 1 and 2), and passes now.

--- a/src/state/event_transcript.cc
+++ b/src/state/event_transcript.cc
@@ -3,6 +3,9 @@
 namespace quetzalridge {
 
 void EventTranscript::BeginRun(std::optional<int64_t> model_version, const std::string& software_version) {
+  if (!m_last_id.has_value()) {
+    Clear();
+  }
   m_current_version = model_version.value_or(0);
   if (empty()) {
     m_software_version = software_version;
--- a/src/state/event_transcript.h
+++ b/src/state/event_transcript.h
@@ -43,7 +43,7 @@
   static constexpr size_t kMaxVersions = 100;
 
   // Called when a run begins, which continues after the last event of the transcript. If there is one, the run must be
-  // on an endpoint with software_version().
+  // on an endpoint with software_version(). Events without ids are dropped, since the run begins before them.
   void BeginRun(std::optional<int64_t> model_version, const std::string& software_version);
   AppendResult Append(std::optional<int64_t> id, const std::string& data, std::optional<int64_t> model_version);
   void Clear();
