Quarantine requests that crash the endpoints that run them, at all instances

Cause: the program for the users' platform knew a lost connection only as a failure of the endpoint. The product's quarantine was not connected to it.

Change: an endpoint that nobody reaches after its connections were lost has crashed, and the requests in flight there, but no items of batch jobs, are suspects. A suspect runs alone, on a new connection, after a probe; a second crash quarantines it, as do three in company. Losses of other endpoints at the same time count as an outage.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -22,6 +22,7 @@
     {ErrorCode::kPermissionLapsed, "permission_lapsed", 503},
     {ErrorCode::kOverloaded, "overloaded", 429},
     {ErrorCode::kQuarantined, "quarantined", 422},
+    {ErrorCode::kCrashedEndpoints, "crashed_endpoints", 429},
     {ErrorCode::kNoEndpoint, "no_endpoint", 503},
     {ErrorCode::kEndpointFailed, "endpoint_failed", 502},
     {ErrorCode::kEndpointTimeout, "endpoint_timeout", 504},
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -18,7 +18,8 @@
   kKeyWithdrawn,
   kPermissionLapsed,  // This instance cannot confirm that its configuration and keys are current.
   kOverloaded,
-  kQuarantined,  // The same request has crashed endpoints before.
+  kQuarantined,       // The same request has crashed endpoints before.
+  kCrashedEndpoints,  // The same, on an instance that lets the request run again after a while.
   kNoEndpoint,
   kEndpointFailed,
   kEndpointTimeout,
--- a/src/coordination/endpoint_caller.h
+++ b/src/coordination/endpoint_caller.h
@@ -39,6 +39,11 @@
   bool reads_events = false;
   // The caller may send the request again although it may have run.
   bool is_repeatable = false;
+  // The request was in flight on an endpoint that has crashed. It uses a connection of its own, and is sent only if the
+  // endpoint responds to a probe, so that a lost connection is a sign of a further crash.
+  bool is_suspect = false;
+  // A suspect, and this instance has no other call in flight on the endpoint.
+  bool runs_alone = false;
 };
 
 struct EndpointResponseHead {
--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -60,6 +60,30 @@
       StartRelayed();
       return;
     }
+    if (m_call.is_suspect) {
+      m_relay->m_context.prober->Probe(m_call.endpoint_id, m_call.address,
+                                       [this, alive = std::weak_ptr<bool>(m_alive)](bool responded) {
+                                         if (!alive.expired()) {
+                                           OnSuspectProbed(responded);
+                                         }
+                                       });
+      return;
+    }
+    StartDirect();
+  }
+
+  void OnSuspectProbed(bool responded) {
+    if (responded) {
+      StartDirect();
+      return;
+    }
+    EndpointCallResult result;
+    result.connection_failed = true;
+    result.detail = "the endpoint does not respond to a probe";
+    m_observer->OnEnd(result);
+  }
+
+  void StartDirect() {
     EndpointCall call = m_call;
     if (!m_may_relay || !m_relay->m_context.other_instances().empty()) {
       call.connect_timeout = kDirectConnectTimeout;
@@ -110,6 +134,11 @@
     if (!m_is_direct && !m_accepted) {
       m_relay->m_peers.OnRefusal(m_peer, RelayRefusal::kNotAsked);
     }
+    const bool is_lost =
+        result.outcome == EndpointCallOutcome::kNoResponse || result.outcome == EndpointCallOutcome::kTruncated;
+    if (m_is_direct && is_lost && !result.timed_out) {
+      m_relay->NoteLostConnection(m_call);
+    }
     const bool not_connected = result.outcome == EndpointCallOutcome::kNotSent && result.connection_failed;
     m_unreached_by_peers += not_connected && !m_is_direct ? 1 : 0;
     if (m_may_relay && not_connected && m_unreached_by_peers < kMaxUnreachedByPeers) {
@@ -219,6 +248,8 @@
   EndpointCallResult m_last_result;
   std::unique_ptr<Timer> m_end_timer;
   std::unique_ptr<EndpointExchange> m_inner;
+  // Expires when this object is destroyed.
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 // A question to several instances whether they reach an endpoint.
@@ -313,8 +344,13 @@
 
 void EndpointRelay::CheckPath(const std::string& endpoint, TimePoint failed_since) {
   if (m_checked.count(endpoint) > 0) {
+    // The latest check, unless it is still open, has found that the others do not reach the endpoint either.
+    if (m_open_checks.count(endpoint) == 0) {
+      OnEndpointDown(endpoint);
+    }
     return;
   }
+  m_open_checks.insert(endpoint);
   m_checked[endpoint] = m_context.scheduler->After(kPathCheckInterval, [this, endpoint] {
     const std::unique_ptr<Timer> ended = std::move(m_checked[endpoint]);
     m_checked.erase(endpoint);
@@ -326,7 +362,7 @@
     AskNext(check);
   }
   if (check->open_questions == 0) {
-    ReleaseHeldEnds(endpoint);
+    OnEndpointDown(endpoint);
   }
 }
 
@@ -351,6 +387,8 @@
   }
   if (answer == Reachability::kReached) {
     check->decided = true;
+    m_open_checks.erase(check->endpoint);
+    m_lost_calls.erase(check->endpoint);
     OnPathFailed(*check);
     return;
   }
@@ -358,10 +396,34 @@
     AskNext(check);
   }
   if (check->open_questions == 0) {
-    ReleaseHeldEnds(check->endpoint);
+    OnEndpointDown(check->endpoint);
   }
 }
 
+void EndpointRelay::NoteLostConnection(const EndpointCall& call) {
+  if (m_context.crashes == nullptr) {
+    return;
+  }
+  const uint64_t fingerprint = FingerprintOf(call);
+  std::vector<CrashedRequest>& calls = m_lost_calls[call.endpoint_id];
+  if (fingerprint != 0) {
+    calls.push_back({fingerprint, call.runs_alone});
+    ProbeSuspect(call.endpoint_id);
+  }
+}
+
+// Before the ends of the calls are released, since the requests are placed again then.
+void EndpointRelay::OnEndpointDown(const std::string& endpoint) {
+  m_open_checks.erase(endpoint);
+  const auto lost = m_lost_calls.find(endpoint);
+  if (lost != m_lost_calls.end()) {
+    const std::vector<CrashedRequest> calls = std::move(lost->second);
+    m_lost_calls.erase(lost);
+    m_context.crashes->OnCrash(endpoint, calls);
+  }
+  ReleaseHeldEnds(endpoint);
+}
+
 void EndpointRelay::OnPathFailed(const PathCheck& check) {
   const std::vector<std::string> lost = m_paths.OnPathFailed(check.endpoint, check.failed_since, KnownEndpoints());
   if (lost.empty()) {
@@ -433,6 +495,9 @@
   const TimePoint began_at = Now();
   m_context.prober->Probe(endpoint, known->entry.address, m_guard.Wrap([this, endpoint, began_at](bool responded) {
     m_suspect_probes.erase(endpoint);
+    if (responded || !m_paths.IsDirect(endpoint)) {
+      m_lost_calls.erase(endpoint);
+    }
     if (responded) {
       m_silence_limit = std::min(m_silence_limit * 2, kMaxSilenceLimit);
       ReleaseHeldEnds(endpoint);
--- a/src/coordination/endpoint_relay.h
+++ b/src/coordination/endpoint_relay.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/callback_guard.h"
+#include "coordination/crash_recorder.h"
 #include "coordination/endpoint_caller.h"
 #include "coordination/relay_client.h"
 #include "coordination/scheduler.h"
@@ -30,6 +31,8 @@
   std::function<std::vector<std::string>()> other_instances;
   // Closes the idle connections to an address.
   std::function<void(const std::string& address)> drop_connections;
+  // Receives the calls whose connections were lost when an endpoint stopped to accept connections; may be null.
+  CrashRecorder* crashes = nullptr;
 };
 
 // Sends calls to endpoints over own connections, or through another instance while the own path to an endpoint has
@@ -85,6 +88,10 @@
   void ProbeSuspect(const std::string& endpoint);
   // Ends the calls that were held until it is known whether the path to the endpoint has failed.
   void ReleaseHeldEnds(const std::string& endpoint);
+  // Notes that the connection of a call was lost, until it is known whether the endpoint has crashed.
+  void NoteLostConnection(const EndpointCall& call);
+  // Neither this instance nor the others reach the endpoint.
+  void OnEndpointDown(const std::string& endpoint);
   // Ends the calls to the endpoint that have been without a response since `since` and may be repeated.
   void EndSilentCalls(const std::string& endpoint, TimePoint since);
   // Probes lost paths until none is left.
@@ -109,6 +116,11 @@
   // Endpoints whose path was checked lately, each with the timer that allows the next check.
   std::map<std::string, std::unique_ptr<Timer>> m_checked;
   std::set<std::string> m_suspect_probes;
+  // Endpoints about which other instances are being asked.
+  std::set<std::string> m_open_checks;
+  // Endpoints of which connections were lost, until it is known whether they have crashed, with the lost calls that are
+  // no items of batch jobs.
+  std::map<std::string, std::vector<CrashedRequest>> m_lost_calls;
   // Grows while probes show that the endpoints only take long to respond.
   Duration m_silence_limit;
   TimePoint m_silence_check_at;
--- a/src/coordination/table_follower.cc
+++ b/src/coordination/table_follower.cc
@@ -42,8 +42,9 @@
 
 }  // namespace
 
-void TableFollower::Follow(const std::string& table, Receiver receiver) {
+void TableFollower::Follow(const std::string& table, Receiver receiver, std::optional<Duration> max_wait) {
   m_tables[table].receiver = std::move(receiver);
+  m_tables[table].max_wait = max_wait;
 }
 
 void TableFollower::Start() {
@@ -62,8 +63,8 @@
   return std::clamp(each * instances, least, most);
 }
 
-Duration TableFollower::MaxWait() const {
-  return ForInstances(kWaitPerInstance, kMinWait, kMaxWait);
+Duration TableFollower::MaxWait(const FollowedTable& table) const {
+  return table.max_wait.has_value() ? *table.max_wait : ForInstances(kWaitPerInstance, kMinWait, kMaxWait);
 }
 
 Duration TableFollower::RetryInterval() const {
@@ -95,7 +96,7 @@
   FollowedTable& table = entry->second;
   const int64_t call = ++table.latest_call;
   const TimePoint sent_at = Now();
-  const Duration wait = MaxWait();
+  const Duration wait = MaxWait(table);
   ScheduleWholeRead(entry, sent_at + wait + RetryInterval());
   m_store->ReadChanges(entry->first, *table.revision, wait,
                        m_guard.Wrap([this, entry, call, sent_at, wait](const RawRowsResult& result) {
@@ -177,7 +178,7 @@
   FollowedTable& table = entry->second;
   const bool after_outage = table.outages.OnServed(sent_at, Now());
   const Duration age = Now() - table.current_at;
-  if (after_outage || age > MaxWait() + kLateResponse) {
+  if (after_outage || age > MaxWait(table) + kLateResponse) {
     Log(LogEvent::kTableReadLate, {{"table", entry->first},
                                    {"age_ms", std::to_string(age.ms())},
                                    {"took_ms", std::to_string((Now() - sent_at).ms())},
--- a/src/coordination/table_follower.h
+++ b/src/coordination/table_follower.h
@@ -29,7 +29,8 @@
   TableFollower(TableFeed* store, Scheduler* scheduler, uint64_t seed)
       : m_store(store), m_scheduler(scheduler), m_random(seed) {}
 
-  void Follow(const std::string& table, Receiver receiver);
+  // `max_wait` is the longest time that the store holds a call; by default, it grows with the number of instances.
+  void Follow(const std::string& table, Receiver receiver, std::optional<Duration> max_wait = std::nullopt);
   // Sets the source of the number of instances, which share the rate of reads that the store allows.
   void SetInstanceCount(std::function<int()> count) { m_instance_count = std::move(count); }
   void Start();
@@ -42,6 +43,7 @@
   struct FollowedTable {
     Rows rows;
     Receiver receiver;
+    std::optional<Duration> max_wait;
     OutageDetector outages;
     // The revision up to which the rows are complete; nothing before the first read.
     std::optional<int64_t> revision;
@@ -60,7 +62,7 @@
   TimePoint Now() const { return m_scheduler->clock().Now(); }
   // A duration in proportion to the number of instances, within bounds.
   Duration ForInstances(Duration each, Duration least, Duration most) const;
-  Duration MaxWait() const;
+  Duration MaxWait(const FollowedTable& table) const;
   Duration RetryInterval() const;
   Duration ChangeInterval(const FollowedTable& table);
 
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -13,6 +13,7 @@
 #include "coordination/avoid_endpoint.h"
 #include "protocol/error_body.h"
 #include "state/endpoint_choice.h"
+#include "state/request_fingerprint.h"
 
 namespace quetzalridge {
 
@@ -42,6 +43,14 @@
 constexpr Duration kMinTimeLeft = Duration::Milliseconds(5);
 // The response is sent at least this long before the caller's deadline.
 constexpr Duration kResponseMargin = Duration::Milliseconds(5);
+// Longest time for which a suspect of the quarantine waits for an endpoint without other requests of this instance.
+// After that it runs together with others.
+constexpr Duration kMaxSuspectWait = Duration::Milliseconds(200);
+constexpr Duration kSuspectPollInterval = Duration::Milliseconds(10);
+// The `retry-after` sent for a quarantined request. An operator may clear it earlier.
+constexpr Duration kQuarantineRetryAfter = Duration::Seconds(60);
+// A request makes no further attempt after this number of endpoints have gone under it.
+constexpr int kMaxEndpointsLost = 2;
 constexpr int kFirstServerError = 500;
 constexpr int kFirstNonSuccess = 300;
 
@@ -83,6 +92,7 @@
   }
 
   void Start() {
+    m_fingerprint = RequestFingerprint(m_workspace, m_request.host + m_request.target, m_request.body);
     const Duration limit = RequestLimit(m_route, m_request.time_left);
     m_deadline = m_started_at + limit;
     m_deadline_timer = m_forwarder->m_context.scheduler->After(limit - kResponseMargin, [this] { OnDeadline(); });
@@ -173,6 +183,9 @@
     }
     const bool refused = IsRefused();
     const bool complete = result.outcome == EndpointCallOutcome::kComplete;
+    if (complete && !refused) {
+      RecordSoundRun();
+    }
     if (complete && !refused && m_head->status < kFirstServerError) {
       SendResponse();
       return;
@@ -189,7 +202,10 @@
       SendFailure(false);
       return;
     }
-    const bool may_retry = m_route.kind == RouteKind::kIdempotent || !m_may_have_run;
+    const bool is_lost = ran && !complete && !result.timed_out && result.blames_endpoint();
+    m_endpoints_lost += is_lost && IsSuspected() ? 1 : 0;
+    const bool may_retry =
+        (m_route.kind == RouteKind::kIdempotent || !m_may_have_run) && m_endpoints_lost < kMaxEndpointsLost;
     if (may_retry && m_run_count < m_route.max_attempts && HasTimeLeft()) {
       // If no other endpoint sends a better response, the caller receives this server error.
       if (complete && !refused) {
@@ -340,7 +356,75 @@
     }
   }
 
-  void EndCall() { m_call_count.reset(); }
+  void EndCall() {
+    m_call_count.reset();
+    if (m_runs_as_suspect) {
+      m_forwarder->m_suspect_endpoints.erase(m_endpoint);
+      m_runs_as_suspect = false;
+    }
+  }
+
+  FingerprintVerdict Verdict() const {
+    const Quarantine* quarantine = m_forwarder->m_context.quarantine;
+    return quarantine == nullptr ? FingerprintVerdict::kClear : quarantine->Check(m_fingerprint, Now());
+  }
+  bool IsSuspected() const { return Verdict() != FingerprintVerdict::kClear; }
+
+  void RecordSoundRun() {
+    if (m_forwarder->m_context.quarantine != nullptr) {
+      m_forwarder->m_context.quarantine->OnFinished(m_fingerprint, Now());
+    }
+  }
+
+  // Refuses a request that crashes endpoints, also in the middle of its attempts.
+  void RefuseQuarantined() {
+    if (m_may_have_run) {
+      SendFailure(false);
+      return;
+    }
+    LogEnd(LogEvent::kRequestRefused, "the request is quarantined: " + FingerprintText(m_fingerprint));
+    SendError(m_responder.get(), ErrorCode::kCrashedEndpoints,
+              "this request has crashed the endpoints that ran it; change it, or ask an operator to clear " +
+                  FingerprintText(m_fingerprint),
+              RequestRan::kNo, kQuarantineRetryAfter);
+    Finish(RequestOutcome::kRefused);
+  }
+
+  // Leaves the endpoints without other requests of this instance. Returns false if there are none and the request waits
+  // for one.
+  bool KeepIdleEndpoints(std::vector<const DirectoryEndpoint*>* usable) {
+    std::vector<const DirectoryEndpoint*> idle;
+    for (const DirectoryEndpoint* endpoint : *usable) {
+      if (endpoint->in_flight == 0) {
+        idle.push_back(endpoint);
+      }
+    }
+    if (!idle.empty() || usable->empty()) {
+      *usable = std::move(idle);
+      return true;
+    }
+    if (!m_suspect_deadline.has_value()) {
+      m_suspect_deadline = Now() + kMaxSuspectWait;
+    }
+    if (Now() >= *m_suspect_deadline || m_deadline - Now() < kMaxSuspectWait) {
+      return true;
+    }
+    m_suspect_timer = m_forwarder->m_context.scheduler->After(kSuspectPollInterval, [this] { StartAttempt(); });
+    return false;
+  }
+
+  // Leaves the endpoints on which no suspect runs, if there are any.
+  void AvoidSuspects(std::vector<const DirectoryEndpoint*>* usable) const {
+    std::vector<const DirectoryEndpoint*> others;
+    for (const DirectoryEndpoint* endpoint : *usable) {
+      if (m_forwarder->m_suspect_endpoints.count(endpoint->entry.id) == 0) {
+        others.push_back(endpoint);
+      }
+    }
+    if (!others.empty()) {
+      *usable = std::move(others);
+    }
+  }
 
   void RecordFailure(const EndpointCallResult& result, bool refused) {
     EndpointDirectory* endpoints = m_forwarder->m_context.endpoints;
@@ -369,6 +453,7 @@
 
   void EndForwarding(const EndpointCallResult& result) {
     if (result.outcome == EndpointCallOutcome::kComplete) {
+      RecordSoundRun();
       LogEnd(LogEvent::kRequestAnswered, "passed on");
       m_responder->End();
       Finish(RequestOutcome::kSucceeded);
@@ -494,6 +579,7 @@
     m_exchange.reset();
     m_body.clear();
     m_memory.Release();
+    m_suspect_timer.reset();
     EndCall();
     StopWaiting();
     m_responder->SetCloseCallback(nullptr);
@@ -546,6 +632,14 @@
   // The shortest time until a permit may be had, when the request last had none.
   Duration m_permit_wait;
   std::unique_ptr<Timer> m_permit_timer;
+  uint64_t m_fingerprint = 0;
+  // Until when a suspect waits for an endpoint without other requests; set when it begins to wait.
+  std::optional<TimePoint> m_suspect_deadline;
+  std::unique_ptr<Timer> m_suspect_timer;
+  // The present attempt is in RequestForwarder::m_suspect_endpoints.
+  bool m_runs_as_suspect = false;
+  // Number of attempts that ended with the connection, after which the request was suspected.
+  int m_endpoints_lost = 0;
   // The request is in RequestForwarder::m_waiting.
   bool m_waiting = false;
   bool m_may_have_run = false;
@@ -567,6 +661,16 @@
                                 }),
                  usable.end());
   }
+  const FingerprintVerdict verdict = Verdict();
+  if (verdict == FingerprintVerdict::kQuarantined) {
+    RefuseQuarantined();
+    return;
+  }
+  const bool is_suspect = verdict == FingerprintVerdict::kSuspect;
+  AvoidSuspects(&usable);
+  if (is_suspect && !KeepIdleEndpoints(&usable)) {
+    return;
+  }
   const DirectoryEndpoint* endpoint = ChooseWithPermit(
       m_forwarder->m_context.permits, usable, [this](const std::vector<const DirectoryEndpoint*>& candidates) {
         return ChooseForRequest(candidates, m_forwarder->m_context.zone, m_tried, &m_forwarder->m_random);
@@ -601,6 +705,11 @@
   call.head_timeout = call.time_left;
   call.idle_timeout = m_route.kind == RouteKind::kStream ? kStreamIdleTimeout : call.time_left;
   call.is_repeatable = m_route.kind == RouteKind::kIdempotent;
+  call.is_suspect = is_suspect;
+  call.runs_alone = is_suspect && endpoint->in_flight == 0;
+  if (is_suspect) {
+    m_runs_as_suspect = m_forwarder->m_suspect_endpoints.insert(m_endpoint).second;
+  }
   m_call_count.emplace(m_forwarder->m_context.endpoints, m_endpoint);
   m_exchange = m_forwarder->m_context.endpoint_caller->Start(std::move(call), this);
 }
--- a/src/gateway/request_forwarder.h
+++ b/src/gateway/request_forwarder.h
@@ -19,6 +19,7 @@
 #include "gateway/incoming_request.h"
 #include "state/endpoint_directory.h"
 #include "state/memory_budget.h"
+#include "state/quarantine.h"
 #include "state/serving_config.h"
 #include "transport/http_server.h"
 
@@ -38,6 +39,8 @@
   std::string zone;
   // Limits the memory of responses that callers have not read yet. Not limited if null.
   MemoryBudget* response_memory = nullptr;
+  // Requests that crash endpoints are not refused if null.
+  Quarantine* quarantine = nullptr;
 };
 
 // Forwards plain requests and requests for streams to endpoints, and sends the endpoints' responses to the callers
@@ -68,6 +71,8 @@
   uint64_t m_next_request = 0;
   // Requests that wait for a permit: the priority of the route and the number of the request.
   std::set<std::pair<int, uint64_t>> m_waiting;
+  // Endpoints on which a suspect of the quarantine runs. Other requests avoid them.
+  std::set<std::string> m_suspect_endpoints;
 };
 
 // How long a request of the route may take; `time_left` is how long its caller waits, if it says so.
--- a/src/state/quarantine.cc
+++ b/src/state/quarantine.cc
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr int kCrashesToQuarantine = 2;
+// A peer's count that is higher means the same.
+constexpr int kMaxPeerCount = kCrashesToQuarantine + 1;
+// Crashes within this time may have one cause, such as the loss of an availability zone.
+constexpr Duration kSeparateCrashes = Duration::Seconds(2);
 constexpr Duration kEntryLifetime = Duration::Seconds(3600);
 // Expired entries are kept for this long, since a request that was dispatched just before its count expired ends within
 // this time.
@@ -25,7 +29,12 @@
   if (it == m_entries.end() || it->second.crashes == 0 || IsExpired(it->second.last_change, now)) {
     return FingerprintVerdict::kClear;
   }
-  return it->second.crashes >= kCrashesToQuarantine ? FingerprintVerdict::kQuarantined : FingerprintVerdict::kSuspect;
+  const bool quarantined = it->second.crashes >= kCrashesToQuarantine && !IsOnTrial(it->second, now);
+  return quarantined ? FingerprintVerdict::kQuarantined : FingerprintVerdict::kSuspect;
+}
+
+bool Quarantine::IsOnTrial(const Entry& entry, TimePoint now) const {
+  return entry.crashes == kCrashesToQuarantine && now - entry.last_change > m_options.first_verdict;
 }
 
 Quarantine::Entry* Quarantine::Find(uint64_t fingerprint, TimePoint now) {
@@ -65,15 +74,27 @@
     }
     Entry* entry = FindOrAdd(request.fingerprint, now);
     if (entry != nullptr) {
-      *entry = Entry{std::max(entry->crashes, 1), true, now};
+      AddCrashInCompany(entry, now);
     }
   }
 }
 
+void Quarantine::AddCrashInCompany(Entry* entry, TimePoint now) const {
+  const bool on_trial = IsOnTrial(*entry, now);
+  const bool is_separate = entry->crashes == 0 || now - entry->last_change >= kSeparateCrashes;
+  entry->crashes_in_company += is_separate ? 1 : 0;
+  entry->crashes = std::max(entry->crashes + (on_trial ? 1 : 0), 1);
+  if (m_options.max_crashes_in_company > 0 && entry->crashes_in_company >= m_options.max_crashes_in_company) {
+    entry->crashes = std::max(entry->crashes, kCrashesToQuarantine);
+  }
+  entry->counted_here = true;
+  entry->last_change = now;
+}
+
 // A cleared entry is kept with a count of 0, since peers send their count of 1 until it expires on them.
 void Quarantine::OnFinished(uint64_t fingerprint, TimePoint now) {
   Entry* entry = Find(fingerprint, now);
-  if (entry != nullptr && entry->crashes < kCrashesToQuarantine) {
+  if (entry != nullptr && (entry->crashes < kCrashesToQuarantine || IsOnTrial(*entry, now))) {
     *entry = Entry{0, false, now};
   }
 }
@@ -113,7 +134,7 @@
     }
     Entry* entry = FindOrAdd(count.fingerprint, now);
     if (entry != nullptr && count.crashes > entry->crashes) {
-      *entry = Entry{std::min(count.crashes, kCrashesToQuarantine), false, now};
+      *entry = Entry{std::min(count.crashes, kMaxPeerCount), false, now};
     }
   }
 }
--- a/src/state/quarantine.h
+++ b/src/state/quarantine.h
@@ -30,10 +30,21 @@
   bool ran_alone = false;
 };
 
+struct QuarantineOptions {
+  // How long a fingerprint is quarantined after its second crash. Then the request may run alone once more, and a
+  // further crash quarantines it for an hour.
+  Duration first_verdict = Duration::Seconds(3600);
+  // A fingerprint is also quarantined after this number of crashes together with other requests, some seconds apart and
+  // without a run that ended well in between; 0 for never.
+  int max_crashes_in_company = 0;
+};
+
 // Detects requests that crash endpoints (poison requests). Counts the crashes per request fingerprint and quarantines a
 // fingerprint after two of them.
 class Quarantine {
  public:
+  explicit Quarantine(QuarantineOptions options = {}) : m_options(options) {}
+
   FingerprintVerdict Check(uint64_t fingerprint, TimePoint now) const;
   // Records that an endpoint has crashed with these requests in flight.
   void OnCrash(const std::vector<CrashedRequest>& in_flight, TimePoint now);
@@ -57,13 +68,21 @@
     // True if this instance has counted the crashes itself; false if the count was received from a peer.
     bool counted_here = false;
     TimePoint last_change;
+    // Crashes together with other requests, some seconds apart.
+    int crashes_in_company = 0;
   };
 
+  // The entry is quarantined for the first time, and that time is over.
+  bool IsOnTrial(const Entry& entry, TimePoint now) const;
+  // Counts a crash at which the request did not run alone.
+  void AddCrashInCompany(Entry* entry, TimePoint now) const;
+
   // Returns the entry, reset if its count has expired, or nullptr if there is none.
   Entry* Find(uint64_t fingerprint, TimePoint now);
   // Returns nullptr if the table is full.
   Entry* FindOrAdd(uint64_t fingerprint, TimePoint now);
 
+  QuarantineOptions m_options;
   std::map<uint64_t, Entry> m_entries;
 };
 
--- a/tests/coordination/endpoint_relay_test.cc
+++ b/tests/coordination/endpoint_relay_test.cc
@@ -68,6 +68,7 @@
     context.endpoints = &directory;
     context.other_instances = [this] { return others; };
     context.drop_connections = [this](const std::string& address) { dropped.insert(address); };
+    context.crashes = &crashes;
     relay = std::make_unique<EndpointRelay>(std::move(context), 1);
   }
 
@@ -171,6 +172,8 @@
 
   ManualScheduler scheduler;
   EndpointDirectory directory{&scheduler.clock()};
+  Quarantine quarantine;
+  CrashRecorder crashes{&quarantine, &scheduler.clock()};
   std::vector<std::string> others = {"a", "b", "c"};
   // Own connections are refused, or hang.
   bool reaches_none = false;
@@ -412,5 +415,62 @@
   CHECK(f.relay->lost_paths() == 0);
 }
 
+// Guards against sound requests that are taken for the cause of a crash: a lost connection or a lost path is none.
+TEST_CASE("a lost connection counts as a crash only if neither this instance nor another one reaches the endpoint") {
+  for (const std::string what : {"connection", "path", "endpoint"}) {
+    INFO(what);
+    RelayFixture f;
+    const EndpointCall call = RelayFixture::Call("e0");
+    Outcome outcome;
+    const std::unique_ptr<EndpointExchange> exchange = f.Send("e0", &outcome);
+    REQUIRE(f.direct.size() == 1);
+    if (what == "endpoint") {
+      f.stopped.insert("e0");
+    }
+    f.reaches_none = what == "path";
+    EndpointCallResult lost;
+    lost.outcome = EndpointCallOutcome::kNoResponse;
+    f.direct[0]->observer->OnEnd(lost);
+    f.scheduler.Advance(Duration::Milliseconds(500));
+    REQUIRE(outcome.result.has_value());
+    const FingerprintVerdict verdict = f.quarantine.Check(FingerprintOf(call), f.scheduler.Now());
+    CHECK(verdict == (what == "endpoint" ? FingerprintVerdict::kSuspect : FingerprintVerdict::kClear));
+  }
+}
+
+// Guards against items of batch jobs that are not placed again because endpoints crashed under them.
+TEST_CASE("items of batch jobs are never suspected") {
+  RelayFixture f;
+  EndpointCall call = RelayFixture::Call("e0");
+  call.reads_events = true;
+  Outcome outcome;
+  const std::unique_ptr<EndpointExchange> exchange = f.relay->Start(call, &outcome);
+  f.stopped.insert("e0");
+  EndpointCallResult lost;
+  lost.outcome = EndpointCallOutcome::kNoResponse;
+  f.direct[0]->observer->OnEnd(lost);
+  f.scheduler.Advance(Duration::Milliseconds(500));
+  CHECK(f.quarantine.size() == 0);
+}
+
+// Guards against a second crash that is counted although the endpoint had stopped before the suspect was sent to it.
+TEST_CASE("a suspect is not sent to an endpoint that does not respond to a probe") {
+  RelayFixture f;
+  EndpointCall call = RelayFixture::Call("e0");
+  call.is_suspect = true;
+  f.stopped.insert("e0");
+  Outcome outcome;
+  const std::unique_ptr<EndpointExchange> exchange = f.relay->Start(call, &outcome);
+  f.scheduler.Advance(Duration::Milliseconds(50));
+  CHECK(f.direct.empty());
+  REQUIRE(outcome.result.has_value());
+  CHECK(outcome.result->outcome == EndpointCallOutcome::kNotSent);
+  call.endpoint_id = "e1";
+  Outcome second;
+  const std::unique_ptr<EndpointExchange> sent = f.relay->Start(call, &second);
+  f.scheduler.Advance(Duration::Milliseconds(50));
+  CHECK(f.direct.size() == 1);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "state/request_fingerprint.h"
 #include "tests/fakes/fake_table_store.h"
 #include "tests/fakes/manual_scheduler.h"
 
@@ -116,6 +117,7 @@
     IncomingRequest request;
     request.id = id;
     request.method = "POST";
+    request.target = "/stream";
     request.continues_stream = !continued.empty();
     request.stream_id = continued;
     forwarder.Forward(std::move(request), route, "w", std::make_shared<FakeResponder>(&view));
@@ -170,8 +172,10 @@
   StreamOrigins origins{&store, &scheduler, &directory, [this] { return scheduler.Now().ms(); }};
   NoUsage usage;
   NoMetrics metrics;
-  RequestForwarder forwarder{{&scheduler, &routes, &directory, &endpoints, &permits, &usage, &metrics, &origins, "a"},
-                             1};
+  Quarantine quarantine;
+  RequestForwarder forwarder{
+      {&scheduler, &routes, &directory, &endpoints, &permits, &usage, &metrics, &origins, "a", nullptr, &quarantine},
+      1};
   CallerView view;
 };
 
@@ -450,5 +454,64 @@
   CHECK(fixture.view.body == "id: 1\ndata: a\n\n");
 }
 
+// Guards against requests that crash endpoint after endpoint, or that are called not run after they may have run.
+TEST_CASE("a request that crashes two endpoints makes no third attempt, and is refused as not run afterwards") {
+  for (const RouteKind kind : {RouteKind::kIdempotent, RouteKind::kNonIdempotent, RouteKind::kStream}) {
+    ForwarderFixture fixture;
+    const uint64_t fingerprint = RequestFingerprint("w", "", "");
+    fixture.Send(kind);
+    fixture.quarantine.OnCrash({{fingerprint, false}}, fixture.scheduler.Now());
+    fixture.Observer(0)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kNoResponse));
+    const bool repeats = kind == RouteKind::kIdempotent;
+    REQUIRE(fixture.endpoints.attempts.size() == (repeats ? 2 : 1));
+    if (repeats) {
+      CHECK(fixture.endpoints.attempts[1]->call.is_suspect);
+      CHECK(fixture.endpoints.attempts[1]->call.runs_alone);
+      fixture.quarantine.OnCrash({{fingerprint, true}}, fixture.scheduler.Now());
+      fixture.Observer(1)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kNoResponse));
+    }
+    CHECK(fixture.view.status == 502);
+    fixture.quarantine.OnCrash({{fingerprint, true}}, fixture.scheduler.Now());
+    const size_t attempts = fixture.endpoints.attempts.size();
+    fixture.Send(kind);
+    CHECK(fixture.endpoints.attempts.size() == attempts);
+    CHECK(fixture.view.status == 429);
+    CHECK(fixture.view.body.find("crashed_endpoints") != std::string::npos);
+  }
+}
+
+// Guards against sound requests that go down with a suspect, and against suspects whose crash is blamed on others.
+TEST_CASE("a suspect runs on an endpoint without other requests, others avoid it, and a sound run clears it") {
+  ForwarderFixture fixture;
+  const uint64_t fingerprint = RequestFingerprint("w", "", "");
+  fixture.Send(RouteKind::kNonIdempotent);
+  const std::string busy = fixture.endpoints.attempts[0]->call.endpoint_id;
+  fixture.quarantine.OnCrash({{fingerprint, false}}, fixture.scheduler.Now());
+  fixture.Send(RouteKind::kNonIdempotent);
+  REQUIRE(fixture.endpoints.attempts.size() == 2);
+  CHECK(fixture.endpoints.attempts[1]->call.endpoint_id != busy);
+  CHECK(fixture.endpoints.attempts[1]->call.runs_alone);
+  fixture.SendStream("other");
+  REQUIRE(fixture.endpoints.attempts.size() == 3);
+  CHECK(fixture.endpoints.attempts[2]->call.endpoint_id == busy);
+  fixture.Observer(1)->OnHead(ForwarderFixture::Head(200, false));
+  fixture.Observer(1)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  CHECK(fixture.quarantine.Check(fingerprint, fixture.scheduler.Now()) == FingerprintVerdict::kClear);
+}
+
+// Guards against sound requests that wait for their deadline, or are refused, because every endpoint is in use.
+TEST_CASE("a suspect that finds no endpoint without other requests runs together with them after a short time") {
+  ForwarderFixture fixture;
+  const uint64_t fingerprint = RequestFingerprint("w", "", "");
+  fixture.Serve({0});
+  fixture.Send(RouteKind::kNonIdempotent);
+  fixture.quarantine.OnCrash({{fingerprint, false}}, fixture.scheduler.Now());
+  fixture.Send(RouteKind::kNonIdempotent);
+  CHECK(fixture.endpoints.attempts.size() == 1);
+  fixture.scheduler.Advance(Duration::Milliseconds(300));
+  REQUIRE(fixture.endpoints.attempts.size() == 2);
+  CHECK_FALSE(fixture.endpoints.attempts[1]->call.runs_alone);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/platform/node_cluster.h
+++ b/tests/platform/node_cluster.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -118,6 +119,44 @@
     });
   }
 
+  // From now on, a request with this path takes each plain endpoint down that runs it, for this time. The test counts
+  // them in `crashes`.
+  void MakePoison(const std::string& path, Duration down) {
+    for (size_t i = 0; i < kEndpoints; ++i) {
+      m_replicas[i]->SetPoison(path, [this, i, down] {
+        ++crashes;
+        SetEndpoint(i, history::TcpRelay::Mode::kCut);
+        m_timers.push_back(m_loop.After(down, [this, i] { SetEndpoint(i, history::TcpRelay::Mode::kPass); }));
+      });
+    }
+  }
+  void SetEndpoint(size_t endpoint, history::TcpRelay::Mode mode) {
+    for (const auto& instance : m_instances) {
+      instance->paths[endpoint]->SetMode(mode);
+    }
+  }
+  // Sends a request with this path and always the same body to one instance. Returns its status, 0 without a response.
+  int SendTo(size_t i, const std::string& path) {
+    const std::string id = "request-" + std::to_string(++m_requests);
+    HttpCall call;
+    call.address = m_instances[i]->ip + ":" + std::to_string(kCallerPort);
+    call.method = "POST";
+    call.target = path;
+    call.headers = {{"host", kHost}, {kRequestIdHeader, id}, {kDeadlineHeader, "1500"}, {kApiKeyHeader, "key"}};
+    call.body = "always the same";
+    call.total_timeout = Duration::Seconds(3);
+    call.fresh_connection = true;
+    std::optional<int> status;
+    m_client.Fetch(std::move(call), [&status](const HttpResponse& response) {
+      status = response.result.outcome == CallOutcome::kWhole ? response.status : 0;
+    });
+    while (!status.has_value()) {
+      m_loop.RunOnce(Duration::Milliseconds(5));
+    }
+    return *status;
+  }
+  int crashes = 0;
+
   // Begins a stream of many events at one instance. Destroying the result closes the caller's connection.
   std::unique_ptr<HttpExchange> BeginStream(size_t i, HttpCallObserver* observer) {
     const std::string item = "long-item-" + std::to_string(LongItem());
@@ -192,6 +231,7 @@
   std::vector<std::unique_ptr<TestInstance>> m_instances;
   HttpClient m_client;
   int m_requests = 0;
+  std::vector<std::unique_ptr<Timer>> m_timers;
 };
 
 }  // namespace quetzalridge::platform
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -132,6 +132,12 @@
     TakeOrder(request, responder.get());
     return;
   }
+  if (!m_poison_path.empty() && request.path == m_poison_path) {
+    responder->Abort();
+    EndRuns();
+    m_on_poison();
+    return;
+  }
   const bool is_reward_call = HeaderOf(request, platform::kRequestIdHeader).rfind(kRewardCallPrefix, 0) == 0;
   m_log->Check(HeaderOf(request, platform::kWorkspaceHeader) == (is_reward_call ? "" : kWorkspace),
                "a request without its workspace, or a reward call with one");
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -45,6 +46,11 @@
   // Says in all answers from now on that it will stop, until it starts again. The registry says that it is ready.
   void Leave() { m_leaving = true; }
   bool leaving() const { return m_leaving; }
+  // Requests with this path end without an answer from now on, and the callback runs at each of them.
+  void SetPoison(std::string path, std::function<void()> on_poison) {
+    m_poison_path = std::move(path);
+    m_on_poison = std::move(on_poison);
+  }
   const std::string& id() const { return m_id; }
   // How long plain requests take from now on.
   void SetPlainWork(Duration time) { m_plain_work = time; }
@@ -92,6 +98,9 @@
   std::deque<TimePoint> m_begun;
   Duration m_plain_work = Duration::Milliseconds(15);
   bool m_leaving = false;
+  // Empty if no request is poison.
+  std::string m_poison_path;
+  std::function<void()> m_on_poison;
   int64_t m_renewals = 0;
   int64_t m_version = 1;
   int64_t m_orders = 0;
