End a run whose events do not continue the text, and do not report planned stops as losses

Items stood still for up to 120 s at an endpoint that sent one event again and again: each event set the idle timeout anew. A run now ends when no event has continued the text for the idle timeout.

A planned stop removes the roster row, which the neighbor took for a loss, so that a rolling restart would have made all instances read the roster often.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -110,6 +110,7 @@
 
   void OnHead(const EndpointResponseHead& head) override {
     m_head = head;
+    m_progress_at = m_runner->Now();
     if (head.status != kStatusOk) {
       return;
     }
@@ -125,28 +126,27 @@
 
   // This call may destroy the run.
   void OnEvent(const StreamEvent& event) override {
-    if (m_stale || m_event_missing || !m_head.has_value() || m_head->status != kStatusOk) {
+    if (!m_head.has_value() || m_head->status != kStatusOk) {
       return;
     }
     const TimePoint now = m_runner->Now();
-    if (m_head->relayed) {
-      m_runner->m_context->endpoints->OnResponse(m_endpoint);
-    } else if (m_last_event_at.has_value()) {
-      m_runner->m_context->endpoints->OnEventInterval(m_endpoint, now - *m_last_event_at);
+    EventTranscript::AppendResult append_result = EventTranscript::AppendResult::kGap;
+    if (!m_stale && !m_event_missing) {
+      RecordEventInterval(now);
+      append_result = m_runner->m_progress.item(m_index).transcript.Append(event.id, event.data, event.model_version);
+      m_event_missing = append_result == EventTranscript::AppendResult::kGap;
+    }
+    if (append_result == EventTranscript::AppendResult::kAdded) {
+      ++m_new_events;
+      m_progress_at = now;
+    } else if (now - m_progress_at > kItemIdleTimeout) {
+      EndRun("the stream sends events, but none that continues the text", true);
+      return;
     }
-    m_last_event_at = now;
-    ItemProgress& item = m_runner->m_progress.item(m_index);
-    const EventTranscript::AppendResult append_result =
-        item.transcript.Append(event.id, event.data, event.model_version);
-    m_event_missing = append_result == EventTranscript::AppendResult::kGap;
-    m_new_events += append_result == EventTranscript::AppendResult::kAdded ? 1 : 0;
     const bool too_long = append_result == EventTranscript::AppendResult::kTooLong;
     if (too_long || !m_runner->RecordTextMemory(m_index)) {
       m_text_rejected = true;
-      EndpointCallResult result;
-      result.outcome = EndpointCallOutcome::kTruncated;
-      result.detail = too_long ? "the text has no end" : "the texts of all items take too much memory";
-      OnEnd(result);
+      EndRun(too_long ? "the text has no end" : "the texts of all items take too much memory", false);
     }
   }
 
@@ -163,6 +163,24 @@
   int new_events() const { return m_new_events; }
 
  private:
+  void RecordEventInterval(TimePoint now) {
+    if (m_head->relayed) {
+      m_runner->m_context->endpoints->OnResponse(m_endpoint);
+    } else if (m_last_event_at.has_value()) {
+      m_runner->m_context->endpoints->OnEventInterval(m_endpoint, now - *m_last_event_at);
+    }
+    m_last_event_at = now;
+  }
+
+  // Ends the call. This destroys the run.
+  void EndRun(const std::string& detail, bool timed_out) {
+    EndpointCallResult result;
+    result.outcome = EndpointCallOutcome::kTruncated;
+    result.timed_out = timed_out;
+    result.detail = detail;
+    OnEnd(result);
+  }
+
   BatchRunner* m_runner;
   size_t m_index;
   std::string m_endpoint;
@@ -176,6 +194,8 @@
   // The text is longer than any response of a sound endpoint, or than the memory allows.
   bool m_text_rejected = false;
   int m_new_events = 0;
+  // When an event last continued the text; the response head before the first one.
+  TimePoint m_progress_at;
   std::optional<TimePoint> m_last_event_at;
   std::unique_ptr<EndpointExchange> m_exchange;
 };
--- a/src/coordination/owner_monitor.h
+++ b/src/coordination/owner_monitor.h
@@ -33,7 +33,8 @@
 
   // The callback runs after a read that shows a new process of a watched instance, or that the instance has stopped.
   void SetChangedCallback(std::function<void()> callback) { m_on_change = std::move(callback); }
-  // The callback runs after each read that shows that an instance no longer renews its row.
+  // The callback runs after each read that shows that an instance no longer renews its row. An instance that has
+  // removed its row, as in a planned stop, is not reported.
   void SetSilentCallback(std::function<void(const std::string&)> callback) { m_on_silent = std::move(callback); }
   // Replaces the set of instances whose rows are read.
   void Watch(const std::set<std::string>& instances);
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -68,6 +68,8 @@
   std::set<std::string> stopped;
   // Endpoints that send events of this size without ids and without end, by endpoint id.
   std::map<std::string, size_t> endless_endpoints;
+  // The id of all events of these endpoints; none if absent.
+  std::optional<int64_t> endless_event_id;
   // Software versions of endpoints, by endpoint id.
   std::map<std::string, std::string> software_versions;
   double truncation_chance = 0.0;
@@ -238,6 +240,7 @@
       if (endless != m_engines->endless_endpoints.end()) {
         StreamEvent event;
         event.data = std::string(endless->second, 'x');
+        event.id = m_engines->endless_event_id;
         Continue();
         // Last, since it may destroy this run.
         m_observer->OnEvent(event);
@@ -262,8 +265,13 @@
       constexpr double kArrivalChance = 0.3;
       const bool is_last = m_next > m_engines->EventsOf(m_call.request_id);
       if (!m_engines->relayed || is_last || m_engines->random()->Chance(kArrivalChance)) {
+        // The observer may destroy this run.
+        const std::weak_ptr<bool> alive = m_alive;
         for (const StreamEvent& arriving : std::exchange(m_held_back, {})) {
           m_observer->OnEvent(arriving);
+          if (alive.expired()) {
+            return;
+          }
         }
       }
       Continue();
@@ -280,6 +288,7 @@
     EndpointCallObserver* m_observer;
     int m_next = 1;
     std::vector<StreamEvent> m_held_back;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::unique_ptr<Timer> m_timer;
   };
 
--- a/tests/coordination/endless_text_test.cc
+++ b/tests/coordination/endless_text_test.cc
@@ -34,6 +34,18 @@
   }
 }
 
+// Guards against items that stand still for minutes at an endpoint that sends events which do not
+// continue the text.
+TEST_CASE("items leave an endpoint that repeats one event without end") {
+  BatchFixture fixture(1);
+  fixture.engines.endless_endpoints = {{"engine-0", 3}, {"engine-1", 3}};
+  fixture.engines.endless_event_id = 1;
+  fixture.StartInstance("one");
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kItems)) == SubmitOutcome::kAccepted);
+  fixture.scheduler.Advance(Duration::Seconds(20));
+  CHECK(fixture.Read("one", "job", 0).results.size() == kItems);
+}
+
 // Guards against texts that take many times their size: each event and each new version of the model takes memory, too.
 TEST_CASE("a text of empty events and a text of ever new model versions have an end") {
   EventTranscript empty_events;
--- a/tests/coordination/owner_monitor_test.cc
+++ b/tests/coordination/owner_monitor_test.cc
@@ -106,5 +106,28 @@
   }
 }
 
+// Guards against an alarm about lost instances at each planned stop, in which an instance removes its row.
+TEST_CASE("an instance that no longer renews its row is reported as silent, and one that removed its row is not") {
+  for (const bool removes_row : {false, true}) {
+    MonitorFixture fixture;
+    fixture.StartOwner("first");
+    fixture.monitor.Watch({"owner"});
+    fixture.scheduler.Advance(Duration::Seconds(5));
+    std::set<std::string> silent;
+    fixture.monitor.SetSilentCallback([&silent](const std::string& instance) { silent.insert(instance); });
+    fixture.scheduler.Advance(Duration::Seconds(5));
+    CHECK(silent.empty());
+    fixture.KillOwner();
+    if (removes_row) {
+      TableTransaction removal;
+      removal.id = "removal";
+      removal.writes = {{RosterKey("owner"), std::nullopt}};
+      fixture.table.Apply(removal);
+    }
+    fixture.scheduler.Advance(Duration::Seconds(5));
+    CHECK(silent.empty() == removes_row);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
