Read the keys of notices in one place

The check of a key's prefix stood in the quarantine exchange and in the alarm about lost instances, and the first computed it twice for each row. NoticeName beside NoticeKey serves both. Behaviour is unchanged.

--- a/src/coordination/loss_alarm.cc
+++ b/src/coordination/loss_alarm.cc
@@ -86,10 +86,9 @@
 
 // The rows that a process finds at its start are of earlier losses.
 void LossAlarm::OnNotices(const TableFollower::Rows& rows) {
-  const std::string prefix = kLostPrefix;
   const bool had_rows = std::exchange(m_has_rows, true);
   for (const auto& [key, row] : rows) {
-    if (key.compare(0, prefix.size(), prefix) != 0 || m_applied[key] >= row.version) {
+    if (!NoticeName(row, kLostPrefix).has_value() || m_applied[key] >= row.version) {
       continue;
     }
     m_applied[key] = row.version;
--- a/src/coordination/notices.h
+++ b/src/coordination/notices.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "coordination/table_feed.h"
@@ -13,6 +14,12 @@
   return std::string(kNoticesTable) + "/" + name;
 }
 
+// What follows the prefix in a row's key; nothing for rows with another prefix.
+inline std::optional<std::string> NoticeName(const RawRow& row, const std::string& prefix) {
+  return row.key.compare(0, prefix.size(), prefix) == 0 ? std::optional<std::string>(row.key.substr(prefix.size()))
+                                                        : std::nullopt;
+}
+
 // The value of a row as it was written. TableStore puts a line with the id of the transaction before it.
 inline std::string NoticeValue(const RawRow& row) {
   const size_t transaction_end = row.value.find('\n');
--- a/src/coordination/quarantine_exchange.cc
+++ b/src/coordination/quarantine_exchange.cc
@@ -25,12 +25,6 @@
 constexpr int64_t kMaxCountsAgeMs = 3'600'000;
 constexpr int kMaxCrashes = 1000;
 
-// The rest of a text that begins with the prefix; nothing for other texts.
-std::optional<std::string> WithoutPrefix(const std::string& text, const std::string& prefix) {
-  return text.compare(0, prefix.size(), prefix) == 0 ? std::optional<std::string>(text.substr(prefix.size()))
-                                                     : std::nullopt;
-}
-
 // Whether `counts` has the fingerprint with at least as many crashes.
 bool Covers(const std::vector<FingerprintCount>& counts, const FingerprintCount& count) {
   return std::any_of(counts.begin(), counts.end(), [&count](const FingerprintCount& other) {
@@ -119,7 +113,7 @@
 void QuarantineExchange::OnRows(const TableFollower::Rows& rows) {
   const TimePoint now = m_context.scheduler->clock().Now();
   for (const auto& [key, row] : rows) {
-    const std::optional<std::string> cleared = WithoutPrefix(key, kQuarantineClearPrefix);
+    const std::optional<std::string> cleared = NoticeName(row, kQuarantineClearPrefix);
     const std::optional<uint64_t> fingerprint = cleared.has_value() ? ParseFingerprint(*cleared) : std::nullopt;
     if (!fingerprint.has_value() || m_cleared[*fingerprint] >= row.version) {
       continue;
@@ -133,19 +127,19 @@
     Log(LogEvent::kRequestCleared, {{"fingerprint", FingerprintText(*fingerprint)}});
   }
   for (const auto& [key, row] : rows) {
-    const std::optional<std::string> writer = WithoutPrefix(key, kQuarantinePrefix);
+    const std::optional<std::string> writer = NoticeName(row, kQuarantinePrefix);
     const bool is_own = writer == m_context.instance && !m_written.empty();
     if (writer.has_value() && !is_own && m_applied[key] < row.version) {
       m_applied[key] = row.version;
-      ApplyRow(key, row);
+      ApplyRow(*writer, row);
     }
   }
 }
 
-void QuarantineExchange::ApplyRow(const std::string& key, const RawRow& row) {
+void QuarantineExchange::ApplyRow(const std::string& writer, const RawRow& row) {
   std::optional<QuarantineRecord> record = DecodeQuarantineRecord(NoticeValue(row));
   if (!record.has_value()) {
-    Log(LogEvent::kRowRejected, {{"row", NoticeKey(key)}, {"reason", "malformed"}});
+    Log(LogEvent::kRowRejected, {{"row", NoticeKey(row.key)}, {"reason", "malformed"}});
     return;
   }
   if (m_context.wall_ms() - record->written_at_ms > kMaxCountsAgeMs) {
@@ -159,7 +153,7 @@
                                 return cleared != m_cleared.end() && cleared->second > row.version;
                               }),
                counts.end());
-  if (WithoutPrefix(key, kQuarantinePrefix) == m_context.instance) {
+  if (writer == m_context.instance) {
     m_inherited = counts;
   }
   m_context.quarantine->MergePeerCounts(counts, m_context.scheduler->clock().Now());
--- a/src/coordination/quarantine_exchange.h
+++ b/src/coordination/quarantine_exchange.h
@@ -57,7 +57,7 @@
   void ScheduleWrite(Duration delay);
   void Write();
   // The row of an earlier process of this instance, or of another instance.
-  void ApplyRow(const std::string& key, const RawRow& row);
+  void ApplyRow(const std::string& writer, const RawRow& row);
 
   QuarantineExchangeContext m_context;
   // Row versions of the operator's rows that were applied, by fingerprint.
