Restore partial and complete texts by the same steps

Both restores repeated the limit of a text, the check whether the job may use it, and the memory budget. RestoredText and TakeText serve both.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -851,6 +851,24 @@
                              [callback = std::move(callback)](const TransactResult&) { callback(); });
 }
 
+std::optional<EventTranscript> BatchRunner::RestoredText(const PartialText& text) const {
+  if (text.text.size() > EventTranscript::kMaxBytes) {
+    return std::nullopt;
+  }
+  EventTranscript transcript;
+  transcript.Restore(text);
+  return IsUsable(transcript) ? std::optional<EventTranscript>(std::move(transcript)) : std::nullopt;
+}
+
+bool BatchRunner::TakeText(size_t index, EventTranscript transcript) {
+  m_progress.item(index).transcript = std::move(transcript);
+  if (!RecordTextMemory(index)) {
+    ClearText(index);
+    return false;
+  }
+  return true;
+}
+
 void BatchRunner::RestorePartialTexts(const std::vector<PartialText>& texts) {
   const ServiceRoute* route = Route();
   int used = 0;
@@ -859,20 +877,12 @@
     if (!index.has_value() || m_progress.item(*index).phase != ItemPhase::kWaiting) {
       continue;
     }
-    if (partial.text.size() > EventTranscript::kMaxBytes) {
-      continue;
-    }
-    EventTranscript transcript;
-    transcript.Restore(partial);
+    std::optional<EventTranscript> transcript = RestoredText(partial);
     // On such a route, a text that is not complete may have to be continued by another version.
     const bool may_mix = route != nullptr && route->single_version && !partial.complete;
-    const bool longer = transcript.event_count() > m_progress.item(*index).transcript.event_count();
-    if (IsUsable(transcript) && !may_mix && longer) {
-      m_progress.item(*index).transcript = std::move(transcript);
-      if (!RecordTextMemory(*index)) {
-        ClearText(*index);
-        continue;
-      }
+    const int64_t known_events = m_progress.item(*index).transcript.event_count();
+    const bool longer = transcript.has_value() && transcript->event_count() > known_events;
+    if (longer && !may_mix && TakeText(*index, std::move(*transcript))) {
       m_progress.item(*index).interrupted_at = Now();
       m_stored_texts[*index] = {partial.event_count, EncodePartialText(partial, "", kMaxRowBytes).size()};
       ++used;
@@ -889,17 +899,11 @@
   for (const PartialText& text : texts) {
     const std::optional<size_t> index = m_progress.FindItem(text.item);
     if (!index.has_value() || !text.complete || m_progress.item(*index).phase != ItemPhase::kWaiting ||
-        !m_spec.items[*index].reward_call.has_value() || text.text.size() > EventTranscript::kMaxBytes) {
-      continue;
-    }
-    EventTranscript transcript;
-    transcript.Restore(text);
-    if (!IsUsable(transcript)) {
+        !m_spec.items[*index].reward_call.has_value()) {
       continue;
     }
-    m_progress.item(*index).transcript = std::move(transcript);
-    if (!RecordTextMemory(*index)) {
-      ClearText(*index);
+    std::optional<EventTranscript> transcript = RestoredText(text);
+    if (!transcript.has_value() || !TakeText(*index, std::move(*transcript))) {
       continue;
     }
     m_progress.SetPhase(*index, ItemPhase::kAwaitingScore);
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -146,6 +147,10 @@
   bool MayRestart(size_t index, const std::string& service) const;
   void DiscardText(size_t index, const std::string& reason);
   void ClearText(size_t index);
+  // Returns nothing for a stored text that the job may not use.
+  std::optional<EventTranscript> RestoredText(const PartialText& text) const;
+  // Takes a stored text over, unless it takes too much memory.
+  bool TakeText(size_t index, EventTranscript transcript);
   // Records the size of the item's text. Returns false if the text must be discarded.
   bool RecordTextMemory(size_t index);
   void MoveItem(size_t index, const DirectoryEndpoint& target);
