Forget lost connections of endpoints that have left

EndpointRelay kept an empty entry for each endpoint of which an item's connection was once lost, for as long as the process ran. Entries about which something is still being found out stay, so no crash is counted differently. There is no test of its own.

--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -314,7 +314,14 @@
 }
 
 void EndpointRelay::OnEndpointsChanged() {
-  m_paths.Retain(KnownEndpoints());
+  const std::set<std::string> known = KnownEndpoints();
+  m_paths.Retain(known);
+  // What is still being found out about an endpoint that has just left counts.
+  for (auto it = m_lost_calls.begin(); it != m_lost_calls.end();) {
+    const bool open =
+        !it->second.empty() || m_suspect_probes.count(it->first) > 0 || m_open_checks.count(it->first) > 0;
+    it = known.count(it->first) > 0 || open ? std::next(it) : m_lost_calls.erase(it);
+  }
   NotifyReach();
 }
 
