Raise the loss alarm for instances that were reported before and ran again

Cause: an instance reports each lost one once in 30 s. Instances that were paused, or whose renewals a slow store delayed, were reported as well, and ran on. When they were really lost within 30 s of that report, no instance took it for news: no report was written, the roster was not read often, and jobs whose owner and watchers were all lost kept their lost owner.

A report now carries the version of the last row that the lost instance wrote. A report with a newer version is a new loss, since the instance has run in between; one with the same version is the same loss, as before. So a false report no longer hides a later loss, and a loss is still reported once. Earlier builds read the names only; their reports count as before.

--- a/src/coordination/fleet_monitor.cc
+++ b/src/coordination/fleet_monitor.cc
@@ -32,11 +32,12 @@
       m_neighbor_monitor(store, scheduler, {kNeighborReadInterval, silence_timeout}) {
   m_roster->SetScannedCallback([this] { OnScanned(); });
   m_alarm.SetRaisedCallback([this] { m_roster->ScanOften(kAlarmTime); });
-  m_neighbor_monitor.SetSilentCallback([this](const std::string& silent) { OnSilent(silent); });
+  m_neighbor_monitor.SetSilentCallback(
+      [this](const std::string& silent, int64_t row_version) { OnSilent(silent, row_version); });
 }
 
-void FleetMonitor::OnSilent(const std::string& instance) {
-  if (m_alarm.OnLost(instance) && m_roster->others().size() + 1 >= kMinFleetSize) {
+void FleetMonitor::OnSilent(const std::string& instance, int64_t row_version) {
+  if (m_alarm.OnLost(instance, row_version) && m_roster->others().size() + 1 >= kMinFleetSize) {
     m_roster->ScanOften(kSearchTime);
   }
 }
@@ -76,7 +77,7 @@
   if (m_roster->scans_often()) {
     for (const auto& [id, entry] : m_roster->others()) {
       if (entry.record.state == RosterState::kLive && !IsLive(entry)) {
-        m_alarm.OnLost(id);
+        m_alarm.OnLost(id, entry.row_version);
       }
     }
   }
--- a/src/coordination/fleet_monitor.h
+++ b/src/coordination/fleet_monitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -24,8 +25,8 @@
 
   // The callback runs after each read of the roster.
   void SetChangedCallback(std::function<void()> callback) { m_changed = std::move(callback); }
-  // Called when a watched instance no longer renews its row.
-  void OnSilent(const std::string& instance);
+  // Called when a watched instance no longer renews its row, last written with the version `row_version`.
+  void OnSilent(const std::string& instance, int64_t row_version);
   // Called with all rows of the table of notices when some have changed.
   void OnNotices(const TableFollower::Rows& rows) { m_alarm.OnNotices(rows); }
 
--- a/src/coordination/loss_alarm.cc
+++ b/src/coordination/loss_alarm.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 #include "base/hash.h"
 #include "base/log_event.h"
@@ -26,24 +27,36 @@
 
 }  // namespace
 
-std::string EncodeLostInstances(const std::set<std::string>& lost) {
-  return Json{{"lost", lost}}.dump();
+std::string EncodeLostInstances(const LostInstances& lost) {
+  Json names = Json::array();
+  for (const auto& [instance, row_version] : lost) {
+    names.push_back(instance);
+  }
+  // Earlier builds read only the names.
+  return Json{{"lost", names}, {"row_versions", lost}}.dump();
 }
 
-std::optional<std::vector<std::string>> DecodeLostInstances(const std::string& value) {
+std::optional<LostInstances> DecodeLostInstances(const std::string& value) {
   try {
-    return Json::parse(value).at("lost").get<std::vector<std::string>>();
+    const Json json = Json::parse(value);
+    const LostInstances row_versions = json.value("row_versions", LostInstances());
+    LostInstances lost;
+    for (const std::string& instance : json.at("lost").get<std::vector<std::string>>()) {
+      const auto known = row_versions.find(instance);
+      lost[instance] = known == row_versions.end() ? 0 : known->second;
+    }
+    return lost;
   } catch (const Json::exception&) {
     // The caller logs the malformed row.
     return std::nullopt;
   }
 }
 
-bool LossAlarm::OnLost(const std::string& instance) {
-  if (!Add(instance)) {
+bool LossAlarm::OnLost(const std::string& instance, int64_t row_version) {
+  if (!Add(instance, row_version)) {
     return false;
   }
-  m_to_report.insert(instance);
+  m_to_report[instance] = row_version;
   if (m_timer == nullptr) {
     m_timer =
         m_scheduler->After(Duration::Milliseconds(static_cast<int64_t>(m_random.Below(kMaxReportDelayMs))), [this] {
@@ -54,16 +67,20 @@
   return true;
 }
 
-bool LossAlarm::Add(const std::string& instance) {
+// An instance that was reported and has written its row since then is lost anew: instances that were paused, or whose
+// writes the store delayed, go on running after a report, and a later loss of them must raise the alarm, too.
+bool LossAlarm::Add(const std::string& instance, int64_t row_version) {
   const TimePoint now = Now();
-  for (auto it = m_reported_at.begin(); it != m_reported_at.end();) {
-    it = now - it->second > kReportMemory ? m_reported_at.erase(it) : std::next(it);
+  for (auto it = m_reported.begin(); it != m_reported.end();) {
+    it = now - it->second.at > kReportMemory ? m_reported.erase(it) : std::next(it);
   }
-  if (!m_reported_at.emplace(instance, now).second) {
+  const auto [reported, is_new] = m_reported.try_emplace(instance);
+  if (!is_new && reported->second.row_version >= row_version) {
     return false;
   }
-  const auto recent = std::count_if(m_reported_at.begin(), m_reported_at.end(),
-                                    [now](const auto& reported) { return now - reported.second <= kReportWindow; });
+  reported->second = {now, row_version};
+  const auto recent = std::count_if(m_reported.begin(), m_reported.end(),
+                                    [now](const auto& entry) { return now - entry.second.at <= kReportWindow; });
   if (recent >= kLostInstancesToRaise && m_raised) {
     m_raised();
   }
@@ -76,7 +93,7 @@
   if (m_to_report.empty()) {
     return;
   }
-  Log(LogEvent::kInstancesLost, {{"lost", std::to_string(m_to_report.size())}, {"first", *m_to_report.begin()}});
+  Log(LogEvent::kInstancesLost, {{"lost", std::to_string(m_to_report.size())}, {"first", m_to_report.begin()->first}});
   TableTransaction transaction;
   transaction.id = RandomHex(kTransactionIdBytes);
   transaction.writes = {{NoticeKey(kLostPrefix + m_instance), EncodeLostInstances(m_to_report)}};
@@ -92,15 +109,19 @@
       continue;
     }
     m_applied[key] = row.version;
-    const std::optional<std::vector<std::string>> lost = DecodeLostInstances(NoticeValue(row));
+    const std::optional<LostInstances> lost = DecodeLostInstances(NoticeValue(row));
     if (!lost.has_value()) {
       Log(LogEvent::kRowRejected, {{"row", NoticeKey(key)}, {"reason", "malformed"}});
       continue;
     }
-    for (const std::string& instance : *lost) {
-      if (had_rows && instance != m_instance) {
-        Add(instance);
-        m_to_report.erase(instance);
+    for (const auto& [instance, row_version] : *lost) {
+      if (!had_rows || instance == m_instance) {
+        continue;
+      }
+      Add(instance, row_version);
+      const auto to_report = m_to_report.find(instance);
+      if (to_report != m_to_report.end() && to_report->second <= row_version) {
+        m_to_report.erase(to_report);
       }
     }
   }
--- a/src/coordination/owner_monitor.cc
+++ b/src/coordination/owner_monitor.cc
@@ -70,7 +70,7 @@
   watched.record = row.version == 0 ? std::nullopt : DecodeRosterRecord(row.value);
   const std::string after = watched.record.has_value() ? watched.record->incarnation : "";
   if (m_on_silent && watched.record.has_value() && IsSilent(watched)) {
-    m_on_silent(instance);
+    m_on_silent(instance, row.version);
   }
   if (m_on_change && (!was_known || before != after || IsSilent(watched))) {
     m_on_change();
--- a/src/coordination/owner_monitor.h
+++ b/src/coordination/owner_monitor.h
@@ -33,9 +33,10 @@
 
   // The callback runs after a read that shows a new process of a watched instance, or that the instance has stopped.
   void SetChangedCallback(std::function<void()> callback) { m_on_change = std::move(callback); }
+  using SilentCallback = std::function<void(const std::string& instance, int64_t row_version)>;
   // The callback runs after each read that shows that an instance no longer renews its row. An instance that has
   // removed its row, as in a planned stop, is not reported.
-  void SetSilentCallback(std::function<void(const std::string&)> callback) { m_on_silent = std::move(callback); }
+  void SetSilentCallback(SilentCallback callback) { m_on_silent = std::move(callback); }
   // Replaces the set of instances whose rows are read.
   void Watch(const std::set<std::string>& instances);
   // A read that began after `since` showed that the process has ended or no longer renews its row.
@@ -63,7 +64,7 @@
   Scheduler* m_scheduler;
   OwnerMonitorOptions m_options;
   std::function<void()> m_on_change;
-  std::function<void(const std::string&)> m_on_silent;
+  SilentCallback m_on_silent;
   std::map<std::string, WatchedInstance> m_watched;
   std::unique_ptr<Timer> m_timer;
   CallbackGuard m_guard;
--- a/tests/coordination/fleet_monitor_test.cc
+++ b/tests/coordination/fleet_monitor_test.cc
@@ -55,6 +55,21 @@
     }
     return lost;
   }
+  // Pauses a share of the instances for a while, then waits.
+  void Pause(double share, Duration time, Duration then) {
+    std::vector<Instance*> paused;
+    for (const auto& [name, instance] : m_instances) {
+      if (m_random.Chance(share)) {
+        paused.push_back(instance.get());
+        instance->scheduler.Pause();
+      }
+    }
+    Advance(time);
+    for (Instance* instance : paused) {
+      instance->scheduler.Resume();
+    }
+    Advance(then);
+  }
   // The number of pairs of a left instance and a lost one of which the first does not know that the second has stopped.
   int Unknown(const std::set<std::string>& lost, TimePoint since) const {
     int unknown = 0;
@@ -83,9 +98,10 @@
  private:
   struct Instance {
     Instance(Fleet* fleet, const std::string& name)
-        : store(&fleet->m_table, &fleet->m_scheduler),
-          roster(&store, &fleet->m_scheduler, Options(name)),
-          monitor(&store, &fleet->m_scheduler, &roster, name, kSilence, fleet->m_random.Next()) {
+        : scheduler(&fleet->m_scheduler),
+          store(&fleet->m_table, &scheduler),
+          roster(&store, &scheduler, Options(name)),
+          monitor(&store, &scheduler, &roster, name, kSilence, fleet->m_random.Next()) {
       roster.Start();
     }
     static RosterOptions Options(const std::string& name) {
@@ -98,6 +114,7 @@
       options.silence = Duration::Seconds(6);
       return options;
     }
+    PausableScheduler scheduler;
     FakeTableStore store;
     Roster roster;
     FleetMonitor monitor;
@@ -182,6 +199,22 @@
   CHECK(fleet.Unknown(lost, lost_at) == 0);
 }
 
+// Guards against losses that raise no alarm because the same instances had been reported a short time before, when they
+// were paused or the store was slow, and ran again since then (review case 2 on slow machines).
+TEST_CASE("the loss of instances that were paused before is known as fast as any other") {
+  for (const uint64_t seed : {1, 2, 3, 4, 5}) {
+    INFO("seed " << seed);
+    Fleet fleet(100, seed);
+    fleet.Advance(Duration::Seconds(8));
+    fleet.Pause(0.8, Duration::Milliseconds(7500), Duration::Seconds(9));
+    const TimePoint lost_at = fleet.Now();
+    const std::set<std::string> lost = fleet.Lose(0.8);
+    fleet.Advance(kLossKnown);
+    CHECK(fleet.Unknown(lost, lost_at) == 0);
+    CHECK(fleet.WronglyStopped(lost_at) == 0);
+  }
+}
+
 // Guards against reads of the whole roster by all instances for each single loss.
 TEST_CASE("the loss of one instance does not make all others read the roster often") {
   Fleet fleet(146, 3);
@@ -196,11 +229,13 @@
 }
 
 TEST_CASE("a notice of lost instances is read as it was written, and malformed ones are recognized") {
-  const std::optional<std::vector<std::string>> lost = DecodeLostInstances(EncodeLostInstances({"a", "b"}));
-  REQUIRE(lost.has_value());
-  CHECK(*lost == std::vector<std::string>{"a", "b"});
+  const LostInstances lost = {{"a", 7}, {"b", 9}};
+  CHECK(DecodeLostInstances(EncodeLostInstances(lost)) == lost);
   CHECK(DecodeLostInstances(R"({"lost":[],"new":1})").has_value());
-  for (const char* malformed : {"", "[]", R"({"lost":"a"})", R"({"lost":[1]})", "{}"}) {
+  // As earlier builds write it.
+  CHECK(DecodeLostInstances(R"({"lost":["a"]})") == LostInstances{{"a", 0}});
+  for (const char* malformed :
+       {"", "[]", R"({"lost":"a"})", R"({"lost":[1]})", "{}", R"({"lost":[],"row_versions":1})"}) {
     INFO(malformed);
     CHECK_FALSE(DecodeLostInstances(malformed).has_value());
   }
--- a/tests/coordination/owner_monitor_test.cc
+++ b/tests/coordination/owner_monitor_test.cc
@@ -114,7 +114,7 @@
     fixture.monitor.Watch({"owner"});
     fixture.scheduler.Advance(Duration::Seconds(5));
     std::set<std::string> silent;
-    fixture.monitor.SetSilentCallback([&silent](const std::string& instance) { silent.insert(instance); });
+    fixture.monitor.SetSilentCallback([&silent](const std::string& instance, int64_t) { silent.insert(instance); });
     fixture.scheduler.Advance(Duration::Seconds(5));
     CHECK(silent.empty());
     fixture.KillOwner();
