Compare reads of the roster also in small fleets and while the store is slow

Callers could wait for batch jobs of lost owners longer than their trainers do: the model of all phases, shares and sizes showed losses that stayed unknown.

Causes: fleets of fewer than 16 instances, which raise no alarm, took no read of the roster as proof that an owner has stopped. While the store was slow, scans of the roster overlapped, older ones were thrown away, and what a scan had shown was outdated (2.5 s) before the next one had ended. More than 128 instances needed several reads in a row.

The test fails on the code before.

One scan is in flight at a time and reads up to 400 rows. What it showed holds for 5 s, at any interval of the scans. Frequent scans go on until two of them are further apart than the silence timeout. A wrong result costs one needless takeover, since ownership changes by a write under a condition.

--- a/src/coordination/fleet_monitor.cc
+++ b/src/coordination/fleet_monitor.cc
@@ -17,8 +17,11 @@
 constexpr Duration kSearchTime = Duration::Seconds(4);
 // Smaller fleets read the whole roster every few seconds in any case.
 constexpr size_t kMinFleetSize = 16;
-// After this time, what a read of the roster showed is outdated.
-constexpr Duration kMaxScanAge = Duration::Milliseconds(2500);
+// After this time, what a read of the roster showed is outdated. Longer than a read of several pages may take while the
+// store is slow, so that what one read showed holds until the next one has ended.
+constexpr Duration kMaxScanAge = Duration::Seconds(5);
+// Two reads that are further apart than the silence timeout by this much show whether a row is renewed.
+constexpr Duration kSpanMargin = Duration::Milliseconds(500);
 
 }  // namespace
 
@@ -31,14 +34,14 @@
       m_alarm(store, scheduler, m_instance, seed),
       m_neighbor_monitor(store, scheduler, {kNeighborReadInterval, silence_timeout}) {
   m_roster->SetScannedCallback([this] { OnScanned(); });
-  m_alarm.SetRaisedCallback([this] { m_roster->ScanOften(kAlarmTime); });
+  m_alarm.SetRaisedCallback([this] { m_roster->ScanOften(kAlarmTime, m_silence_timeout + kSpanMargin); });
   m_neighbor_monitor.SetSilentCallback(
       [this](const std::string& silent, int64_t row_version) { OnSilent(silent, row_version); });
 }
 
 void FleetMonitor::OnSilent(const std::string& instance, int64_t row_version) {
   if (m_alarm.OnLost(instance, row_version) && m_roster->others().size() + 1 >= kMinFleetSize) {
-    m_roster->ScanOften(kSearchTime);
+    m_roster->ScanOften(kSearchTime, m_silence_timeout + kSpanMargin);
   }
 }
 
@@ -60,8 +63,8 @@
 }
 
 bool FleetMonitor::HasStopped(const std::string& instance, const std::string& incarnation, TimePoint since) const {
-  const bool is_current = m_roster->joined() && m_roster->scans_often() && m_roster->scan_began_at() >= since &&
-                          Now() - m_roster->scanned_at() <= kMaxScanAge;
+  const bool is_current =
+      m_roster->joined() && m_roster->scan_began_at() >= since && Now() - m_roster->scanned_at() <= kMaxScanAge;
   if (!is_current) {
     return false;
   }
--- a/src/coordination/fleet_monitor.h
+++ b/src/coordination/fleet_monitor.h
@@ -34,7 +34,7 @@
   bool IsLive(const RosterEntry& entry) const;
   // Includes this instance once it has read the rows of the others.
   std::vector<std::string> LiveInstances() const;
-  // While the roster is read often: a read that began after `since` showed that the process has ended or no longer
+  // One of the last reads of the roster, which began after `since`, showed that the process has ended or no longer
   // renews its row.
   bool HasStopped(const std::string& instance, const std::string& incarnation, TimePoint since) const;
 
--- a/src/coordination/roster.cc
+++ b/src/coordination/roster.cc
@@ -13,7 +13,8 @@
 constexpr int kTransactionIdBytes = 8;
 // How long Leave waits for the result of a renewal.
 constexpr Duration kMaxLeaveWait = Duration::Seconds(2);
-constexpr int kRowsPerScan = 128;
+// A larger fleet than this takes several reads, one after the other.
+constexpr int kRowsPerScan = 400;
 // A scan that ends later than planned by more than this number of renewal intervals was delayed, because the table
 // could not be read or written.
 constexpr int64_t kDelayedScanRenewals = 3;
@@ -43,14 +44,18 @@
   }
   WriteOwnRow();
   const TimePoint now = m_scheduler->clock().Now();
-  if (now >= m_next_scan_at || (scans_often() && now >= m_next_frequent_scan_at)) {
+  if (!m_scan_in_flight && (now >= m_next_scan_at || (scans_often() && now >= m_next_frequent_scan_at))) {
     Scan();
   }
 }
 
-void Roster::ScanOften(Duration time) {
+void Roster::ScanOften(Duration time, Duration least_span) {
   const bool begins = !scans_often();
-  m_scan_often_until = std::max(m_scan_often_until, m_scheduler->clock().Now() + time);
+  const TimePoint now = m_scheduler->clock().Now();
+  m_scan_often_until = std::max(m_scan_often_until, now + time);
+  if (begins) {
+    m_scan_often_span_end = now + least_span;
+  }
   if (begins && !m_leaving && !m_superseded) {
     Scan();
   }
@@ -121,16 +126,32 @@
 }
 
 void Roster::Scan() {
+  if (m_scan_in_flight) {
+    m_scan_again = true;
+    return;
+  }
+  m_scan_in_flight = true;
   const TimePoint now = m_scheduler->clock().Now();
   m_next_frequent_scan_at = now + kFrequentScanIntervalPerRow * static_cast<int64_t>(m_others.size());
   ScanAfter("", std::make_shared<std::vector<TableRow>>(), m_own_row_written, now);
 }
 
+void Roster::OnScanEnded() {
+  m_scan_in_flight = false;
+  if (std::exchange(m_scan_again, false) && !m_leaving && !m_superseded) {
+    Scan();
+  }
+}
+
 void Roster::ScanAfter(const std::string& after, const std::shared_ptr<std::vector<TableRow>>& rows,
                        bool own_row_written, TimePoint began_at) {
   m_store->Scan(kRosterPrefix, after, kRowsPerScan,
                 [this, rows, own_row_written, began_at, alive = std::weak_ptr<bool>(m_alive)](const ReadResult& read) {
-                  if (alive.expired() || !read.ok) {
+                  if (alive.expired()) {
+                    return;
+                  }
+                  if (!read.ok) {
+                    OnScanEnded();
                     return;
                   }
                   rows->insert(rows->end(), read.rows.begin(), read.rows.end());
@@ -138,16 +159,13 @@
                     ScanAfter(read.rows.back().key, rows, own_row_written, began_at);
                   } else {
                     OnScanned(*rows, own_row_written, began_at);
+                    OnScanEnded();
                   }
                 });
 }
 
 void Roster::OnScanned(const std::vector<TableRow>& rows, bool own_row_written, TimePoint began_at) {
   const TimePoint now = m_scheduler->clock().Now();
-  if (began_at < m_scan_began_at) {
-    // A scan that began later has ended earlier.
-    return;
-  }
   m_scan_began_at = began_at;
   // A row that did not change while the table could not be read or written does not show that its instance is silent.
   const bool scan_was_delayed = now > m_next_scan_at + m_options.renewal * kDelayedScanRenewals;
--- a/src/coordination/roster.h
+++ b/src/coordination/roster.h
@@ -53,9 +53,12 @@
   // Called each time the rows of all instances have been read.
   void SetScannedCallback(std::function<void()> callback) { m_scanned_callback = std::move(callback); }
   void Start();
-  // Reads the rows of the others now, and about once in each renewal interval for this time.
-  void ScanOften(Duration time);
-  bool scans_often() const { return m_scheduler->clock().Now() < m_scan_often_until; }
+  // Reads the rows of the others now, and about once in each renewal interval for this time. Goes on until a read has
+  // ended that began `least_span` or more after this call, so that slow reads can be compared, too.
+  void ScanOften(Duration time, Duration least_span);
+  bool scans_often() const {
+    return m_scheduler->clock().Now() < m_scan_often_until || m_scan_began_at < m_scan_often_span_end;
+  }
   // Removes this instance's row. The callback is called when the row is removed, or when the attempt has failed.
   void Leave(std::function<void()> callback);
   // Must be called with each list of instances that is read from the platform.
@@ -90,7 +93,9 @@
   void OnOwnRowWritten(int64_t renewal, const TransactResult& result);
   void OnOwnRowConflict(const TableRow& row);
   void RemoveOwnRow();
+  // At most one scan is in flight: a second one would only slow down a store that is slow already.
   void Scan();
+  void OnScanEnded();
   void ScanAfter(const std::string& after, const std::shared_ptr<std::vector<TableRow>>& rows, bool own_row_written,
                  TimePoint began_at);
   void OnScanned(const std::vector<TableRow>& rows, bool own_row_written, TimePoint began_at);
@@ -118,12 +123,16 @@
   bool m_superseded = false;
   bool m_leaving = false;
   bool m_write_in_flight = false;
+  bool m_scan_in_flight = false;
+  // Another scan begins when the one in flight ends.
+  bool m_scan_again = false;
   // When the next scan is planned.
   TimePoint m_next_scan_at;
   TimePoint m_scanned_at;
   TimePoint m_scan_began_at;
   // Until when the rows of the others are read often, and when the next such read may begin.
   TimePoint m_scan_often_until;
+  TimePoint m_scan_often_span_end;
   TimePoint m_next_frequent_scan_at;
   std::unique_ptr<Timer> m_timer;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/tests/coordination/fleet_monitor_test.cc
+++ b/tests/coordination/fleet_monitor_test.cc
@@ -19,6 +19,8 @@
 // Every instance that is left knows of the loss of all others within this time. Callers that wait for a batch job give
 // up after 12 s; the rest of the time is for taking it over and running its last items.
 constexpr Duration kLossKnown = Duration::Seconds(9);
+// While the store is slow, callers are promised service within this time after the loss of all instances.
+constexpr Duration kRecoveryTime = Duration::Seconds(15);
 
 // Instances with one table. Changes of the table of notices reach the others some milliseconds later.
 class Fleet {
@@ -37,6 +39,7 @@
   }
 
   void Advance(Duration time) { m_scheduler.Advance(time); }
+  void SetMaxReadDelay(Duration delay) { m_table.max_read_delay = delay; }
   TimePoint Now() const { return m_scheduler.Now(); }
   // Removes a share of the instances; returns their names.
   std::set<std::string> Lose(double share) {
@@ -199,6 +202,27 @@
   CHECK(fleet.Unknown(lost, lost_at) == 0);
 }
 
+// Guards against a bound that holds only at some moments between two reads of the roster, for some shares, or for
+// fleets of some sizes, and against reads that overlap or count as outdated before the next one has ended.
+TEST_CASE("losses are known in time at any phase of the reads of the roster, for any share and size") {
+  const auto [max_read_delay, bound] =
+      GENERATE(table<Duration, Duration>({{Duration(), kLossKnown}, {Duration::Seconds(2), kRecoveryTime}}));
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    Random random(seed);
+    const int size = 9 + static_cast<int>(random.Below(seed % 10 == 0 ? 390 : 141));
+    const double share = 0.05 + 0.93 * random.Uniform();
+    INFO("seed " << seed << ", " << size << " instances, lost share " << share << ", reads of up to "
+                 << max_read_delay.ms() << " ms");
+    Fleet fleet(size, seed);
+    fleet.SetMaxReadDelay(max_read_delay);
+    fleet.Advance(Duration::Milliseconds(4000 + static_cast<int64_t>(random.Below(40'000))));
+    const TimePoint lost_at = fleet.Now();
+    const std::set<std::string> lost = fleet.Lose(share);
+    fleet.Advance(bound);
+    CHECK(fleet.Unknown(lost, lost_at) == 0);
+  }
+}
+
 // Guards against losses that raise no alarm because the same instances had been reported a short time before, when they
 // were paused or the store was slow, and ran again since then (review case 2 on slow machines).
 TEST_CASE("the loss of instances that were paused before is known as fast as any other") {
--- a/tests/fakes/fake_table_store.h
+++ b/tests/fakes/fake_table_store.h
@@ -23,6 +23,8 @@
   // Faults to inject.
   bool unavailable = false;
   Duration latency = Duration::Milliseconds(1);
+  // A read takes up to this much longer, by a random amount.
+  Duration max_read_delay;
   double lost_response_probability = 0.0;
   // The responses to this many of the next transactions are lost.
   int responses_to_lose = 0;
@@ -118,6 +120,11 @@
   }
 
   ManualScheduler* scheduler() { return m_scheduler; }
+  Duration DrawReadDelay() {
+    return max_read_delay == Duration()
+               ? Duration()
+               : Duration::Milliseconds(static_cast<int64_t>(m_random.Below(static_cast<uint64_t>(max_read_delay.ms()))));
+  }
 
   bool ShouldLoseResponse() {
     if (responses_to_lose > 0) {
@@ -213,7 +220,7 @@
                                                   read = std::move(read), callback = std::move(callback)]() mutable {
       const Result result = read(table);
       if (!state.expired()) {
-        Respond<Result>(table->latency, result, std::move(callback));
+        Respond<Result>(table->latency + table->DrawReadDelay(), result, std::move(callback));
       }
     });
   }
