Bound the memory, connections and times that clients take

Cause: a process ran out of memory when many clients left chunked bodies unfinished, sent bodies over the limit, or read long responses slowly. Each connection was bounded, their sum was not.

Change: MemoryBudget has reclaimable shares. Each connection of an HttpServer has one, for the library's buffer, the copies of a body that is handled, and the unread response. Over the limit, holders are ended in the order of ChooseHolderToEnd. DivideResources works the limits out from the memory limit and the descriptors. At the limit of connections, or when accept finds no free descriptor, the longest idle connection is closed. The limits of the operator's configuration apply to the caller server.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -33,6 +33,7 @@
     {ErrorCode::kConflict, "conflict", 409},
     {ErrorCode::kBatchVoid, "batch_void", 409},
     {ErrorCode::kDraining, "draining", 503},
+    {ErrorCode::kMemoryExhausted, "memory_exhausted", 503},
     {ErrorCode::kInternal, "internal", 500},
 };
 
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -30,6 +30,7 @@
   kConflict,
   kBatchVoid,  // A fetched batch of rollout samples is no longer valid.
   kDraining,
+  kMemoryExhausted,
   kInternal,
 };
 
--- a/src/daemon/component_options.cc
+++ b/src/daemon/component_options.cc
@@ -7,8 +7,12 @@
 
 namespace {
 
+// Kernel buffer of each direction of a connection; the kernel doubles it. Bounds what one read can add to the memory of
+// a request, and what is kept for a client that does not read.
+constexpr int kSocketBufferBytes = 128 << 10;
+
 // LoadSettings has validated the address, so ParseIpPort returns a value.
-HttpServerOptions MakeServerOptions(const std::string& address, const Settings& settings) {
+HttpServerOptions MakeServerOptions(const std::string& address, const Settings& settings, MemoryBudget* memory) {
   const IpPort ip_port = ParseIpPort(address).value();
   HttpServerOptions options;
   options.ip = ip_port.ip;
@@ -16,6 +20,10 @@
   options.max_body_bytes = settings.limits.max_body_bytes;
   options.max_head_bytes = settings.limits.max_head_bytes;
   options.request_timeout = settings.limits.request_read_timeout;
+  options.response_piece_timeout = settings.limits.response_piece_timeout;
+  options.memory = memory;
+  options.handled_body_copies = kBodyCopies - 1;
+  options.socket_buffer_bytes = kSocketBufferBytes;
   return options;
 }
 
@@ -52,12 +60,15 @@
   return {settings.instance.latitude, settings.instance.longitude};
 }
 
-HttpServerOptions MakeAdminServerOptions(const Settings& settings) {
-  return MakeServerOptions(settings.listen.admin, settings);
+HttpServerOptions MakeAdminServerOptions(const Settings& settings, const ClientLimits& limits, MemoryBudget* memory) {
+  HttpServerOptions options = MakeServerOptions(settings.listen.admin, settings, memory);
+  options.max_connections = limits.other_connections;
+  return options;
 }
 
-HttpServerOptions MakeCallerServerOptions(const Settings& settings) {
-  HttpServerOptions options = MakeServerOptions(settings.listen.caller, settings);
+HttpServerOptions MakeCallerServerOptions(const Settings& settings, const ClientLimits& limits, MemoryBudget* memory) {
+  HttpServerOptions options = MakeServerOptions(settings.listen.caller, settings, memory);
+  options.max_connections = limits.caller_connections;
   options.tls_certificate_file = settings.listen.tls_certificate;
   options.tls_key_file = settings.listen.tls_key;
   return options;
--- a/src/daemon/component_options.h
+++ b/src/daemon/component_options.h
@@ -24,7 +24,7 @@
 ConfigLogOptions MakeConfigLogOptions(const Settings& settings, const std::string& incarnation);
 DispatcherOptions MakeDispatcherOptions(const Settings& settings, const Mechanisms& mechanisms);
 Location MakeLocation(const Settings& settings);
-HttpServerOptions MakeCallerServerOptions(const Settings& settings);
+HttpServerOptions MakeCallerServerOptions(const Settings& settings, const ClientLimits& limits, MemoryBudget* memory);
 RosterOptions MakeRosterOptions(const Settings& settings, const std::string& incarnation);
 MembershipOptions MakeMembershipOptions(const Settings& settings, const std::string& incarnation);
 DutyManagerOptions MakeDutyManagerOptions(const Settings& settings, const std::string& incarnation);
@@ -32,6 +32,6 @@
 UsageDutyOptions MakeUsageDutyOptions(const Settings& settings);
 CleanupOptions MakeCleanupOptions(const Settings& settings);
 UsageRecorderOptions MakeUsageRecorderOptions(const Settings& settings, const std::string& incarnation);
-HttpServerOptions MakeAdminServerOptions(const Settings& settings);
+HttpServerOptions MakeAdminServerOptions(const Settings& settings, const ClientLimits& limits, MemoryBudget* memory);
 
 }  // namespace quetzalridge
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -13,6 +13,7 @@
 #include "coordination/usage_recorder.h"
 #include "daemon/caller_api.h"
 #include "daemon/caller_http_handler.h"
+#include "daemon/client_limit_monitor.h"
 #include "daemon/component_options.h"
 #include "daemon/dispatched_sample_engine.h"
 #include "daemon/dispatcher.h"
@@ -99,8 +100,11 @@
                       &m_config, m_settings.timing.version_freshness),
         m_caller_front(&m_config, loop, &m_caller_api, &m_rollout_api),
         m_operator_api(&m_config, loop, m_settings.admin.token, MakeOperatorHooks()),
-        m_caller_server(loop, MakeCallerServerOptions(m_settings), &m_caller_front),
-        m_admin_server(loop, MakeAdminServerOptions(m_settings), &m_operator_api) {
+        m_client_limits(MakeClientLimits(m_settings)),
+        m_client_memory(m_client_limits.memory_bytes),
+        m_caller_server(loop, MakeCallerServerOptions(m_settings, m_client_limits, &m_client_memory), &m_caller_front),
+        m_admin_server(loop, MakeAdminServerOptions(m_settings, m_client_limits, &m_client_memory), &m_operator_api),
+        m_limit_monitor(loop, m_client_limits, &m_client_memory, {&m_caller_server, &m_admin_server}) {
     ConnectComponents();
     m_config.Start();
     m_roster.Start();
@@ -109,6 +113,7 @@
     m_endpoints.Start();
     m_load_exchange.Start();
     m_duty_set.Start();
+    m_limit_monitor.Start();
     Log(LogEvent::kDaemonStarted, m_settings.instance.id + " incarnation " + m_incarnation + " caller " +
                                       m_settings.listen.caller + " admin " + m_settings.listen.admin);
   }
@@ -182,7 +187,11 @@
 
   OperatorHooks MakeOperatorHooks() {
     OperatorHooks hooks;
-    hooks.metrics = [this] { return m_metrics.Text(); };
+    hooks.metrics = [this] {
+      Counters counters;
+      m_limit_monitor.SetCounters(&counters);
+      return m_metrics.Text() + counters.Text();
+    };
     hooks.burn = [this] { return m_metrics.BurnReportJson(); };
     hooks.status = [this] { return StatusJson(); };
     hooks.drain = [this] { BeginDrain(); };
@@ -313,8 +322,11 @@
   RolloutApi m_rollout_api;
   CallerHttpHandler m_caller_front;
   OperatorApi m_operator_api;
+  ClientLimits m_client_limits;
+  MemoryBudget m_client_memory;
   HttpServer m_caller_server;
   HttpServer m_admin_server;
+  ClientLimitMonitor m_limit_monitor;
   bool m_draining = false;
   bool m_rollouts_drained = false;
   bool m_duties_drained = false;
--- a/src/daemon/quetzalridged_main.cc
+++ b/src/daemon/quetzalridged_main.cc
@@ -6,6 +6,7 @@
 
 #include "base/error.h"
 #include "base/log_event.h"
+#include "base/process_memory.h"
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
 
@@ -35,6 +36,7 @@
 }
 
 int Serve(const Settings& settings) {
+  SetUpProcessMemory();
   EventLoop loop;
   Daemon daemon(&loop, settings);
   while (!daemon.drained()) {
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -119,6 +119,9 @@
       StringField("admin.token", &s->admin.token, false),
       IntField("limits.max_body_bytes", &s->limits.max_body_bytes, 1024, 64 << 20),
       IntField("limits.max_head_bytes", &s->limits.max_head_bytes, 1024, 256 << 10),
+      IntField("limits.memory_mb", &s->limits.memory_mb, 64, 1 << 20),
+      IntField("limits.max_descriptors", &s->limits.max_descriptors, 256, 1 << 20),
+      DurationField("limits.response_piece_timeout_ms", &s->limits.response_piece_timeout, 100, kHourMs),
       DurationField("limits.request_read_timeout_ms", &s->limits.request_read_timeout, 100, kHourMs),
       DurationField("limits.connect_timeout_ms", &s->limits.connect_timeout, 10, kHourMs),
       DurationField("limits.first_token_timeout_ms", &s->limits.first_token_timeout, 10, kHourMs),
@@ -149,6 +152,12 @@
   if (s.listen.tls_certificate.empty() != s.listen.tls_key.empty()) {
     errors->push_back("listen.tls_certificate and listen.tls_key go together; give both or neither");
   }
+  const ClientLimits client_limits = MakeClientLimits(s);
+  if (static_cast<size_t>(s.limits.max_body_bytes) > client_limits.max_body_bytes) {
+    errors->push_back("limits.max_body_bytes must be at most " + std::to_string(client_limits.max_body_bytes) +
+                      " with this limits.memory_mb, since a body is held " + std::to_string(kBodyCopies) +
+                      " times; lower it or raise limits.memory_mb");
+  }
   if (s.timing.lease_renewal * 2 > s.timing.lease_ttl) {
     errors->push_back("timing.lease_renewal_ms must be at most half of timing.lease_ttl_ms; lower it");
   }
@@ -208,6 +217,12 @@
 
 }  // namespace
 
+ClientLimits MakeClientLimits(const Settings& settings) {
+  constexpr size_t kBytesPerMb = 1 << 20;
+  const size_t memory_bytes = static_cast<size_t>(settings.limits.memory_mb) * kBytesPerMb;
+  return DivideResources(memory_bytes, memory_bytes / kResponseMemoryFraction, settings.limits.max_descriptors);
+}
+
 Settings ParseSettings(const std::string& text) {
   Json json;
   try {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log_event.h"
+#include "state/client_limits.h"
 
 namespace quetzalridge {
 
@@ -42,7 +43,11 @@
   struct Limits {
     int max_body_bytes = 1 << 20;
     int max_head_bytes = 32 << 10;
+    // Of the process. They bound what all clients together can make it hold.
+    int memory_mb = 256;
+    int max_descriptors = 1024;
     Duration request_read_timeout = Duration::Seconds(10);
+    Duration response_piece_timeout = Duration::Seconds(30);
     Duration connect_timeout = Duration::Seconds(1);
     Duration first_token_timeout = Duration::Seconds(30);
     Duration token_gap_timeout = Duration::Seconds(10);
@@ -99,4 +104,7 @@
 Settings LoadSettings(const std::string& file);
 std::vector<SettingsKey> SettingsKeys();
 
+// What clients can make the process hold, from the limits of the process.
+ClientLimits MakeClientLimits(const Settings& settings);
+
 }  // namespace quetzalridge
--- a/src/state/memory_budget.h
+++ b/src/state/memory_budget.h
@@ -1,12 +1,22 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "base/clock.h"
+#include "state/memory_holder_choice.h"
 
 namespace quetzalridge {
 
 // Bounds the sum of the memory that the holders of a kind of data take, such as all responses that are being received.
-// A holder that may not grow gives up what it holds. Once the sum exceeds the limit, those that hold more than an equal
-// part of the limit may not grow; once it exceeds twice the limit, none may.
+// Two kinds of holders may share one budget:
+// * The holder of a Share that may not grow gives up what it holds. Once the sum exceeds the limit, those that hold
+// more
+//   than an equal part of the limit may not grow; once it exceeds twice the limit, none may.
+// * The growth of a ReclaimableShare ends holders of such shares, in the order of ChooseHolderToEnd, until the sum is
+//   within the limit.
 class MemoryBudget {
  public:
   explicit MemoryBudget(size_t limit) : m_limit(limit) {}
@@ -32,17 +42,69 @@
     size_t m_bytes = 0;
   };
 
+  // The memory of one holder that can be ended in favour of others. The budget, if there is one, must outlive it.
+  class ReclaimableShare {
+   public:
+    // `end` frees the memory of the holder now or soon. It may destroy the share, and must not resize other shares.
+    ReclaimableShare(MemoryBudget* budget, HolderKind kind, std::function<void()> end);
+    ~ReclaimableShare();
+    ReclaimableShare(const ReclaimableShare&) = delete;
+    ReclaimableShare& operator=(const ReclaimableShare&) = delete;
+
+    // Records the number of bytes that the holder has now. If the holder grows and the sum exceeds the limit, other
+    // holders are ended. Returns false if this holder is the one to be ended, or if there is no other to end.
+    [[nodiscard]] bool Resize(size_t bytes, TimePoint now);
+    // Records the number of bytes without ending any holder.
+    void Record(size_t bytes) { Set(bytes); }
+    void MarkProgress(TimePoint now) { m_progress_at = now; }
+    // A protected holder waits for this service and not for its client, and is not ended.
+    void SetProtected(bool is_protected) { m_protected = is_protected; }
+    // The holder is about to free its memory, which no longer counts against the others.
+    void MarkEnding();
+    size_t bytes() const { return m_bytes; }
+
+   private:
+    friend class MemoryBudget;
+    void Set(size_t bytes);
+
+    MemoryBudget* m_budget;
+    HolderKind m_kind;
+    std::function<void()> m_end;
+    size_t m_bytes = 0;
+    TimePoint m_progress_at;
+    bool m_protected = false;
+    bool m_ending = false;
+    // The position in MemoryBudget::m_reclaimable while the share is not empty.
+    size_t m_position = 0;
+  };
+
   size_t used() const { return m_used; }
   size_t limit() const { return m_limit; }
+  // The largest sum since the budget was created.
+  size_t peak() const { return m_peak; }
   // Number of times that a holder was told to give up what it holds.
   int rejections() const { return m_rejections; }
+  // Number of holders that were ended in favour of others.
+  int64_t holders_ended() const { return m_holders_ended; }
 
  private:
+  void SetUsed(size_t used);
+  void AddReclaimable(ReclaimableShare* share);
+  void RemoveReclaimable(ReclaimableShare* share);
+  // Returns false if the requester is the holder to end, or if there is none.
+  bool EndHolders(ReclaimableShare* requester, TimePoint now);
+
   size_t m_limit;
   size_t m_used = 0;
+  size_t m_peak = 0;
+  // The part of m_used that holders are about to free.
+  size_t m_ending = 0;
   // Number of shares that are not empty.
   size_t m_holders = 0;
+  // The reclaimable shares that are not empty.
+  std::vector<ReclaimableShare*> m_reclaimable;
   int m_rejections = 0;
+  int64_t m_holders_ended = 0;
 };
 
 }  // namespace quetzalridge
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -88,6 +88,7 @@
 struct CallerLimits {
   int64_t max_head_bytes = 16 << 10;
   int64_t max_body_bytes = 1 << 20;
+  Duration head_timeout = Duration::Seconds(15);
   Duration idle_timeout = Duration::Seconds(15);
 };
 
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -6,13 +6,21 @@
 #include <netinet/tcp.h>
 #include <openssl/err.h>
 #include <openssl/ssl.h>
+#include <poll.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
+#include <limits>
+#include <list>
 #include <map>
 #include <new>
+#include <optional>
+#include <set>
 #include <stdexcept>
 #include <vector>
 
@@ -28,6 +36,28 @@
 constexpr int kStatusPayloadTooLarge = 413;
 // The HTTP library closes a late connection without an answer; it does so this much after the server's own answer.
 constexpr Duration kLibraryGrace = Duration::Seconds(1);
+// A response is handed to the HTTP library in pieces of at most this size, since the library reports progress only at
+// the end of a piece.
+constexpr size_t kMaxPieceBytes = 128 << 10;
+// A connection makes progress when it has received this many bytes. Fewer do not count, or a client could hold much
+// memory by sending a byte now and then.
+constexpr size_t kProgressBytes = 4 << 10;
+// Unread parts of a response up to this size are charged, but end no other holder, so that streams of small events are
+// not cut while large requests take the whole budget.
+constexpr size_t kSmallResponseBytes = 16 << 10;
+// A buffer of this size and more is a mapping of its own (see SetUpProcessMemory), of which only the pages that were
+// written to take memory.
+constexpr size_t kMappedBufferBytes = 256 << 10;
+// Time for which accept waits after it has failed for want of descriptors.
+constexpr Duration kAcceptPause = Duration::Milliseconds(50);
+// The `retry-after` sent when memory is short. Holders that stand still are ended first, so memory is soon free again.
+constexpr Duration kMemoryRetryAfter = Duration::Milliseconds(500);
+// At most this many bytes of a refused request are read before its connection is closed. Unread bytes would make the
+// kernel send a reset, which can overtake the answer.
+constexpr size_t kMaxDiscardedBytes = 1 << 20;
+constexpr size_t kDiscardBytes = 16 << 10;
+constexpr char kBodyTooLargeText[] = "the body is larger than this server accepts; send a smaller one";
+constexpr char kMemoryText[] = "the memory for requests is used up; send the request again later";
 
 std::string ToString(const h2o_iovec_t& iovec) {
   return std::string(iovec.base, iovec.len);
@@ -37,7 +67,11 @@
 // has gone; m_request is null from then on.
 class H2oResponder : public HttpResponder {
  public:
-  explicit H2oResponder(h2o_req_t* request) : m_request(request) {
+  // Called when the size of the unread response changes; `progressed` is set when the client has taken a piece.
+  using OutputCallback = std::function<void(size_t pending_bytes, bool progressed)>;
+
+  H2oResponder(h2o_req_t* request, const Clock* clock, OutputCallback on_output)
+      : m_request(request), m_clock(clock), m_on_output(std::move(on_output)) {
     m_generator.base.proceed = &OnProceed;
     m_generator.base.stop = &OnStop;
     m_generator.owner = this;
@@ -51,7 +85,7 @@
     StartResponse(status, headers);
     m_pending = std::move(body);
     m_ended = true;
-    Flush();
+    FlushAndReport();
   }
 
   void Start(int status, HttpHeaders headers) override {
@@ -67,7 +101,7 @@
       return;
     }
     m_pending.append(data);
-    Flush();
+    FlushAndReport();
   }
 
   void End() override {
@@ -104,6 +138,22 @@
     Abort();
   }
 
+  // Ends the response of a client that does not read it.
+  void Cut() {
+    if (m_request == nullptr) {
+      return;
+    }
+    h2o_socket_t* socket = m_request->conn->callbacks->get_socket(m_request->conn);
+    shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    RunCloseCallback();
+    Abort();
+  }
+
+  // Whether the client has taken no piece of the response for this long.
+  bool IsStalled(Duration limit) const {
+    return m_request != nullptr && m_sending && m_clock->Now() - m_piece_started_at >= limit;
+  }
+
   bool closed() const override { return m_request == nullptr; }
   bool started() const override { return m_started; }
   size_t pending_bytes() const override { return m_pending.size() + m_in_flight.size(); }
@@ -112,6 +162,7 @@
   // h2o calls this when the request's memory goes.
   void OnDisposed() {
     m_request = nullptr;
+    m_on_output = nullptr;
     if (!m_final_sent) {
       RunCloseCallback();
     }
@@ -127,13 +178,18 @@
   static void OnProceed(h2o_generator_t* self, h2o_req_t*) {
     H2oResponder* owner = reinterpret_cast<Generator*>(self)->owner;
     owner->m_sending = false;
-    owner->m_in_flight.clear();
+    if (owner->m_handed_over == owner->m_in_flight.size()) {
+      owner->m_in_flight = std::string();
+      owner->m_handed_over = 0;
+    }
     owner->Flush();
+    owner->ReportOutput(true);
   }
 
   static void OnStop(h2o_generator_t* self, h2o_req_t*) {
     H2oResponder* owner = reinterpret_cast<Generator*>(self)->owner;
     owner->m_request = nullptr;
+    owner->m_on_output = nullptr;
     owner->RunCloseCallback();
   }
 
@@ -171,25 +227,47 @@
     if (m_request == nullptr || !m_started || m_sending || m_final_sent) {
       return;
     }
-    if (m_pending.empty() && !m_ended && m_head_sent) {
+    if (m_aborted || m_handed_over == m_in_flight.size()) {
+      m_in_flight = std::move(m_pending);
+      m_pending = std::string();
+      m_handed_over = 0;
+    }
+    const size_t piece = std::min(kMaxPieceBytes, m_in_flight.size() - m_handed_over);
+    if (piece == 0 && !m_ended && m_head_sent) {
       return;
     }
+    h2o_iovec_t buffer = h2o_iovec_init(m_in_flight.data() + m_handed_over, piece);
     m_head_sent = true;
     m_sending = true;
-    m_in_flight = std::move(m_pending);
-    m_pending.clear();
-    m_final_sent = m_ended;
+    m_piece_started_at = m_clock->Now();
+    m_handed_over += piece;
+    m_final_sent = m_ended && m_handed_over == m_in_flight.size() && m_pending.empty();
     const h2o_send_state_t state =
-        m_aborted ? H2O_SEND_STATE_ERROR : (m_ended ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
-    h2o_iovec_t buffer = h2o_iovec_init(m_in_flight.data(), m_in_flight.size());
-    h2o_send(m_request, &buffer, m_in_flight.empty() ? 0 : 1, state);
+        m_aborted ? H2O_SEND_STATE_ERROR : (m_final_sent ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+    h2o_send(m_request, &buffer, piece == 0 ? 0 : 1, state);
+  }
+
+  void FlushAndReport() {
+    Flush();
+    ReportOutput(false);
+  }
+
+  void ReportOutput(bool progressed) {
+    if (m_on_output) {
+      m_on_output(pending_bytes(), progressed);
+    }
   }
 
   h2o_req_t* m_request;
+  const Clock* m_clock;
+  OutputCallback m_on_output;
   Generator m_generator{};
   std::function<void()> m_close_callback;
   std::string m_pending;
   std::string m_in_flight;
+  // The part of m_in_flight that h2o has been given, in pieces.
+  size_t m_handed_over = 0;
+  TimePoint m_piece_started_at;
   bool m_started = false;
   bool m_head_sent = false;
   bool m_sending = false;
@@ -198,15 +276,15 @@
   bool m_final_sent = false;
 };
 
-// One accepted connection, between its accept and its close.
-struct Connection {
-  h2o_socket_t* socket = nullptr;
-  // Bytes read when the present request could begin.
-  size_t bytes_before = 0;
-  // No further request of this connection is run.
-  bool refused = false;
-  // Runs while a whole request is awaited.
-  std::unique_ptr<Timer> deadline;
+// What a connection is doing.
+enum class ConnectionState {
+  kHandshake,
+  // No byte of the next request has arrived.
+  kIdle,
+  kHead,
+  kBody,
+  // The request is whole, and its response is not complete.
+  kHandling,
 };
 
 // Keeps the responder alive in the request's memory pool until h2o disposes the request.
@@ -246,10 +324,9 @@
 
 void SetUpRefusal(h2o_filter_t*, h2o_req_t* request, h2o_ostream_t** slot) {
   const bool too_large = request->res.status == kStatusPayloadTooLarge;
-  const std::string body = EncodeErrorBody(too_large ? ErrorCode::kPayloadTooLarge : ErrorCode::kInvalidRequest,
-                                           too_large ? "the body is larger than this server accepts; send a smaller one"
-                                                     : "the request is not valid HTTP/1.1; check its framing headers",
-                                           RequestRan::kNo);
+  const std::string body = EncodeErrorBody(
+      too_large ? ErrorCode::kPayloadTooLarge : ErrorCode::kInvalidRequest,
+      too_large ? kBodyTooLargeText : "the request is not valid HTTP/1.1; check its framing headers", RequestRan::kNo);
   auto* stream = reinterpret_cast<RefusalStream*>(h2o_add_ostream(request, sizeof(RefusalStream), slot));
   stream->base.do_send = &SendRefusal;
   stream->body = h2o_strdup(&request->pool, body.data(), body.size());
@@ -279,9 +356,33 @@
   return result;
 }
 
+// The memory that the buffer takes.
+size_t BufferBytes(const h2o_buffer_t* buffer) {
+  if (buffer->bytes == nullptr) {
+    return 0;
+  }
+  const size_t written = static_cast<size_t>(buffer->bytes - buffer->_buf) + buffer->size;
+  return buffer->capacity < kMappedBufferBytes ? buffer->capacity : std::min(buffer->capacity, written);
+}
+
+// The size of the head, if it ends in the data. `searched` is the part that was searched before.
+std::optional<size_t> FindHeadEnd(std::string_view data, size_t searched) {
+  constexpr size_t kOverlap = 3;
+  const size_t from = searched > kOverlap ? searched - kOverlap : 0;
+  for (size_t end = data.find('\n', from); end != std::string_view::npos; end = data.find('\n', end + 1)) {
+    const std::string_view rest = data.substr(end + 1, 2);
+    if (rest.substr(0, 1) == "\n" || rest == "\r\n") {
+      return end + 1 + (rest[0] == '\n' ? 1 : 2);
+    }
+  }
+  return std::nullopt;
+}
+
 SSL_CTX* CreateTlsContext(const HttpServerOptions& options) {
   SSL_CTX* context = SSL_CTX_new(TLS_server_method());
   SSL_CTX_set_min_proto_version(context, TLS1_2_VERSION);
+  // An idle connection keeps no buffers, which would take about 34 KB.
+  SSL_CTX_set_mode(context, SSL_MODE_RELEASE_BUFFERS);
   if (SSL_CTX_use_certificate_chain_file(context, options.tls_certificate_file.c_str()) != 1 ||
       SSL_CTX_use_PrivateKey_file(context, options.tls_key_file.c_str(), SSL_FILETYPE_PEM) != 1 ||
       SSL_CTX_check_private_key(context) != 1) {
@@ -294,13 +395,26 @@
 
 }  // namespace
 
+HttpServerCounts& HttpServerCounts::operator+=(const HttpServerCounts& other) {
+  closed_for_memory += other.closed_for_memory;
+  refused_for_memory += other.refused_for_memory;
+  closed_for_connections += other.closed_for_connections;
+  not_accepted += other.not_accepted;
+  too_large += other.too_large;
+  late_requests += other.late_requests;
+  late_readers += other.late_readers;
+  return *this;
+}
+
 class HttpServer::Impl {
  public:
   Impl(EventLoop* loop, HttpServerOptions options, HttpHandler* handler)
       : m_loop(loop), m_options(std::move(options)), m_handler(handler) {
     h2o_config_init(&m_config);
     m_config.max_request_entity_size = m_options.max_body_bytes;
-    m_config.http1.req_timeout = (m_options.request_timeout + (AnswersLate() ? kLibraryGrace : Duration())).ms();
+    m_config.http1.req_timeout = LibraryTimeoutMs();
+    // Instances have no disk; by default, h2o moves buffers of 32 MB and more to a file.
+    h2o_socket_buffer_mmap_settings.threshold = std::numeric_limits<size_t>::max();
     m_config.http1.upgrade_to_http2 = 0;
     m_config.server_name = h2o_iovec_init(H2O_STRLIT("quetzalridge"));
     h2o_hostconf_t* host = h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -322,10 +436,27 @@
   }
 
   // The h2o context stays, since connections may still refer to it; servers live as long as the process.
-  ~Impl() { CloseListener(); }
+  ~Impl() {
+    CloseListener();
+    for (const auto& [socket, connection] : m_connections) {
+      if (socket->_cb.read == &OnRead) {
+        socket->_cb.read = connection->read_callback;
+      }
+      socket->on_close.cb = nullptr;
+    }
+  }
 
   int port() const { return m_port; }
 
+  void SetLimits(const HttpServerLimits& limits) {
+    static_cast<HttpServerLimits&>(m_options) = limits;
+    m_config.max_request_entity_size = limits.max_body_bytes;
+    m_config.http1.req_timeout = LibraryTimeoutMs();
+    m_context.http1.req_timeout.timeout = m_config.http1.req_timeout;
+  }
+
+  const HttpServerCounts& counts() const { return m_counts; }
+
   void BeginShutdown() {
     CloseListener();
     StopKeepAlive();
@@ -358,16 +489,24 @@
   static int OnRequest(h2o_handler_t* self, h2o_req_t* request) {
     Impl* owner = reinterpret_cast<RequestHandler*>(self)->owner;
     h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
-    auto responder = std::make_shared<H2oResponder>(request);
+    const auto found = owner->m_connections.find(socket);
+    Connection* connection = found == owner->m_connections.end() ? nullptr : found->second.get();
+    H2oResponder::OutputCallback on_output;
+    if (connection != nullptr) {
+      on_output = [owner, connection](size_t pending_bytes, bool progressed) {
+        owner->OnOutput(connection, pending_bytes, progressed);
+      };
+    }
+    auto responder = std::make_shared<H2oResponder>(request, &owner->m_loop->clock(), std::move(on_output));
     void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ResponderHolder), &DisposeHolder);
     ++owner->m_active_requests;
     new (memory) ResponderHolder{responder, [owner, socket] {
                                    --owner->m_active_requests;
-                                   owner->AwaitRequest(socket);
+                                   owner->OnResponseEnd(socket);
                                  }};
     owner->Watch(responder);
     try {
-      owner->Handle(request, socket, responder);
+      owner->Handle(request, connection, responder);
     } catch (const std::exception& error) {
       // A C frame is above; no exception may pass through it.
       SendError(responder.get(), ErrorCode::kInternal, std::string(error.what()) + "; report it", RequestRan::kUnknown);
@@ -375,66 +514,372 @@
     return 0;
   }
 
-  static void SendError(H2oResponder* responder, ErrorCode code, const std::string& message, RequestRan ran) {
-    responder->Send(ErrorCodeHttpStatus(code), {{"content-type", "application/json"}},
-                    EncodeErrorBody(code, message, ran));
+  // One accepted connection, between its accept and its close.
+  struct Connection {
+    Connection(Impl* impl, h2o_socket_t* accepted)
+        : owner(impl),
+          socket(accepted),
+          share(impl->m_options.memory, impl->m_options.holder_kind, [this] { owner->EndForMemory(this); }) {}
+    Impl* owner;
+    h2o_socket_t* socket;
+    ConnectionState state = ConnectionState::kIdle;
+    // The function of the HTTP library that OnRead stands in for.
+    h2o_socket_cb read_callback = nullptr;
+    // No further request of this connection is run.
+    bool refused = false;
+    // Runs while a whole request is awaited.
+    std::unique_ptr<Timer> deadline;
+    TimePoint request_started_at;
+    TimePoint progress_at;
+    // The socket's bytes_read at the last progress.
+    size_t bytes_at_progress = 0;
+    // The part of a head that was searched for its end.
+    size_t searched = 0;
+    // The size of the head in the state kBody.
+    size_t head_bytes = 0;
+    // The memory of the request that is being handled, with its copies.
+    size_t request_bytes = 0;
+    // The response that is due.
+    std::weak_ptr<H2oResponder> responder;
+    MemoryBudget::ReclaimableShare share;
+    // The position in m_idle in the state kIdle.
+    std::list<Connection*>::iterator idle_position;
+  };
+
+  static void SendError(H2oResponder* responder, ErrorCode code, const std::string& message, RequestRan ran,
+                        HttpHeaders headers = {}, Duration retry_after = Duration()) {
+    headers.push_back({"content-type", "application/json"});
+    responder->Send(ErrorCodeHttpStatus(code), std::move(headers),
+                    EncodeErrorBody(code, message, ran, retry_after.ms()));
   }
 
-  void Handle(h2o_req_t* request, h2o_socket_t* socket, const std::shared_ptr<H2oResponder>& responder) {
-    const auto connection = m_connections.find(socket);
-    if (connection != m_connections.end()) {
-      connection->second->deadline.reset();
-      if (connection->second->refused) {
+  static std::string RetryAfterText(Duration duration) {
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f", static_cast<double>(duration.ms()) / 1000.0);
+    return text;
+  }
+
+  // `connection` is null if the server does not know the connection any more.
+  void Handle(h2o_req_t* request, Connection* connection, const std::shared_ptr<H2oResponder>& responder) {
+    if (connection != nullptr) {
+      connection->deadline.reset();
+      SetState(connection, ConnectionState::kHandling);
+      connection->responder = responder;
+      if (connection->refused) {
         responder->Abort();
         return;
       }
     }
     if (HeadBytes(request) > m_options.max_head_bytes) {
+      ++m_counts.too_large;
       request->http1_is_persistent = 0;
-      SendError(responder.get(), ErrorCode::kPayloadTooLarge,
-                "the request line and headers are larger than " + std::to_string(m_options.max_head_bytes) +
-                    " bytes; send fewer or shorter headers",
-                RequestRan::kNo);
+      SendError(responder.get(), ErrorCode::kPayloadTooLarge, HeadTooLargeText(), RequestRan::kNo);
+      return;
+    }
+    if (request->entity.len > m_options.max_body_bytes) {
+      ++m_counts.too_large;
+      request->http1_is_persistent = 0;
+      SendError(responder.get(), ErrorCode::kPayloadTooLarge, kBodyTooLargeText, RequestRan::kNo);
+      return;
+    }
+    if (connection != nullptr && !ChargeRequest(connection, request->entity.len)) {
+      ++m_counts.refused_for_memory;
+      request->http1_is_persistent = 0;
+      SendError(responder.get(), ErrorCode::kMemoryExhausted, kMemoryText, RequestRan::kNo,
+                {{"retry-after", RetryAfterText(kMemoryRetryAfter)}}, kMemoryRetryAfter);
       return;
     }
     m_handler->OnRequest(ReadRequest(request), responder);
   }
 
-  // The answer is written to the socket past the HTTP library, which is possible without TLS only.
-  bool AnswersLate() const { return m_options.tls_certificate_file.empty(); }
+  // Charges the copies of the body that handling it makes. Returns false if there is no memory for them.
+  bool ChargeRequest(Connection* connection, size_t body_bytes) {
+    const TimePoint now = m_loop->clock().Now();
+    const size_t buffer_bytes = BufferBytes(connection->socket->input);
+    connection->request_bytes = buffer_bytes + m_options.handled_body_copies * body_bytes;
+    connection->share.MarkProgress(now);
+    if (!connection->share.Resize(connection->request_bytes, now)) {
+      connection->request_bytes = buffer_bytes;
+      connection->share.Record(buffer_bytes);
+      return false;
+    }
+    connection->share.SetProtected(true);
+    return true;
+  }
+
+  std::string HeadTooLargeText() const {
+    return "the request line and headers are larger than " + std::to_string(m_options.max_head_bytes) +
+           " bytes; send fewer or shorter headers";
+  }
+
+  // An answer may be written to the socket past the HTTP library, which is possible without TLS only.
+  bool AnswersEarly() const { return m_options.tls_certificate_file.empty(); }
 
-  // A whole request must follow within the timeout, however slowly it comes.
-  void AwaitRequest(h2o_socket_t* socket) {
+  // The library's own timeout closes without an answer; it counts from the end of the request before.
+  uint64_t LibraryTimeoutMs() const {
+    return static_cast<uint64_t>((IdleTimeout() + HeadTimeout() + m_options.request_timeout + kLibraryGrace).ms());
+  }
+
+  Duration HeadTimeout() const {
+    return m_options.head_timeout > Duration() ? m_options.head_timeout : m_options.request_timeout;
+  }
+
+  Duration IdleTimeout() const {
+    return m_options.idle_timeout > Duration() ? m_options.idle_timeout : m_options.request_timeout;
+  }
+
+  void SetState(Connection* connection, ConnectionState state) {
+    if (connection->state == ConnectionState::kIdle) {
+      m_idle.erase(connection->idle_position);
+    }
+    connection->state = state;
+    if (state == ConnectionState::kIdle) {
+      connection->idle_position = m_idle.insert(m_idle.end(), connection);
+    }
+  }
+
+  void ArmDeadline(Connection* connection, TimePoint deadline) {
+    connection->deadline = m_loop->After(deadline - m_loop->clock().Now(), [this, connection] { OnLate(connection); });
+  }
+
+  // The library goes on to read the next request only after this call, so the read function is replaced later.
+  void OnResponseEnd(h2o_socket_t* socket) {
     const auto found = m_connections.find(socket);
-    if (found == m_connections.end() || !AnswersLate()) {
+    if (found == m_connections.end()) {
       return;
     }
     Connection* connection = found->second.get();
-    connection->bytes_before = socket->bytes_read;
-    connection->deadline = m_loop->After(m_options.request_timeout, [this, connection] { OnLate(connection); });
+    SetLibraryBodyLimit(connection);
+    connection->request_bytes = 0;
+    connection->share.Record(0);
+    connection->share.SetProtected(false);
+    BecomeIdle(connection);
+    m_unwrapped.insert(connection);
+    if (m_wrap_timer == nullptr) {
+      m_wrap_timer = m_loop->After(Duration(), [this] { WrapReads(); });
+    }
+  }
+
+  void BecomeIdle(Connection* connection) {
+    const TimePoint now = m_loop->clock().Now();
+    SetState(connection, ConnectionState::kIdle);
+    connection->progress_at = now;
+    connection->bytes_at_progress = connection->socket->bytes_read;
+    ArmDeadline(connection, now + IdleTimeout());
+  }
+
+  void WrapReads() {
+    m_wrap_timer.reset();
+    // A connection that is closed meanwhile is removed from the set.
+    while (!m_unwrapped.empty()) {
+      Connection* connection = *m_unwrapped.begin();
+      m_unwrapped.erase(m_unwrapped.begin());
+      WrapRead(connection);
+      OnInput(connection);
+    }
+  }
+
+  // The library reports neither the size of an unfinished request nor its progress. The function that it calls for each
+  // read is therefore replaced by OnRead, which calls it and then looks at the buffer.
+  void WrapRead(Connection* connection) {
+    h2o_socket_t* socket = connection->socket;
+    if (socket->_cb.read != nullptr && socket->_cb.read != &OnRead) {
+      connection->read_callback = socket->_cb.read;
+      socket->_cb.read = &OnRead;
+    }
+  }
+
+  static void OnRead(h2o_socket_t* socket, const char* error) {
+    auto* connection = static_cast<Connection*>(socket->on_close.data);
+    Impl* owner = connection->owner;
+    owner->m_reading = connection;
+    owner->SetLibraryBodyLimit(connection);
+    connection->read_callback(socket, error);
+    // The call may have closed the connection, which sets m_reading to null.
+    if (owner->m_reading == nullptr) {
+      return;
+    }
+    owner->m_reading = nullptr;
+    owner->WrapRead(connection);
+    owner->OnInput(connection);
+  }
+
+  // The library compares the limit with the announced length of a body, but that of a chunked body with all that it has
+  // received, of which the head is a part. So a chunked body gets room for the head; OnInput and Handle compare its
+  // exact length. If more than the limit has arrived with the head, it may be either, and the room does not matter to
+  // an announced body.
+  void SetLibraryBodyLimit(const Connection* connection) {
+    const bool has_room =
+        connection->state == ConnectionState::kBody || connection->socket->input->size > m_options.max_body_bytes;
+    m_config.max_request_entity_size = m_options.max_body_bytes + (has_room ? m_options.max_head_bytes : 0);
+  }
+
+  // Follows the state of the request that is being received, and charges its memory.
+  void OnInput(Connection* connection) {
+    h2o_socket_t* socket = connection->socket;
+    if (connection->state == ConnectionState::kHandling) {
+      return;
+    }
+    if (connection->refused) {
+      connection->share.Record(BufferBytes(socket->input));
+      return;
+    }
+    const TimePoint now = m_loop->clock().Now();
+    const h2o_buffer_t* input = socket->input;
+    if (!h2o_socket_is_reading(socket)) {
+      // The library refuses the request by itself. It closes the connection after its answer.
+      ++m_counts.too_large;
+      connection->refused = true;
+      SetState(connection, ConnectionState::kBody);
+      connection->share.Record(BufferBytes(input));
+      return;
+    }
+    if (connection->state == ConnectionState::kIdle && input->size > 0) {
+      SetState(connection, ConnectionState::kHead);
+      connection->request_started_at = now;
+      connection->progress_at = now;
+      connection->share.MarkProgress(now);
+      connection->searched = 0;
+      ArmDeadline(connection, now + HeadTimeout());
+    }
+    if (connection->state == ConnectionState::kHead) {
+      if (const std::optional<size_t> head = FindHeadEnd({input->bytes, input->size}, connection->searched)) {
+        connection->head_bytes = *head;
+        SetState(connection, ConnectionState::kBody);
+        ArmDeadline(connection, connection->request_started_at + m_options.request_timeout);
+      } else if (input->size > m_options.max_head_bytes) {
+        ++m_counts.too_large;
+        RefuseAndClose(connection, ErrorCode::kPayloadTooLarge, HeadTooLargeText(), Duration());
+        return;
+      }
+      connection->searched = input->size;
+    }
+    if (connection->state == ConnectionState::kBody &&
+        input->size > connection->head_bytes + m_options.max_body_bytes) {
+      ++m_counts.too_large;
+      RefuseAndClose(connection, ErrorCode::kPayloadTooLarge, kBodyTooLargeText, Duration());
+      return;
+    }
+    if (socket->bytes_read >= connection->bytes_at_progress + kProgressBytes) {
+      connection->bytes_at_progress = socket->bytes_read;
+      connection->progress_at = now;
+      connection->share.MarkProgress(now);
+    }
+    if (!connection->share.Resize(BufferBytes(input), now)) {
+      ++m_counts.closed_for_memory;
+      RefuseAndClose(connection, ErrorCode::kMemoryExhausted, kMemoryText, kMemoryRetryAfter);
+    }
+  }
+
+  void OnOutput(Connection* connection, size_t pending_bytes, bool progressed) {
+    const TimePoint now = m_loop->clock().Now();
+    if (progressed || pending_bytes == 0 || connection->share.bytes() <= connection->request_bytes) {
+      connection->share.MarkProgress(now);
+    }
+    connection->share.SetProtected(pending_bytes == 0);
+    const size_t bytes = connection->request_bytes + pending_bytes;
+    if (pending_bytes <= kSmallResponseBytes) {
+      connection->share.Record(bytes);
+    } else if (!connection->share.Resize(bytes, now)) {
+      connection->share.MarkEnding();
+      EndForMemory(connection);
+    }
+  }
+
+  // Ends the connection in favour of others.
+  void EndForMemory(Connection* connection) {
+    ++m_counts.closed_for_memory;
+    if (connection->state == ConnectionState::kHandling || connection == m_reading) {
+      // A response may be cut, and a connection closed, only outside of the calls that it has made.
+      m_cut.push_back(connection->responder);
+      connection->refused = true;
+      if (m_cut_timer == nullptr) {
+        m_cut_timer = m_loop->After(Duration(), [this] { CutResponses(); });
+      }
+      return;
+    }
+    RefuseAndClose(connection, ErrorCode::kMemoryExhausted, kMemoryText, kMemoryRetryAfter);
+  }
+
+  void CutResponses() {
+    m_cut_timer.reset();
+    std::vector<std::weak_ptr<H2oResponder>> cut;
+    cut.swap(m_cut);
+    for (const std::weak_ptr<H2oResponder>& candidate : cut) {
+      if (const std::shared_ptr<H2oResponder> responder = candidate.lock()) {
+        responder->Cut();
+      }
+    }
+  }
+
+  // Writes a response past the library, to a request that is not whole and therefore was not run.
+  void WriteRefusal(Connection* connection, ErrorCode code, const std::string& message, Duration retry_after) {
+    const std::string body = EncodeErrorBody(code, message, RequestRan::kNo, retry_after.ms());
+    std::string answer = "HTTP/1.1 " + std::to_string(ErrorCodeHttpStatus(code)) +
+                         " Error\r\ncontent-type: application/json\r\nconnection: close\r\ncontent-length: " +
+                         std::to_string(body.size()) + "\r\n";
+    if (retry_after > Duration()) {
+      answer += "retry-after: " + RetryAfterText(retry_after) + "\r\n";
+    }
+    answer += "\r\n" + body;
+    send(h2o_socket_get_fd(connection->socket), answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  }
+
+  // Refuses a request that is not whole, and frees its memory at once.
+  void RefuseAndClose(Connection* connection, ErrorCode code, const std::string& message, Duration retry_after) {
+    const bool has_request = connection->state == ConnectionState::kHead || connection->state == ConnectionState::kBody;
+    if (AnswersEarly() && has_request && !connection->refused) {
+      WriteRefusal(connection, code, message, retry_after);
+      DiscardInput(h2o_socket_get_fd(connection->socket));
+    }
+    CloseNow(connection);
+  }
+
+  static void DiscardInput(int fd) {
+    char buffer[kDiscardBytes];
+    for (size_t discarded = 0; discarded < kMaxDiscardedBytes; discarded += sizeof(buffer)) {
+      if (recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT) <= 0) {
+        return;
+      }
+    }
+  }
+
+  // Closes a connection on which no request is being handled. Not to be called within a call of its read function.
+  void CloseNow(Connection* connection) {
+    h2o_socket_t* socket = connection->socket;
+    connection->refused = true;
+    if (connection->state == ConnectionState::kHandshake) {
+      h2o_socket_close(socket);
+      return;
+    }
+    if (connection == m_reading || !h2o_socket_is_reading(socket)) {
+      shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+      return;
+    }
+    const h2o_socket_cb callback = socket->_cb.read == &OnRead ? connection->read_callback : socket->_cb.read;
+    callback(socket, h2o_socket_error_closed);
   }
 
   // An idle connection is closed without an answer, since a caller could take one for that to its next request.
   void OnLate(Connection* connection) {
     h2o_socket_t* socket = connection->socket;
-    const int fd = h2o_socket_get_fd(socket);
-    // What still arrives is not run, because nothing can be answered any more.
-    connection->refused = true;
-    if (socket->bytes_read <= connection->bytes_before && socket->input->size == 0) {
-      shutdown(fd, SHUT_RDWR);
+    const bool idle = connection->state == ConnectionState::kIdle || connection->state == ConnectionState::kHandshake;
+    if (idle || connection->refused || !AnswersEarly() || !h2o_socket_is_reading(socket)) {
+      m_counts.late_requests += idle || connection->refused ? 0 : 1;
+      CloseNow(connection);
       return;
     }
-    const std::string body =
-        EncodeErrorBody(ErrorCode::kRequestTimeout,
-                        "the whole request did not arrive within " + std::to_string(m_options.request_timeout.ms()) +
-                            " ms; check its content-length and send it again without pauses",
-                        RequestRan::kNo);
-    const std::string answer = "HTTP/1.1 " + std::to_string(ErrorCodeHttpStatus(ErrorCode::kRequestTimeout)) +
-                               " Error\r\ncontent-type: application/json\r\nconnection: close\r\ncontent-length: " +
-                               std::to_string(body.size()) + "\r\n\r\n" + body;
-    send(fd, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    ++m_counts.late_requests;
+    // What still arrives is not run, because nothing can be answered any more.
+    connection->refused = true;
+    const Duration limit = connection->state == ConnectionState::kHead ? HeadTimeout() : m_options.request_timeout;
+    WriteRefusal(connection, ErrorCode::kRequestTimeout,
+                 "the whole request did not arrive within " + std::to_string(limit.ms()) +
+                     " ms; check its content-length and send it again without pauses",
+                 Duration());
     // The caller may still send; the library reads that and closes, so that no reset overtakes the answer.
-    shutdown(fd, SHUT_WR);
+    shutdown(h2o_socket_get_fd(socket), SHUT_WR);
+    ArmDeadline(connection, m_loop->clock().Now() + kLibraryGrace);
   }
 
   void Watch(const std::shared_ptr<H2oResponder>& responder) {
@@ -453,43 +898,132 @@
       if (responder == nullptr || responder->closed()) {
         continue;
       }
-      responder->CheckCaller();
+      if (m_options.response_piece_timeout > Duration() && responder->IsStalled(m_options.response_piece_timeout)) {
+        ++m_counts.late_readers;
+        responder->Cut();
+      } else {
+        responder->CheckCaller();
+      }
       if (!responder->closed()) {
         Watch(responder);
       }
     }
   }
 
-  struct CloseNotice {
-    Impl* owner;
-    h2o_socket_t* socket;
-  };
-
-  void AddConnection(h2o_socket_t* socket) {
-    auto connection = std::make_unique<Connection>();
-    connection->socket = socket;
-    m_connections[socket] = std::move(connection);
+  Connection* AddConnection(h2o_socket_t* socket) {
+    auto created = std::make_unique<Connection>(this, socket);
+    Connection* connection = created.get();
+    connection->idle_position = m_idle.insert(m_idle.end(), connection);
+    m_connections[socket] = std::move(created);
     socket->on_close.cb = [](void* data) {
-      const std::unique_ptr<CloseNotice> notice(static_cast<CloseNotice*>(data));
-      notice->owner->m_connections.erase(notice->socket);
+      auto* closed = static_cast<Connection*>(data);
+      closed->owner->OnClosed(closed);
     };
-    socket->on_close.data = new CloseNotice{this, socket};
-    AwaitRequest(socket);
+    socket->on_close.data = connection;
+    BecomeIdle(connection);
+    return connection;
+  }
+
+  void OnClosed(Connection* connection) {
+    if (connection->state == ConnectionState::kIdle) {
+      m_idle.erase(connection->idle_position);
+    }
+    if (m_reading == connection) {
+      m_reading = nullptr;
+    }
+    m_unwrapped.erase(connection);
+    m_connections.erase(connection->socket);
+  }
+
+  // Closes the connection that has been idle for the longest time, or else the unfinished request that has made no
+  // progress for the longest time. Returns false if there is neither.
+  bool CloseOne() {
+    Connection* chosen = m_idle.empty() ? nullptr : m_idle.front();
+    if (chosen == nullptr) {
+      for (const auto& [socket, connection] : m_connections) {
+        const bool can_close = connection->state != ConnectionState::kHandling && h2o_socket_is_reading(socket);
+        if (can_close && (chosen == nullptr || connection->progress_at < chosen->progress_at)) {
+          chosen = connection.get();
+        }
+      }
+    }
+    if (chosen == nullptr) {
+      return false;
+    }
+    ++m_counts.closed_for_connections;
+    RefuseAndClose(chosen, ErrorCode::kMemoryExhausted,
+                   "no more connections can be served; send the request again later", kMemoryRetryAfter);
+    return true;
   }
 
   static void OnAccept(h2o_socket_t* listener, const char* error) {
-    auto* owner = static_cast<Impl*>(listener->data);
-    if (error != nullptr) {
-      return;
+    if (error == nullptr) {
+      static_cast<Impl*>(listener->data)->Accept();
     }
+  }
+
+  void Accept() {
     for (int accepted = 0; accepted < kListenBacklog; ++accepted) {
-      h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+      h2o_socket_t* socket = h2o_evloop_socket_accept(m_listener);
       if (socket == nullptr) {
+        const bool out_of_descriptors = errno == EMFILE || errno == ENFILE;
+        if (!out_of_descriptors || !IsConnectionWaiting()) {
+          return;
+        }
+        if (CloseOne()) {
+          continue;
+        }
+        ++m_counts.not_accepted;
+        PauseAccept();
         return;
       }
-      owner->AddConnection(socket);
-      h2o_accept(&owner->m_accept, socket);
+      if (m_options.max_connections > 0 && open_connections() >= m_options.max_connections && !CloseOne()) {
+        ++m_counts.not_accepted;
+        h2o_socket_close(socket);
+        continue;
+      }
+      Connection* connection = AddConnection(socket);
+      if (m_accept.ssl_ctx == nullptr) {
+        StartHttp(connection);
+        continue;
+      }
+      SetState(connection, ConnectionState::kHandshake);
+      socket->data = connection;
+      h2o_socket_ssl_handshake(socket, m_accept.ssl_ctx, nullptr, &OnHandshake);
+    }
+  }
+
+  // accept reports that no descriptor is free even if no connection waits.
+  bool IsConnectionWaiting() const {
+    pollfd listener{h2o_socket_get_fd(m_listener), POLLIN, 0};
+    return poll(&listener, 1, 0) == 1;
+  }
+
+  static void OnHandshake(h2o_socket_t* socket, const char* error) {
+    auto* connection = static_cast<Connection*>(socket->data);
+    if (error != nullptr) {
+      h2o_socket_close(socket);
+      return;
     }
+    connection->owner->SetState(connection, ConnectionState::kIdle);
+    connection->owner->StartHttp(connection);
+  }
+
+  void StartHttp(Connection* connection) {
+    timeval now{};
+    gettimeofday(&now, nullptr);
+    h2o_http1_accept(&m_accept, connection->socket, now);
+    WrapRead(connection);
+  }
+
+  // A listener that is ready but cannot accept would keep the loop busy.
+  void PauseAccept() {
+    h2o_socket_read_stop(m_listener);
+    m_accept_timer = m_loop->After(kAcceptPause, [this] {
+      if (m_listener != nullptr) {
+        h2o_socket_read_start(m_listener, &OnAccept);
+      }
+    });
   }
 
   void Listen() {
@@ -503,6 +1037,12 @@
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (m_options.socket_buffer_bytes > 0) {
+      // Accepted connections inherit these sizes.
+      const int bytes = m_options.socket_buffer_bytes;
+      setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+      setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+    }
     if (fd < 0 || bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
         listen(fd, kListenBacklog) != 0) {
       const std::string reason = std::strerror(errno);
@@ -535,7 +1075,19 @@
   h2o_socket_t* m_listener = nullptr;
   int m_port = 0;
   int m_active_requests = 0;
+  HttpServerCounts m_counts;
   std::map<h2o_socket_t*, std::unique_ptr<Connection>> m_connections;
+  // The connections in the state kIdle, the one that has been idle for the longest time first.
+  std::list<Connection*> m_idle;
+  // The connection whose read function is running.
+  Connection* m_reading = nullptr;
+  // Connections whose read function the library has set anew.
+  std::set<Connection*> m_unwrapped;
+  std::unique_ptr<Timer> m_wrap_timer;
+  // Responses that are to be cut to free memory.
+  std::vector<std::weak_ptr<H2oResponder>> m_cut;
+  std::unique_ptr<Timer> m_cut_timer;
+  std::unique_ptr<Timer> m_accept_timer;
   std::vector<std::weak_ptr<H2oResponder>> m_watched;
   std::unique_ptr<Timer> m_watch_timer;
 };
@@ -549,6 +1101,14 @@
   return m_impl->port();
 }
 
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  m_impl->SetLimits(limits);
+}
+
+const HttpServerCounts& HttpServer::counts() const {
+  return m_impl->counts();
+}
+
 void HttpServer::BeginShutdown() {
   m_impl->BeginShutdown();
 }
