Charge accepted batch jobs, and let other instances through

Cause: the items of accepted jobs stayed in memory outside of the budget. While requests of clients that are being handled filled it, calls of other instances and readiness checks would have been refused.

Holders of other instances may exceed the limit by an eighth; holders of up to 16 KB are charged, but not refused.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -209,9 +209,12 @@
         spec.items = std::move(items);
         return spec;
       }()),
+      m_item_memory(context->client_memory, HolderKind::kJob, nullptr),
       m_progress(&m_spec),
       m_confirmed_at(confirmed_at),
       m_ended(m_rows.ended) {
+  m_item_memory.SetProtected(true);
+  m_item_memory.Record(BodyBytes(m_spec));
   for (const size_t index : m_rows.result_list.item_indices) {
     if (index < m_progress.size()) {
       m_progress.SetPhase(index, ItemPhase::kStored);
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -34,6 +34,8 @@
   SendPermits* permits = nullptr;
   // Limits the memory of the texts of unfinished items. Not limited if null.
   MemoryBudget* response_memory = nullptr;
+  // Charged with the items of the jobs that this instance runs. Not charged if null.
+  MemoryBudget* client_memory = nullptr;
   // Decides about the reward calls of all jobs. The BatchCoordinator's own default if null.
   const RewardCallPolicy* reward_call_policy = nullptr;
   // Set by the BatchCoordinator, which owns it.
@@ -180,6 +182,8 @@
   const BatchContext* m_context;
   BatchRows m_rows;
   BatchSpec m_spec;
+  // The memory of the items.
+  MemoryBudget::ReclaimableShare m_item_memory;
   BatchProgress m_progress;
   // When the latest read or write that showed this process as the owner began.
   TimePoint m_confirmed_at;
--- a/src/daemon/client_limit_monitor.cc
+++ b/src/daemon/client_limit_monitor.cc
@@ -23,6 +23,7 @@
 void ClientLimitMonitor::SetCounters(Counters* counters) const {
   const HttpServerCounts sum = Sum();
   counters->Set("client_memory_bytes", static_cast<int64_t>(m_memory->used()));
+  counters->Set("client_memory_jobs_bytes", static_cast<int64_t>(m_memory->used(HolderKind::kJob)));
   counters->Set("client_memory_peak_bytes", static_cast<int64_t>(m_memory->peak()));
   counters->Set("client_memory_limit_bytes", static_cast<int64_t>(m_memory->limit()));
   counters->Set("client_connections", m_servers.front()->open_connections());
--- a/src/state/batch_job.h
+++ b/src/state/batch_job.h
@@ -54,6 +54,15 @@
   std::vector<BatchItem> items;
 };
 
+// The size of the bodies of all items and of their reward calls.
+inline size_t BodyBytes(const BatchSpec& spec) {
+  size_t bytes = 0;
+  for (const BatchItem& item : spec.items) {
+    bytes += item.body.size() + (item.reward_call.has_value() ? item.reward_call->body.size() : 0);
+  }
+  return bytes;
+}
+
 enum class BatchResultState {
   kCompleted,
   kFailed,
--- a/src/state/memory_budget.cc
+++ b/src/state/memory_budget.cc
@@ -54,6 +54,8 @@
 void MemoryBudget::ReclaimableShare::Set(size_t bytes) {
   if (m_budget != nullptr) {
     m_budget->SetUsed(m_budget->m_used - m_bytes + bytes);
+    size_t& used_by_kind = m_budget->m_used_by_kind[static_cast<size_t>(m_kind)];
+    used_by_kind = used_by_kind - m_bytes + bytes;
     if (m_ending) {
       m_budget->m_ending = m_budget->m_ending - m_bytes + bytes;
     }
@@ -84,6 +86,12 @@
   m_reclaimable.pop_back();
 }
 
+// Instances must be able to reach each other while the requests of clients, which are protected, take all memory.
+bool MemoryBudget::MayExceedLimit(const ReclaimableShare& share) const {
+  constexpr size_t kPeerFraction = 8;
+  return share.m_kind == HolderKind::kPeer && used(HolderKind::kPeer) <= m_limit / kPeerFraction;
+}
+
 bool MemoryBudget::EndHolders(ReclaimableShare* requester, TimePoint now) {
   while (m_used - m_ending > m_limit) {
     std::vector<MemoryHolder> holders;
@@ -94,6 +102,9 @@
     }
     const std::optional<size_t> chosen = ChooseHolderToEnd(holders, now);
     if (!chosen.has_value() || m_reclaimable[*chosen] == requester) {
+      if (MayExceedLimit(*requester)) {
+        return true;
+      }
       ++m_rejections;
       return false;
     }
--- a/src/state/memory_budget.h
+++ b/src/state/memory_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -52,7 +53,8 @@
     ReclaimableShare& operator=(const ReclaimableShare&) = delete;
 
     // Records the number of bytes that the holder has now. If the holder grows and the sum exceeds the limit, other
-    // holders are ended. Returns false if this holder is the one to be ended, or if there is no other to end.
+    // holders are ended. Returns false if this holder is the one to be ended, or if there is no other to end. Holders
+    // of other instances may then exceed the limit by an eighth of it together.
     [[nodiscard]] bool Resize(size_t bytes, TimePoint now);
     // Records the number of bytes without ending any holder.
     void Record(size_t bytes) { Set(bytes); }
@@ -79,7 +81,11 @@
   };
 
   size_t used() const { return m_used; }
+  // The part of the sum that the reclaimable shares of a kind hold.
+  size_t used(HolderKind kind) const { return m_used_by_kind[static_cast<size_t>(kind)]; }
   size_t limit() const { return m_limit; }
+  // Whether holders of a kind may take these bytes in addition without taking more than half of the limit together.
+  bool HasRoom(HolderKind kind, size_t bytes) const { return used(kind) + bytes <= m_limit / 2; }
   // The largest sum since the budget was created.
   size_t peak() const { return m_peak; }
   // Number of times that a holder was told to give up what it holds.
@@ -93,10 +99,13 @@
   void RemoveReclaimable(ReclaimableShare* share);
   // Returns false if the requester is the holder to end, or if there is none.
   bool EndHolders(ReclaimableShare* requester, TimePoint now);
+  // Whether the holder may exceed the limit if there is no other to end.
+  bool MayExceedLimit(const ReclaimableShare& share) const;
 
   size_t m_limit;
   size_t m_used = 0;
   size_t m_peak = 0;
+  std::array<size_t, kHolderKinds> m_used_by_kind{};
   // The part of m_used that holders are about to free.
   size_t m_ending = 0;
   // Number of shares that are not empty.
--- a/src/state/memory_holder_choice.h
+++ b/src/state/memory_holder_choice.h
@@ -12,7 +12,10 @@
 enum class HolderKind {
   kClient,
   kPeer,
+  // Accepted work of clients, which no connection waits for.
+  kJob,
 };
+constexpr size_t kHolderKinds = 3;
 
 // What is known of a holder of memory that can be ended in favour of others.
 struct MemoryHolder {
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -43,9 +43,9 @@
 // A connection makes progress when it has received this many bytes. Fewer do not count, or a client could hold much
 // memory by sending a byte now and then.
 constexpr size_t kProgressBytes = 4 << 10;
-// Unread parts of a response up to this size are charged, but end no other holder, so that streams of small events are
-// not cut while large requests take the whole budget.
-constexpr size_t kSmallResponseBytes = 16 << 10;
+// Small holders are charged, but neither refused nor the reason to end others, so that readiness checks are answered
+// and streams of small events are not cut while large requests take the whole budget.
+constexpr size_t kSmallHolderBytes = 16 << 10;
 // A buffer of this size and more is a mapping of its own (see SetUpProcessMemory), of which only the pages that were
 // written to take memory.
 constexpr size_t kMappedBufferBytes = 256 << 10;
@@ -620,13 +620,21 @@
     m_handler->OnRequest(ReadRequest(request), responder);
   }
 
+  static bool Charge(Connection* connection, size_t bytes, TimePoint now) {
+    if (bytes <= kSmallHolderBytes) {
+      connection->share.Record(bytes);
+      return true;
+    }
+    return connection->share.Resize(bytes, now);
+  }
+
   // Charges the copies of the body that handling it makes. Returns false if there is no memory for them.
   bool ChargeRequest(Connection* connection, size_t body_bytes) {
     const TimePoint now = m_loop->clock().Now();
     const size_t buffer_bytes = BufferBytes(connection->socket->input, body_bytes);
     connection->request_bytes = buffer_bytes + m_options.handled_body_copies * body_bytes;
     connection->share.MarkProgress(now);
-    if (!connection->share.Resize(connection->request_bytes, now)) {
+    if (!Charge(connection, connection->request_bytes, now)) {
       connection->request_bytes = BufferBytes(connection->socket->input);
       connection->share.Record(connection->request_bytes);
       return false;
@@ -793,7 +801,7 @@
       connection->progress_at = now;
       connection->share.MarkProgress(now);
     }
-    if (!connection->share.Resize(BufferBytes(input), now)) {
+    if (!Charge(connection, BufferBytes(input), now)) {
       ++m_counts.closed_for_memory;
       RefuseAndClose(connection, ErrorCode::kMemoryExhausted, kMemoryText, kMemoryRetryAfter);
     }
@@ -806,7 +814,7 @@
     }
     connection->share.SetProtected(pending_bytes == 0);
     const size_t bytes = connection->request_bytes + pending_bytes;
-    if (pending_bytes <= kSmallResponseBytes) {
+    if (pending_bytes <= kSmallHolderBytes) {
       connection->share.Record(bytes);
     } else if (!connection->share.Resize(bytes, now)) {
       connection->share.MarkEnding();
--- a/tests/state/memory_budget_test.cc
+++ b/tests/state/memory_budget_test.cc
@@ -115,6 +115,26 @@
   CHECK(handled.ended);
 }
 
+// Guards against instances that cannot reach each other while clients hold all memory, and against other instances that
+// take memory without bound.
+TEST_CASE("other instances may exceed the limit by an eighth, and jobs take half of it") {
+  const TimePoint now = TimePoint::FromMilliseconds(1000);
+  MemoryBudget budget(8000);
+  TestHolder handled(&budget, HolderKind::kClient);
+  REQUIRE(handled.share.Resize(8000, now));
+  handled.share.SetProtected(true);
+  TestHolder peer(&budget, HolderKind::kPeer);
+  CHECK(peer.share.Resize(1000, now));
+  CHECK_FALSE(peer.share.Resize(1001, now));
+  peer.share.Record(0);
+  handled.share.Record(0);
+  TestHolder job(&budget, HolderKind::kJob);
+  job.share.Record(3000);
+  CHECK(budget.used(HolderKind::kJob) == 3000);
+  CHECK(budget.HasRoom(HolderKind::kJob, 1000));
+  CHECK_FALSE(budget.HasRoom(HolderKind::kJob, 1001));
+}
+
 // Guards against a second holder that is ended while the memory of the first is about to be freed.
 TEST_CASE("memory that is about to be freed counts as free for others") {
   const TimePoint start = TimePoint::FromMilliseconds(1000);
