--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -45,6 +45,10 @@
 // Interval at which a drain checks whether appends have finished; the table responds within a few milliseconds.
 constexpr Duration kDrainPollInterval = Duration::Milliseconds(10);
 constexpr int kRandomIdBytes = 8;
+// Reads of results and item bodies that callers trigger. Each may take several MB, as the store's response, as decoded
+// rows and as the caller's page. An instance serves few callers of batch jobs, so that ordinary ones rarely wait.
+constexpr size_t kMaxCallerReads = 4;
+constexpr size_t kMaxWaitingCallerReads = 256;
 
 }  // namespace
 
@@ -53,6 +57,7 @@
       m_fleet(std::move(fleet)),
       m_retention(retention),
       m_resolving_store(m_context.store, m_context.scheduler),
+      m_caller_reads(kMaxCallerReads, kMaxWaitingCallerReads),
       m_reward_calls(MakeRewardCallContext(), Hash64(m_context.incarnation)) {
   m_context.reward_calls = &m_reward_calls;
 }
@@ -798,41 +803,53 @@
       return;
     }
   }
-  m_context.store->Scan(BatchResultsPrefix(id), KeyBeforeBatchResult(id, position), kRowsPerScan,
-                        m_guard.Wrap([this, id, position, total, deadline, callback](const ReadResult& read) {
-                          BatchPage page;
-                          if (!read.ok) {
-                            callback(page);
-                            return;
-                          }
-                          std::optional<std::vector<BatchResult>> results = DecodeBatchResultRows(read.rows);
-                          if (!results.has_value()) {
-                            Log(LogEvent::kBatchRowMalformed, {{"job", id}, {"position", std::to_string(position)}});
-                            callback(page);
-                            return;
-                          }
-                          if (results->empty() && Now() + kResultPollInterval < deadline) {
-                            const uint64_t timer = m_next_timer++;
-                            m_timers[timer] = m_context.scheduler->After(
-                                kResultPollInterval, [this, id, position, total, deadline, callback, timer] {
-                                  const std::unique_ptr<Timer> ended = std::move(m_timers[timer]);
-                                  m_timers.erase(timer);
-                                  ReadStoredResults(id, position, total, deadline, callback);
-                                });
-                            return;
-                          }
-                          page.status = BatchCallStatus::kOk;
-                          page.total = total;
-                          size_t bytes = 0;
-                          for (BatchResult& result : *results) {
-                            if (!page.results.empty() && bytes + result.text.size() > kMaxPageBytes) {
-                              break;
-                            }
-                            bytes += result.text.size();
-                            page.results.push_back(std::move(result));
-                          }
-                          callback(page);
-                        }));
+  const bool accepted = m_caller_reads.Run([this, id, position, total, deadline, callback](std::function<void()> done) {
+    m_context.store->Scan(
+        BatchResultsPrefix(id), KeyBeforeBatchResult(id, position), kRowsPerScan,
+        m_guard.Wrap([this, id, position, total, deadline, callback, done = std::move(done)](const ReadResult& read) {
+          OnStoredResults(id, position, total, deadline, read, callback);
+          done();
+        }));
+  });
+  if (!accepted) {
+    callback(BatchPage());
+  }
+}
+
+void BatchCoordinator::OnStoredResults(const std::string& id, size_t position, size_t total, TimePoint deadline,
+                                       const ReadResult& read, const std::function<void(const BatchPage&)>& callback) {
+  BatchPage page;
+  if (!read.ok) {
+    callback(page);
+    return;
+  }
+  std::optional<std::vector<BatchResult>> results = DecodeBatchResultRows(read.rows);
+  if (!results.has_value()) {
+    Log(LogEvent::kBatchRowMalformed, {{"job", id}, {"position", std::to_string(position)}});
+    callback(page);
+    return;
+  }
+  if (results->empty() && Now() + kResultPollInterval < deadline) {
+    const uint64_t timer = m_next_timer++;
+    m_timers[timer] =
+        m_context.scheduler->After(kResultPollInterval, [this, id, position, total, deadline, callback, timer] {
+          const std::unique_ptr<Timer> ended = std::move(m_timers[timer]);
+          m_timers.erase(timer);
+          ReadStoredResults(id, position, total, deadline, callback);
+        });
+    return;
+  }
+  page.status = BatchCallStatus::kOk;
+  page.total = total;
+  size_t bytes = 0;
+  for (BatchResult& result : *results) {
+    if (!page.results.empty() && bytes + result.text.size() > kMaxPageBytes) {
+      break;
+    }
+    bytes += result.text.size();
+    page.results.push_back(std::move(result));
+  }
+  callback(page);
 }
 
 void BatchCoordinator::ReadItemBody(const std::string& id, const std::string& workspace, const std::string& item,
@@ -856,17 +873,31 @@
       find(*job->items);
       return;
     }
-    LoadItems(id, [this, id, find, callback](const std::shared_ptr<std::vector<BatchItem>>& items) {
-      if (items == nullptr) {
-        callback(BatchCallStatus::kUnavailable, "");
+    const bool accepted = m_caller_reads.Run([this, id, find, callback](std::function<void()> done) {
+      const auto known = m_jobs.find(id);
+      if (known == m_jobs.end() || known->second.items != nullptr) {
+        known == m_jobs.end() ? callback(BatchCallStatus::kUnavailable, "") : find(*known->second.items);
+        done();
         return;
       }
-      // The next reads of bodies usually ask for the same job, so the items of only one job are kept.
-      for (auto& [other, job] : m_jobs) {
-        job.items = other == id ? items : nullptr;
-      }
-      find(*items);
+      LoadItems(
+          id, [this, id, find, callback, done = std::move(done)](const std::shared_ptr<std::vector<BatchItem>>& items) {
+            if (items == nullptr) {
+              callback(BatchCallStatus::kUnavailable, "");
+              done();
+              return;
+            }
+            // The next reads of bodies usually ask for the same job, so the items of only one job are kept.
+            for (auto& [other, job] : m_jobs) {
+              job.items = other == id ? items : nullptr;
+            }
+            find(*items);
+            done();
+          });
     });
+    if (!accepted) {
+      callback(BatchCallStatus::kUnavailable, "");
+    }
   });
 }
 
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -12,6 +12,7 @@
 
 #include "coordination/batch_runner.h"
 #include "coordination/callback_guard.h"
+#include "coordination/concurrency_limiter.h"
 #include "coordination/transaction_retrier.h"
 
 namespace quetzalridge {
@@ -196,6 +197,8 @@
                      const std::function<void(BatchCallStatus, Job*)>& callback);
   void ReadStoredResults(const std::string& id, size_t position, size_t total, TimePoint deadline,
                          const std::function<void(const BatchPage&)>& callback);
+  void OnStoredResults(const std::string& id, size_t position, size_t total, TimePoint deadline, const ReadResult& read,
+                       const std::function<void(const BatchPage&)>& callback);
   void StoreEnd(const std::string& id, const std::function<void(BatchCallStatus)>& callback);
   void CheckDrained();
   void RecordVersionLag(const BatchSpec& spec);
@@ -204,6 +207,7 @@
   FleetCallbacks m_fleet;
   Duration m_retention;
   TransactionRetrier m_resolving_store;
+  ConcurrencyLimiter m_caller_reads;
   StepFirstRewardCallPolicy m_default_reward_call_policy;
   RewardCallDispatcher m_reward_calls;
   std::map<std::string, Job> m_jobs;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -147,6 +147,10 @@
     h2o_socket_t* socket = m_request->conn->callbacks->get_socket(m_request->conn);
     shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     RunCloseCallback();
+    // Freed now and not with the connection: many responses may be ended in one turn of the loop.
+    m_in_flight = std::string();
+    m_pending = std::string();
+    m_handed_over = 0;
     Abort();
   }
 
@@ -157,7 +161,7 @@
 
   bool closed() const override { return m_request == nullptr; }
   bool started() const override { return m_started; }
-  size_t pending_bytes() const override { return m_pending.size() + m_in_flight.size(); }
+  size_t pending_bytes() const override { return m_pending.size() + m_in_flight.size() + m_piece.size(); }
   void SetCloseCallback(std::function<void()> callback) override { m_close_callback = std::move(callback); }
 
   // h2o calls this when the request's memory goes.
@@ -179,10 +183,7 @@
   static void OnProceed(h2o_generator_t* self, h2o_req_t*) {
     H2oResponder* owner = reinterpret_cast<Generator*>(self)->owner;
     owner->m_sending = false;
-    if (owner->m_handed_over == owner->m_in_flight.size()) {
-      owner->m_in_flight = std::string();
-      owner->m_handed_over = 0;
-    }
+    owner->m_piece = std::string();
     owner->Flush();
     owner->ReportOutput(true);
   }
@@ -228,24 +229,37 @@
     if (m_request == nullptr || !m_started || m_sending || m_final_sent) {
       return;
     }
-    if (m_aborted || m_handed_over == m_in_flight.size()) {
-      m_in_flight = std::move(m_pending);
-      m_pending = std::string();
-      m_handed_over = 0;
-    }
-    const size_t piece = std::min(kMaxPieceBytes, m_in_flight.size() - m_handed_over);
-    if (piece == 0 && !m_ended && m_head_sent) {
+    TakePiece();
+    if (m_piece.empty() && !m_ended && m_head_sent) {
       return;
     }
-    h2o_iovec_t buffer = h2o_iovec_init(m_in_flight.data() + m_handed_over, piece);
+    h2o_iovec_t buffer = h2o_iovec_init(m_piece.data(), m_piece.size());
     m_head_sent = true;
     m_sending = true;
     m_piece_started_at = m_clock->Now();
-    m_handed_over += piece;
-    m_final_sent = m_ended && m_handed_over == m_in_flight.size() && m_pending.empty();
+    m_final_sent = m_ended && m_in_flight.empty() && m_pending.empty();
     const h2o_send_state_t state =
         m_aborted ? H2O_SEND_STATE_ERROR : (m_final_sent ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
-    h2o_send(m_request, &buffer, piece == 0 ? 0 : 1, state);
+    h2o_send(m_request, &buffer, m_piece.empty() ? 0 : 1, state);
+  }
+
+  // Moves the next piece to m_piece. h2o refers to its memory until OnProceed; all the rest can be freed at any time.
+  void TakePiece() {
+    if (m_in_flight.empty()) {
+      m_in_flight = std::move(m_pending);
+      m_pending = std::string();
+    }
+    if (m_handed_over == 0 && m_in_flight.size() <= kMaxPieceBytes) {
+      m_piece = std::move(m_in_flight);
+      m_in_flight = std::string();
+      return;
+    }
+    m_piece = m_in_flight.substr(m_handed_over, kMaxPieceBytes);
+    m_handed_over += m_piece.size();
+    if (m_handed_over == m_in_flight.size()) {
+      m_in_flight = std::string();
+      m_handed_over = 0;
+    }
   }
 
   void FlushAndReport() {
@@ -265,9 +279,10 @@
   Generator m_generator{};
   std::function<void()> m_close_callback;
   std::string m_pending;
+  // The part of the response that h2o is given in pieces, and how much of it was.
   std::string m_in_flight;
-  // The part of m_in_flight that h2o has been given, in pieces.
   size_t m_handed_over = 0;
+  std::string m_piece;
   TimePoint m_piece_started_at;
   bool m_started = false;
   bool m_head_sent = false;
