Count the progress of requests, and keep limits that nobody has set

Cause: h2o's bytes_read is the size of one read and not a sum, so a client that sent small pieces never made progress. A configuration without limits lowered the limit for bodies from 32 MB to 1 MB. quetzalridged holds a body more often than was charged.

Change: received bytes are added up. Limits that the operator does not set stay as before the configuration is known. quetzalridged charges four copies.

--- a/src/base/shared_text.h
+++ b/src/base/shared_text.h
@@ -10,13 +10,16 @@
 class SharedText {
  public:
   SharedText() = default;
+  // Implicit, since calls and requests are filled from strings. NOLINTNEXTLINE(google-explicit-constructor)
   SharedText(std::string text) : m_text(std::make_shared<const std::string>(std::move(text))) {}
+  // NOLINTNEXTLINE(google-explicit-constructor)
   SharedText(const char* text) : SharedText(std::string(text)) {}
 
   const std::string& str() const {
     static const std::string kEmpty;
     return m_text == nullptr ? kEmpty : *m_text;
   }
+  // NOLINTNEXTLINE(google-explicit-constructor)
   operator const std::string&() const { return str(); }
 
   bool empty() const { return str().empty(); }
--- a/src/daemon/component_options.cc
+++ b/src/daemon/component_options.cc
@@ -22,7 +22,7 @@
   options.request_timeout = settings.limits.request_read_timeout;
   options.response_piece_timeout = settings.limits.response_piece_timeout;
   options.memory = memory;
-  options.handled_body_copies = kBodyCopies;
+  options.handled_body_copies = kDaemonBodyCopies;
   options.socket_buffer_bytes = kSocketBufferBytes;
   return options;
 }
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -153,9 +153,10 @@
     errors->push_back("listen.tls_certificate and listen.tls_key go together; give both or neither");
   }
   const ClientLimits client_limits = MakeClientLimits(s);
-  if (static_cast<size_t>(s.limits.max_body_bytes) > client_limits.max_body_bytes) {
-    errors->push_back("limits.max_body_bytes must be at most " + std::to_string(client_limits.max_body_bytes) +
-                      " with this limits.memory_mb, since a body is held " + std::to_string(kBodyCopies) +
+  const size_t max_body_bytes = client_limits.memory_bytes / kDaemonBodyCopies - kMaxRequestHeadBytes;
+  if (static_cast<size_t>(s.limits.max_body_bytes) > max_body_bytes) {
+    errors->push_back("limits.max_body_bytes must be at most " + std::to_string(max_body_bytes) +
+                      " with this limits.memory_mb, since a body is held " + std::to_string(kDaemonBodyCopies) +
                       " times; lower it or raise limits.memory_mb");
   }
   if (s.timing.lease_renewal * 2 > s.timing.lease_ttl) {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -104,6 +104,10 @@
 Settings LoadSettings(const std::string& file);
 std::vector<SettingsKey> SettingsKeys();
 
+// Number of times that a body is held while it is handled: by the caller's request with its priority, by the run that
+// dispatches it, by the call to the endpoint, and as a document while it is decoded.
+constexpr size_t kDaemonBodyCopies = 4;
+
 // What clients can make the process hold, from the limits of the process.
 ClientLimits MakeClientLimits(const Settings& settings);
 
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -84,12 +84,12 @@
   std::vector<std::string> keys;
 };
 
-// Limits for requests and connections of callers.
+// Limits for requests and connections of callers; 0 if the operator sets none.
 struct CallerLimits {
-  int64_t max_head_bytes = 16 << 10;
-  int64_t max_body_bytes = 1 << 20;
-  Duration head_timeout = Duration::Seconds(15);
-  Duration idle_timeout = Duration::Seconds(15);
+  int64_t max_head_bytes = 0;
+  int64_t max_body_bytes = 0;
+  Duration head_timeout;
+  Duration idle_timeout;
 };
 
 // One version of the operator's configuration.
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -150,6 +150,9 @@
     Abort();
   }
 
+  // Called before the server goes.
+  void DropOutputCallback() { m_on_output = nullptr; }
+
   // Whether the client has taken no piece of the response for this long.
   bool IsStalled(Duration limit) const {
     return m_request != nullptr && m_sending && m_clock->Now() - m_piece_started_at >= limit;
@@ -343,16 +346,18 @@
     return ToString(body);
   }
   constexpr size_t kPartBytes = 1 << 20;
-  const auto page = static_cast<uintptr_t>(sysconf(_SC_PAGESIZE));
+  const auto page = static_cast<size_t>(sysconf(_SC_PAGESIZE));
+  // Of the body in its first page.
+  const size_t misaligned = reinterpret_cast<uintptr_t>(body.base) % page;
   std::string copy;
   copy.reserve(body.len);
-  auto released = (reinterpret_cast<uintptr_t>(body.base) + page - 1) / page * page;
+  size_t released = (page - misaligned) % page;
   for (size_t begin = 0; begin < body.len; begin += kPartBytes) {
     const size_t size = std::min(kPartBytes, body.len - begin);
     copy.append(body.base + begin, size);
-    const uintptr_t end = reinterpret_cast<uintptr_t>(body.base + begin + size) / page * page;
+    const size_t end = (misaligned + begin + size) / page * page - misaligned;
     if (end > released) {
-      madvise(reinterpret_cast<void*>(released), end - released, MADV_DONTNEED);
+      madvise(body.base + released, end - released, MADV_DONTNEED);
       released = end;
     }
   }
@@ -471,6 +476,9 @@
         socket->_cb.read = connection->read_callback;
       }
       socket->on_close.cb = nullptr;
+      if (const std::shared_ptr<H2oResponder> responder = connection->responder.lock()) {
+        responder->DropOutputCallback();
+      }
     }
   }
 
@@ -559,8 +567,8 @@
     std::unique_ptr<Timer> deadline;
     TimePoint request_started_at;
     TimePoint progress_at;
-    // The socket's bytes_read at the last progress.
-    size_t bytes_at_progress = 0;
+    // Bytes received since the last progress.
+    size_t received_bytes = 0;
     // The part of a head that was searched for its end.
     size_t searched = 0;
     // The size of the head in the state kBody.
@@ -700,7 +708,7 @@
     const TimePoint now = m_loop->clock().Now();
     SetState(connection, ConnectionState::kIdle);
     connection->progress_at = now;
-    connection->bytes_at_progress = connection->socket->bytes_read;
+    connection->received_bytes = 0;
     ArmDeadline(connection, now + IdleTimeout());
   }
 
@@ -729,6 +737,8 @@
     auto* connection = static_cast<Connection*>(socket->on_close.data);
     Impl* owner = connection->owner;
     owner->m_reading = connection;
+    // In spite of its description in h2o's header, this is the number of bytes of one read.
+    connection->received_bytes += socket->bytes_read;
     owner->SetLibraryBodyLimit(connection);
     connection->read_callback(socket, error);
     // The call may have closed the connection, which sets m_reading to null.
@@ -796,8 +806,8 @@
       RefuseAndClose(connection, ErrorCode::kPayloadTooLarge, kBodyTooLargeText, Duration());
       return;
     }
-    if (socket->bytes_read >= connection->bytes_at_progress + kProgressBytes) {
-      connection->bytes_at_progress = socket->bytes_read;
+    if (connection->received_bytes >= kProgressBytes) {
+      connection->received_bytes = 0;
       connection->progress_at = now;
       connection->share.MarkProgress(now);
     }
--- a/tests/platform/decoding_test.cc
+++ b/tests/platform/decoding_test.cc
@@ -20,7 +20,7 @@
   "Platform": {"Addr": "10.200.1.7:8688", "RowBytes": 65536},
   "Cloud": {"Addr": "10.200.0.24:8688", "Duties": ["usage", "autoscale"]},
   "Bounds": {"UsageWindowS": 5, "GraceS": 8, "LeaseMs": 3000},
-  "Limits": {"MemoryMb": 390},
+  "Limits": {"MemoryMb": 390, "MaxFds": 1200},
   "SomethingNew": {"a": 1}
 })";
 
@@ -34,6 +34,8 @@
   CHECK(settings.orders_endpoints);
   CHECK(settings.usage_window == Duration::Seconds(5));
   CHECK(settings.shutdown_grace == Duration::Seconds(8));
+  CHECK(settings.memory_limit_bytes == size_t{390} << 20);
+  CHECK(settings.max_descriptors == 1200);
 }
 
 // Guards against a process that starts with unusable settings, or exits without reporting which field is wrong.
@@ -101,6 +103,23 @@
   CHECK_THROWS_AS(DecodeServingConfig("{\"Version\": 8}"), Error);
 }
 
+// Guards against limits that the operator publishes and that do not apply, and against limits that nobody has set.
+TEST_CASE("the operator's limits for callers are decoded, and absent ones are 0") {
+  const CallerLimits limits =
+      DecodeServingConfig(R"({"Version":1,"Services":[],"Routes":[],"Limits":{"MaxHeaderBytes":16384,
+                              "MaxBodyBytes":33554432,"HeaderTimeoutMs":5000,"IdleTimeoutMs":15000}})")
+          .limits;
+  CHECK(limits.max_head_bytes == 16384);
+  CHECK(limits.max_body_bytes == 33554432);
+  CHECK(limits.head_timeout == Duration::Seconds(5));
+  CHECK(limits.idle_timeout == Duration::Seconds(15));
+  const CallerLimits absent = DecodeServingConfig(R"({"Version":1,"Services":[],"Routes":[]})").limits;
+  CHECK(absent.max_head_bytes == 0);
+  CHECK(absent.max_body_bytes == 0);
+  CHECK(absent.head_timeout == Duration());
+  CHECK(absent.idle_timeout == Duration());
+}
+
 // Guards against callers of sound routes who are not served because of another route.
 TEST_CASE("one malformed route leaves the others in force, and its own requests find no other route") {
   const char* const malformed[] = {
--- a/tests/transport/client_limits_test.cc
+++ b/tests/transport/client_limits_test.cc
@@ -170,6 +170,36 @@
   }
 }
 
+// Guards against a slow client that is ended in favour of others which have stopped, and against a byte now and then
+// that counts as progress.
+TEST_CASE("a slow client that makes progress outlasts those that stand still or trickle") {
+  Fixture f(LargeBodies());
+  Client* slow = f.Connect();
+  slow->Queue(Announced(4 * kMb, kMb));
+  Client* stopped = f.Connect();
+  stopped->Queue(Announced(kMb, 300 * kKb));
+  Client* trickling = f.Connect();
+  trickling->Queue(Announced(kMb, 300 * kKb));
+  Client* large = f.Connect();
+  large->Queue(Announced(4 * kMb, 0));
+  TimePoint last = f.loop.clock().Now();
+  const TimePoint pressure_at = last + kHolderStallTime + Duration::Milliseconds(500);
+  REQUIRE(f.Until([&] {
+    if (f.loop.clock().Now() - last >= Duration::Milliseconds(20)) {
+      last = f.loop.clock().Now();
+      slow->Queue(std::string(8 * kKb, 'x'));
+      trickling->Queue("x");
+      if (last >= pressure_at && large->all_sent()) {
+        large->Queue(std::string(128 * kKb, 'x'));
+      }
+    }
+    return f.server.counts().closed_for_memory >= 2;
+  }));
+  REQUIRE(f.Until([&] { return stopped->closed() && trickling->closed(); }));
+  CHECK_FALSE(slow->closed());
+  CHECK_FALSE(large->closed());
+}
+
 // Guards against small chunks whose framing makes the buffer larger than the body.
 TEST_CASE("very small chunks take memory within the limit") {
   Fixture f(LargeBodies(), kMb);
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cerrno>
 #include <cstdio>
@@ -360,5 +361,55 @@
   std::filesystem::remove_all(folder);
 }
 
+// Guards against limits that hold for plain connections only.
+TEST_CASE("requests over TLS are served, charged, and closed when they are late") {
+  const std::filesystem::path folder =
+      std::filesystem::temp_directory_path() / ("quetzalridge_tls_limits_" + std::to_string(getpid()));
+  std::filesystem::create_directories(folder);
+  MemoryBudget memory(2 << 20);
+  HttpServerOptions options;
+  options.tls_certificate_file = folder / "certificate.pem";
+  options.tls_key_file = folder / "key.pem";
+  options.memory = &memory;
+  options.head_timeout = Duration::Milliseconds(300);
+  WriteCertificate("first", options.tls_certificate_file, options.tls_key_file);
+  Fixture f(options);
+  RawConnection connection(f.server.port());
+  SSL_CTX* context = SSL_CTX_new(TLS_client_method());
+  SSL* ssl = SSL_new(context);
+  SSL_set_fd(ssl, connection.fd());
+  REQUIRE(f.Until([&] { return SSL_connect(ssl) == 1; }));
+  const auto send_all = [&](const std::string& text) {
+    size_t sent = 0;
+    return f.Until([&] {
+      const int size = SSL_write(ssl, text.data() + sent, static_cast<int>(std::min<size_t>(text.size() - sent, 4096)));
+      sent += size > 0 ? static_cast<size_t>(size) : 0;
+      return sent == text.size();
+    });
+  };
+  constexpr size_t kBodyBytes = 300'000;
+  const std::string head = "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
+  for (int request = 1; request <= 2; ++request) {
+    REQUIRE(send_all(head + std::string(kBodyBytes - 1, 'x')));
+    REQUIRE(f.Until([&] { return memory.used() >= kBodyBytes; }));
+    REQUIRE(send_all("y"));
+    std::string answer;
+    REQUIRE(f.Until([&] {
+      char buffer[16384];
+      const int size = SSL_read(ssl, buffer, sizeof(buffer));
+      answer.append(buffer, size > 0 ? static_cast<size_t>(size) : 0);
+      return answer.size() > kBodyBytes && answer.back() == 'y';
+    }));
+    CHECK(answer.find("HTTP/1.1 200") == 0);
+    REQUIRE(f.Until([&] { return memory.used() == 0; }));
+  }
+  REQUIRE(send_all("GET / HTTP/1.1\r\nho"));
+  REQUIRE(f.Until([&] { return f.server.open_connections() == 0; }));
+  CHECK(f.server.counts().late_requests == 1);
+  SSL_free(ssl);
+  SSL_CTX_free(context);
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace quetzalridge
