Bound the memory of pages of results that many clients read slowly

Cause: the connection of a slow reader was ended for want of memory, but its response stayed in memory until the next turn of the loop, and one turn may end any number of them. Assigning an empty string kept the memory of the old one. In addition, each reader of a finished job had a read of the store of its own, which takes several MB while it is decoded.

Change: the unsent part is freed at once. What the HTTP library still refers to is a piece of 128 KB of its own. Two reads of results or item bodies run at a time, up to 256 wait, and further callers get 503.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -47,7 +47,7 @@
 constexpr int kRandomIdBytes = 8;
 // Reads of results and item bodies that callers trigger. Each may take several MB, as the store's response, as decoded
 // rows and as the caller's page. An instance serves few callers of batch jobs, so that ordinary ones rarely wait.
-constexpr size_t kMaxCallerReads = 4;
+constexpr size_t kMaxCallerReads = 2;
 constexpr size_t kMaxWaitingCallerReads = 256;
 
 }  // namespace
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -60,6 +60,11 @@
 constexpr char kBodyTooLargeText[] = "the body is larger than this server accepts; send a smaller one";
 constexpr char kMemoryText[] = "the memory for requests is used up; send the request again later";
 
+// Assigning an empty string keeps the memory of the old one.
+void FreeText(std::string* text) {
+  std::string().swap(*text);
+}
+
 std::string ToString(const h2o_iovec_t& iovec) {
   return std::string(iovec.base, iovec.len);
 }
@@ -98,7 +103,7 @@
   }
 
   void Write(std::string_view data) override {
-    if (m_request == nullptr || m_ended) {
+    if (m_request == nullptr || m_ended || m_dropped) {
       return;
     }
     m_pending.append(data);
@@ -147,13 +152,18 @@
     h2o_socket_t* socket = m_request->conn->callbacks->get_socket(m_request->conn);
     shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
     RunCloseCallback();
-    // Freed now and not with the connection: many responses may be ended in one turn of the loop.
-    m_in_flight = std::string();
-    m_pending = std::string();
-    m_handed_over = 0;
     Abort();
   }
 
+  // Frees what h2o does not refer to, before a Cut that must wait for the next turn of the loop: a turn may end many
+  // responses. Nothing more is sent.
+  void DropUnsent() {
+    m_dropped = true;
+    FreeText(&m_in_flight);
+    FreeText(&m_pending);
+    m_handed_over = 0;
+  }
+
   // Called before the server goes.
   void DropOutputCallback() { m_on_output = nullptr; }
 
@@ -186,7 +196,7 @@
   static void OnProceed(h2o_generator_t* self, h2o_req_t*) {
     H2oResponder* owner = reinterpret_cast<Generator*>(self)->owner;
     owner->m_sending = false;
-    owner->m_piece = std::string();
+    FreeText(&owner->m_piece);
     owner->Flush();
     owner->ReportOutput(true);
   }
@@ -229,7 +239,7 @@
 
   // h2o takes one piece at a time and asks for the next through OnProceed; what is written meanwhile is collected.
   void Flush() {
-    if (m_request == nullptr || !m_started || m_sending || m_final_sent) {
+    if (m_request == nullptr || !m_started || m_sending || m_final_sent || (m_dropped && !m_aborted)) {
       return;
     }
     TakePiece();
@@ -250,17 +260,17 @@
   void TakePiece() {
     if (m_in_flight.empty()) {
       m_in_flight = std::move(m_pending);
-      m_pending = std::string();
+      FreeText(&m_pending);
     }
     if (m_handed_over == 0 && m_in_flight.size() <= kMaxPieceBytes) {
       m_piece = std::move(m_in_flight);
-      m_in_flight = std::string();
+      FreeText(&m_in_flight);
       return;
     }
     m_piece = m_in_flight.substr(m_handed_over, kMaxPieceBytes);
     m_handed_over += m_piece.size();
     if (m_handed_over == m_in_flight.size()) {
-      m_in_flight = std::string();
+      FreeText(&m_in_flight);
       m_handed_over = 0;
     }
   }
@@ -291,6 +301,7 @@
   bool m_head_sent = false;
   bool m_sending = false;
   bool m_ended = false;
+  bool m_dropped = false;
   bool m_aborted = false;
   bool m_final_sent = false;
 };
@@ -853,6 +864,9 @@
     if (connection->state == ConnectionState::kHandling || connection == m_reading) {
       // A response may be cut, and a connection closed, only outside of the calls that it has made.
       m_cut.push_back(connection->responder);
+      if (const std::shared_ptr<H2oResponder> responder = connection->responder.lock()) {
+        responder->DropUnsent();
+      }
       connection->refused = true;
       if (m_cut_timer == nullptr) {
         m_cut_timer = m_loop->After(Duration(), [this] { CutResponses(); });
