Limit the requests to cold endpoints from all instances together

Cause: an endpoint that has just started tolerates only a few requests per second and crashes under more. Every instance sent it as much as to any other endpoint, so one that returned to its service crashed again.

Change: the time for which an endpoint stays cold is read from its registry entry and its responses. A cold endpoint gets only calls with permits, as one that has named a limit does. The pace (ColdPace) leaves room for two granting instances at once, permits that are used late, and an order to load weights. Only instances that all others know, and that have renewed their roster row in the last 2 s, grant permits. Cold endpoints get no probes. Requests of callers prefer warm endpoints, and waiting items take cold ones at their pace.

--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -85,6 +85,8 @@
   kRequestSuspected = 5013,
   kRequestQuarantined = 5014,
   kRequestCleared = 5015,
+  kEndpointCold = 5016,
+  kEndpointWarm = 5017,
   kUsageReported = 6009,
   kModelOrderSent = 6010,
   kModelOrderAnswered = 6011,
--- a/src/coordination/endpoint_caller.h
+++ b/src/coordination/endpoint_caller.h
@@ -60,6 +60,8 @@
   std::optional<double> rate_limit;
   // The endpoint will stop, and takes no new work.
   bool leaving = false;
+  // How long the endpoint stays cold, if the response says so.
+  std::optional<Duration> cold_remaining;
   // Another instance passes the response on, so the times at which its parts arrive do not show the endpoint's speed.
   bool relayed = false;
   // Identifies the endpoint and the run; empty if the response carries none.
--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -60,7 +60,7 @@
       StartRelayed();
       return;
     }
-    if (m_call.is_suspect) {
+    if (m_call.is_suspect && m_relay->MayProbe(m_call.endpoint_id)) {
       m_relay->m_context.prober->Probe(m_call.endpoint_id, m_call.address,
                                        [this, alive = std::weak_ptr<bool>(m_alive)](bool responded) {
                                          if (!alive.expired()) {
@@ -146,7 +146,8 @@
       StartRelayed();
       return;
     }
-    if (m_is_direct && m_may_relay && result.outcome == EndpointCallOutcome::kNoResponse && !result.timed_out) {
+    const bool may_hold = m_may_relay && m_relay->MayProbe(m_call.endpoint_id);
+    if (m_is_direct && may_hold && result.outcome == EndpointCallOutcome::kNoResponse && !result.timed_out) {
       HoldEnd(result);
       return;
     }
@@ -289,6 +290,15 @@
   RecordLeaving(endpoint, StartOf(endpoint));
 }
 
+void EndpointRelay::OnCold(const std::string& endpoint, Duration remaining) {
+  m_context.endpoints->OnColdReport(endpoint, remaining);
+}
+
+bool EndpointRelay::MayProbe(const std::string& endpoint) const {
+  const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
+  return known != nullptr && !known->is_cold();
+}
+
 int64_t EndpointRelay::StartOf(const std::string& endpoint) const {
   const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
   return known == nullptr ? 0 : known->entry.started_at_ms;
@@ -344,6 +354,10 @@
     callback(Reachability::kReached);
     return;
   }
+  if (!MayProbe(endpoint)) {
+    callback(Reachability::kUnknown);
+    return;
+  }
   m_context.prober->Probe(endpoint, known->entry.address, [callback](bool responded) {
     callback(responded ? Reachability::kReached : Reachability::kNotReached);
   });
@@ -496,6 +510,11 @@
 
 void EndpointRelay::ProbeSuspect(const std::string& endpoint) {
   const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
+  if (known != nullptr && known->is_cold()) {
+    // Without a probe, nothing is known about the path, and the call that has failed ends as its connection did.
+    m_lost_calls.erase(endpoint);
+    return;
+  }
   if (known == nullptr || !m_suspect_probes.insert(endpoint).second) {
     return;
   }
@@ -545,7 +564,7 @@
   const TimePoint began_at = Now();
   for (const std::string& endpoint : m_paths.BeginProbes()) {
     const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
-    if (known == nullptr) {
+    if (known == nullptr || known->is_cold()) {
       m_paths.OnProbeResult(endpoint, false);
       continue;
     }
--- a/src/coordination/endpoint_relay.h
+++ b/src/coordination/endpoint_relay.h
@@ -48,6 +48,7 @@
 
   void OnContact(const std::string& endpoint) override;
   void OnLeaving(const std::string& endpoint) override;
+  void OnCold(const std::string& endpoint, Duration remaining) override;
   void OnNoConnection(const std::string& endpoint, TimePoint since) override;
   void OnConnectionLost(const std::string& endpoint) override;
   // Must be called when the directory has changed.
@@ -72,6 +73,9 @@
 
   TimePoint Now() const { return m_context.scheduler->clock().Now(); }
   std::set<std::string> KnownEndpoints() const;
+  // Probes count towards what a cold endpoint tolerates, and any number of instances may send them, so cold endpoints
+  // get none.
+  bool MayProbe(const std::string& endpoint) const;
   // The start of the endpoint that is known now; see EndpointEntry::started_at_ms.
   int64_t StartOf(const std::string& endpoint) const;
   void RecordLeaving(const std::string& endpoint, int64_t started_at_ms);
--- a/src/coordination/fleet_monitor.cc
+++ b/src/coordination/fleet_monitor.cc
@@ -19,6 +19,8 @@
 constexpr size_t kMinFleetSize = 16;
 // After this time, what a read of the roster showed is outdated.
 constexpr Duration kMaxScanAge = Duration::Milliseconds(2500);
+// Half a second less than the time after which others may count this instance as stopped.
+constexpr Duration kMaxRenewalAge = Duration::Seconds(2);
 
 }  // namespace
 
@@ -58,6 +60,32 @@
   return live;
 }
 
+std::vector<std::string> FleetMonitor::SettledInstances() const {
+  std::vector<std::string> settled;
+  if (m_roster->joined() && IsSettled(m_roster->OwnAge())) {
+    settled.push_back(m_instance);
+  }
+  for (const auto& [id, entry] : m_roster->others()) {
+    if (IsLive(entry) && IsSettled(m_roster->AgeOf(entry))) {
+      settled.push_back(id);
+    }
+  }
+  return settled.empty() ? LiveInstances() : settled;
+}
+
+GrantAuthority FleetMonitor::Authority() const {
+  const std::optional<TimePoint> renewed_at = m_roster->renewal_began_at();
+  if (!m_roster->joined() || !renewed_at.has_value() || Now() - *renewed_at > kMaxRenewalAge) {
+    return GrantAuthority::kNone;
+  }
+  if (IsSettled(m_roster->OwnAge())) {
+    return GrantAuthority::kSettled;
+  }
+  // When a whole fleet starts, the first read of the roster shows the rows of a few instances, and soon a second one
+  // follows.
+  return IsSettled(m_roster->OwnAge() * 2) ? GrantAuthority::kNew : GrantAuthority::kNone;
+}
+
 bool FleetMonitor::HasStopped(const std::string& instance, const std::string& incarnation, TimePoint since) const {
   const bool is_current = m_roster->joined() && m_roster->scans_often() && m_roster->scan_began_at() >= since &&
                           Now() - m_roster->scanned_at() <= kMaxScanAge;
--- a/src/coordination/fleet_monitor.h
+++ b/src/coordination/fleet_monitor.h
@@ -7,6 +7,7 @@
 #include "coordination/loss_alarm.h"
 #include "coordination/owner_monitor.h"
 #include "coordination/roster.h"
+#include "state/cold_endpoint.h"
 
 namespace quetzalridge {
 
@@ -33,6 +34,12 @@
   bool IsLive(const RosterEntry& entry) const;
   // Includes this instance once it has read the rows of the others.
   std::vector<std::string> LiveInstances() const;
+  // The live instances whose rows all others have read by now. All live instances if there are none, as after a start
+  // of the whole fleet.
+  std::vector<std::string> SettledInstances() const;
+  // Whether the others expect this instance to grant permits. It must have renewed its row lately: the others may
+  // replace it once its row has not changed for the silence timeout.
+  GrantAuthority Authority() const;
   // While the roster is read often: a read that began after `since` showed that the process has ended or no longer
   // renews its row.
   bool HasStopped(const std::string& instance, const std::string& incarnation, TimePoint since) const;
@@ -40,6 +47,7 @@
  private:
   TimePoint Now() const { return m_scheduler->clock().Now(); }
   void OnScanned();
+  bool IsSettled(Duration age) const { return age >= m_roster->NoticeTime(); }
   // The live instance that follows this one in an order by hashes; empty if there is none.
   std::string Neighbor() const;
 
--- a/src/coordination/model_version_duty.cc
+++ b/src/coordination/model_version_duty.cc
@@ -16,6 +16,8 @@
 // it, so the engine is queried directly from this time on.
 constexpr Duration kMinLoadTime = Duration::Milliseconds(880);
 constexpr Duration kEngineQueryInterval = Duration::Milliseconds(60);
+// An order takes two requests, which the pace of cold endpoints leaves room for once a second.
+constexpr Duration kMinColdOrderInterval = Duration::Seconds(3);
 // Time after which a failed order is sent again.
 constexpr Duration kFailedLoadRetryDelay = Duration::Milliseconds(500);
 
@@ -88,7 +90,8 @@
     const DirectoryEndpoint* endpoint = m_context.endpoints->Find(id);
     const bool due =
         Now() - pending_load.started_at >= kMinLoadTime && Now() - pending_load.queried_at >= kEngineQueryInterval;
-    if (endpoint == nullptr || !pending_load.accepted || pending_load.query_in_flight || !due) {
+    // The registry entry of a cold endpoint shows the end of its load, and costs it no request.
+    if (endpoint == nullptr || endpoint->is_cold() || !pending_load.accepted || pending_load.query_in_flight || !due) {
       continue;
     }
     pending_load.query_in_flight = true;
@@ -156,6 +159,15 @@
 // engine refuses an order that arrives late.
 void ModelVersionDuty::StartLoad(const ModelLoad& load) {
   const DirectoryEndpoint* endpoint = m_context.endpoints->Find(load.endpoint);
+  if (endpoint->is_cold()) {
+    const auto [ordered_at, is_first] = m_cold_ordered_at.try_emplace(load.endpoint, Now());
+    if (!is_first && Now() - ordered_at->second < kMinColdOrderInterval) {
+      return;
+    }
+    ordered_at->second = Now();
+  } else {
+    m_cold_ordered_at.erase(load.endpoint);
+  }
   m_pending_loads[load.endpoint] = {load.model, load.version, Now()};
   ++m_orders_in_flight;
   m_context.orders->ReadState(load.endpoint, endpoint->entry.address,
--- a/src/coordination/model_version_duty.h
+++ b/src/coordination/model_version_duty.h
@@ -67,6 +67,8 @@
   const Lease* m_lease = nullptr;
   // By endpoint id.
   std::map<std::string, PendingLoad> m_pending_loads;
+  // When the last order for an endpoint that was cold then began.
+  std::map<std::string, TimePoint> m_cold_ordered_at;
   int m_orders_in_flight = 0;
   std::unique_ptr<Timer> m_timer;
   CallbackGuard m_guard;
--- a/src/coordination/relay_client.h
+++ b/src/coordination/relay_client.h
@@ -56,6 +56,8 @@
   virtual void OnContact(const std::string& endpoint) = 0;
   // A response to an order or a probe says that the endpoint will stop.
   virtual void OnLeaving(const std::string& endpoint) = 0;
+  // The same, that the endpoint stays cold for this time.
+  virtual void OnCold(const std::string& endpoint, Duration remaining) = 0;
   // No connection could be made, in an attempt that began at `since`.
   virtual void OnNoConnection(const std::string& endpoint, TimePoint since) = 0;
   // A connection was closed or reset before any part of a response arrived, or no response arrived to a request that
--- a/src/coordination/roster.cc
+++ b/src/coordination/roster.cc
@@ -20,6 +20,8 @@
 // The interval between scans is proportional to the number of rows. Reading a row costs about 150 bytes, so the traffic
 // of the scans stays near 1 KB/s, half of what an instance may use.
 constexpr Duration kScanIntervalPerRow = Duration::Milliseconds(150);
+// Time for a scan that is due to begin with the next renewal, and to be repeated once if it fails.
+constexpr int64_t kNoticeRenewals = 3;
 // The same while the rows are read often, so that all instances together stay within the rate of the table service.
 constexpr Duration kFrequentScanIntervalPerRow = Duration::Milliseconds(2);
 // The row with the id of the last removed instance. Each removal writes it: the outcome of a transaction that only
@@ -65,23 +67,36 @@
   m_write_in_flight = true;
   const std::string key = RosterKey(m_options.instance);
   const int64_t renewal_count = m_renewal_count + 1;
+  const TimePoint began_at = m_scheduler->clock().Now();
   const RosterRecord record{m_options.incarnation, m_options.zone, m_options.peer_address, RosterState::kLive,
                             renewal_count};
   TableTransaction transaction;
   transaction.id = RandomHex(kTransactionIdBytes);
   transaction.checks = {{key, m_own_row_version}};
   transaction.writes = {{key, EncodeRosterRecord(record)}};
-  m_resolving_store.Transact(std::move(transaction), key, [this, renewal_count](const TransactResult& result) {
-    m_write_in_flight = false;
-    OnOwnRowWritten(renewal_count, result);
-    if (m_leaving) {
-      RemoveOwnRow();
-    }
-  });
+  m_resolving_store.Transact(std::move(transaction), key,
+                             [this, renewal_count, began_at](const TransactResult& result) {
+                               m_write_in_flight = false;
+                               OnOwnRowWritten(renewal_count, began_at, result);
+                               if (m_leaving) {
+                                 RemoveOwnRow();
+                               }
+                             });
+}
+
+Duration Roster::OwnAge() const {
+  return m_renewal_began_at.has_value()
+             ? m_options.renewal * m_renewal_count + (m_scheduler->clock().Now() - *m_renewal_began_at)
+             : Duration();
+}
+
+Duration Roster::NoticeTime() const {
+  return kScanIntervalPerRow * static_cast<int64_t>(m_others.size() + 1) + m_options.renewal * kNoticeRenewals;
 }
 
-void Roster::OnOwnRowWritten(int64_t renewal_count, const TransactResult& result) {
+void Roster::OnOwnRowWritten(int64_t renewal_count, TimePoint began_at, const TransactResult& result) {
   if (result.outcome == TransactOutcome::kCommitted) {
+    m_renewal_began_at = began_at;
     m_own_row_version = result.revision;
     m_renewal_count = renewal_count;
     if (!m_own_row_written) {
--- a/src/coordination/roster.h
+++ b/src/coordination/roster.h
@@ -73,6 +73,15 @@
   TimePoint scanned_at() const { return m_scanned_at; }
   // When that read began.
   TimePoint scan_began_at() const { return m_scan_began_at; }
+  // When the last successful write of this instance's row began; nothing before the first one.
+  std::optional<TimePoint> renewal_began_at() const { return m_renewal_began_at; }
+  // For how long the process of a row has renewed it, as far as the count of renewals shows.
+  Duration AgeOf(const RosterEntry& entry) const {
+    return m_options.renewal * entry.record.renewal_count + (m_scheduler->clock().Now() - entry.unchanged_since);
+  }
+  Duration OwnAge() const;
+  // The longest time until all others have read a new row.
+  Duration NoticeTime() const;
   // The rows of the other instances, by instance id.
   const std::map<std::string, RosterEntry>& others() const { return m_others; }
   // True when the newest list of the platform does not contain the instance, and either an earlier list did or the
@@ -87,7 +96,7 @@
  private:
   void Tick();
   void WriteOwnRow();
-  void OnOwnRowWritten(int64_t renewal, const TransactResult& result);
+  void OnOwnRowWritten(int64_t renewal, TimePoint began_at, const TransactResult& result);
   void OnOwnRowConflict(const TableRow& row);
   void RemoveOwnRow();
   void Scan();
@@ -113,6 +122,7 @@
   // The table version of this instance's row, as last written or read.
   int64_t m_own_row_version = 0;
   int64_t m_renewal_count = 0;
+  std::optional<TimePoint> m_renewal_began_at;
   bool m_own_row_written = false;
   bool m_joined = false;
   bool m_superseded = false;
--- a/src/coordination/send_permits.h
+++ b/src/coordination/send_permits.h
@@ -35,24 +35,28 @@
 }  // namespace detail
 
 // Returns the candidate that `choose` prefers. If it needs a permit that this instance does not have, requests the
-// permit and chooses among those to which a request may be sent now.
+// permit and chooses among those to which a request may be sent now. A refusal for a cold endpoint lasts long, so the
+// next candidate is tried at once: all cold endpoints of a service shall serve at their paces.
 template <typename Candidate, typename Choose>
 const DirectoryEndpoint* ChooseWithPermit(SendPermits* permits, std::vector<Candidate> candidates,
                                           const Choose& choose) {
   const DirectoryEndpoint* preferred = choose(candidates);
-  if (preferred == nullptr || permits == nullptr || permits->MaySend(preferred->entry.id)) {
-    return preferred;
+  while (preferred != nullptr && permits != nullptr && !permits->MaySend(preferred->entry.id)) {
+    const std::string id = preferred->entry.id;
+    permits->Request(id);
+    if (permits->MaySend(id)) {
+      return preferred;
+    }
+    const bool is_refused = preferred->is_cold() && permits->WaitFor(id) > Duration();
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                    [&](const Candidate& candidate) {
+                                      const std::string& other = detail::EndpointIdOf(candidate);
+                                      return is_refused ? other == id : !permits->MaySend(other);
+                                    }),
+                     candidates.end());
+    preferred = choose(candidates);
   }
-  permits->Request(preferred->entry.id);
-  if (permits->MaySend(preferred->entry.id)) {
-    return preferred;
-  }
-  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                                  [permits](const Candidate& candidate) {
-                                    return !permits->MaySend(detail::EndpointIdOf(candidate));
-                                  }),
-                   candidates.end());
-  return choose(candidates);
+  return preferred;
 }
 
 }  // namespace quetzalridge
--- /dev/null
+++ b/src/state/cold_endpoint.cc
@@ -0,0 +1,65 @@
+#include "state/cold_endpoint.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzalridge {
+
+namespace {
+
+constexpr double kMsPerSecond = 1000.0;
+// Covers differences between the clocks' rates, and the time until the endpoint serves at its full speed.
+constexpr Duration kEndMargin = Duration::Milliseconds(500);
+// A registry entry is up to a heartbeat of 1.2 s old when it arrives, and may have been written before a response that
+// arrived earlier.
+constexpr Duration kMaxReportLag = Duration::Seconds(2);
+// Longer than any endpoint takes to warm up. A malformed value must not limit an endpoint for good.
+constexpr Duration kMaxColdTime = Duration::Seconds(600);
+// Permits granted within this time may be used within the same second: a permit waits for its use, and the call then
+// takes up to one failed connection and one call to another instance.
+constexpr Duration kGrantWindow = Duration::Seconds(1) + kColdPermitLifetime + Duration::Milliseconds(150);
+// While instances do not agree on who grants the permits, two may.
+constexpr int kMaxGrantingInstances = 2;
+// An order to load weights reads the state of the endpoint first. ModelVersionDuty sends it without a permit, and none
+// else to the same cold endpoint within a second.
+constexpr double kRequestsPerOrder = 2.0;
+
+}  // namespace
+
+void ColdPeriod::OnReport(TimePoint at, Duration remaining) {
+  if (remaining <= Duration() && !m_until.has_value()) {
+    return;
+  }
+  const Duration capped = std::min(remaining, kMaxColdTime);
+  const TimePoint until = capped > Duration() ? at + capped + kEndMargin : at;
+  if (m_until.has_value() && until < *m_until && at - m_reported_at < kMaxReportLag) {
+    return;
+  }
+  m_until = until;
+  m_reported_at = at;
+}
+
+double ColdPace(double requests_per_s, const ColdBounds& bounds, GrantAuthority authority) {
+  if (authority == GrantAuthority::kNone || requests_per_s <= 0.0) {
+    return 0.0;
+  }
+  const double allowed = requests_per_s * bounds.overage + bounds.slack;
+  const double share = std::floor((allowed - kRequestsPerOrder) / kMaxGrantingInstances);
+  const double permits = authority == GrantAuthority::kSettled ? std::max(share, 1.0) : 1.0;
+  return std::min(requests_per_s, permits * kMsPerSecond / static_cast<double>(kGrantWindow.ms()));
+}
+
+PermitReply ColdPacer::Request(TimePoint now, double pace) {
+  const Duration interval = Duration::Milliseconds(static_cast<int64_t>(std::ceil(kMsPerSecond / pace)));
+  if (!m_last_at.has_value()) {
+    m_last_at = now;
+  }
+  const TimePoint due = *m_last_at + interval;
+  if (now < due) {
+    return {false, due - now};
+  }
+  m_last_at = now;
+  return {true, Duration()};
+}
+
+}  // namespace quetzalridge
--- /dev/null
+++ b/src/state/cold_endpoint.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <optional>
+
+#include "base/clock.h"
+#include "state/request_pacer.h"
+
+namespace quetzalridge {
+
+// How many requests a cold endpoint may receive in one second from all instances together: its rate multiplied by
+// `overage`, plus `slack`.
+struct ColdBounds {
+  double overage = 1.5;
+  double slack = 5.0;
+};
+
+// The time for which one endpoint stays cold, from what the endpoint has reported about it.
+class ColdPeriod {
+ public:
+  // A report received at `at`, according to which the endpoint stays cold for `remaining`. A report that would end the
+  // period earlier is ignored shortly after one that extended it, since reports may overtake each other.
+  void OnReport(TimePoint at, Duration remaining);
+  // Includes a margin after the reported end.
+  bool IsCold(TimePoint now) const { return m_until.has_value() && now < *m_until; }
+  // The end, with the margin; nothing if the endpoint was never reported as cold.
+  std::optional<TimePoint> until() const { return m_until; }
+
+ private:
+  std::optional<TimePoint> m_until;
+  // When the present end was reported.
+  TimePoint m_reported_at;
+};
+
+// How far the other instances may be expected to agree that this instance grants the permits for an endpoint.
+enum class GrantAuthority {
+  // Another instance may grant them already. No permit is granted.
+  kNone,
+  // This instance is new, and so are the others, so several may grant permits at the same time.
+  kNew,
+  kSettled,
+};
+
+// A permit for a cold endpoint that is not used in this time after it was requested is lost.
+inline constexpr Duration kColdPermitLifetime = Duration::Milliseconds(200);
+
+// Returns the requests per second for which one instance may grant permits, 0 for none. `requests_per_s` is the rate
+// that the endpoint tolerates while it is cold. Two instances that both grant permits at this pace stay within the
+// bounds.
+double ColdPace(double requests_per_s, const ColdBounds& bounds, GrantAuthority authority);
+
+// Spaces the permits for one cold endpoint. Unlike RequestPacer, it never grants two permits within one interval.
+class ColdPacer {
+ public:
+  // `pace` is in permits per second. The first permit is granted one interval after the first request, since another
+  // instance may have granted permits until now.
+  PermitReply Request(TimePoint now, double pace);
+
+ private:
+  std::optional<TimePoint> m_last_at;
+};
+
+}  // namespace quetzalridge
--- a/src/state/endpoint_choice.cc
+++ b/src/state/endpoint_choice.cc
@@ -53,10 +53,11 @@
                                           const std::string& own_zone, const std::set<std::string>& tried,
                                           Random* random) {
   const DirectoryEndpoint* best = nullptr;
-  std::tuple<bool, double, bool, uint64_t> best_rank;
+  std::tuple<bool, bool, double, bool, uint64_t> best_rank;
   for (const DirectoryEndpoint* candidate : candidates) {
-    const std::tuple<bool, double, bool, uint64_t> rank{tried.count(candidate->entry.id) > 0, LoadOf(*candidate),
-                                                        candidate->entry.zone != own_zone, random->Next()};
+    const std::tuple<bool, bool, double, bool, uint64_t> rank{tried.count(candidate->entry.id) > 0,
+                                                              candidate->is_cold(), LoadOf(*candidate),
+                                                              candidate->entry.zone != own_zone, random->Next()};
     if (best == nullptr || rank < best_rank) {
       best = candidate;
       best_rank = rank;
@@ -100,7 +101,7 @@
   for (const ItemCandidate& candidate : candidates) {
     const bool known = candidate.ms_per_event > 0.0 && candidate.endpoint != current.endpoint;
     // A move would use up a request that a waiting item needs more.
-    const bool limited = candidate.endpoint->rate_limit.has_value();
+    const bool limited = candidate.endpoint->is_limited();
     if (known && !limited && CanTake(candidate, placement) &&
         (best == nullptr || candidate.ms_per_event < best->ms_per_event)) {
       best = &candidate;
--- a/src/state/endpoint_choice.h
+++ b/src/state/endpoint_choice.h
@@ -12,7 +12,8 @@
 
 // Returns the endpoint for a single request (not part of a batch job): the one with the lowest ratio of this instance's
 // requests in flight to its slots. Among equal ones, an endpoint in this instance's availability zone is preferred, and
-// then the choice is random. Endpoints in `tried` come last. Returns nullptr if there are no candidates.
+// then the choice is random. Cold endpoints come after the others, since their callers wait, and endpoints in `tried`
+// last. Returns nullptr if there are no candidates.
 const DirectoryEndpoint* ChooseForRequest(const std::vector<const DirectoryEndpoint*>& candidates,
                                           const std::string& own_zone, const std::set<std::string>& tried,
                                           Random* random);
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace quetzalridge {
 
@@ -37,7 +38,9 @@
     listed.insert(entry.id);
     const auto [found, is_new] = m_endpoints.try_emplace(entry.id);
     DirectoryEndpoint& endpoint = found->second;
-    if (is_new || endpoint.entry.started_at_ms != entry.started_at_ms || endpoint.entry.address != entry.address) {
+    const bool is_restarted =
+        endpoint.entry.started_at_ms != entry.started_at_ms || endpoint.entry.address != entry.address;
+    if (is_new || is_restarted) {
       // A restarted endpoint has lost its state, but calls of this instance to its previous run may not have ended yet.
       const int in_flight = endpoint.in_flight;
       endpoint = {};
@@ -54,8 +57,12 @@
         version = std::max(version, own->second);
       }
     }
+    if (is_new || is_restarted || entry.read_at != endpoint.entry.read_at) {
+      endpoint.cold_period.OnReport(entry.read_at, entry.cold_remaining);
+    }
     endpoint.entry = entry;
     endpoint.entry.model_versions = std::move(versions);
+    UpdateColdLimit(&endpoint);
     endpoint.missing = false;
     endpoint.unlisted_since.reset();
     const auto leaving = m_leaving.find(entry.id);
@@ -223,6 +230,54 @@
   }
 }
 
+void EndpointDirectory::SetColdLimits(std::map<std::string, double> limits) {
+  m_cold_limits = std::move(limits);
+  for (auto& [id, endpoint] : m_endpoints) {
+    UpdateColdLimit(&endpoint);
+  }
+}
+
+void EndpointDirectory::OnColdReport(const std::string& id, Duration remaining) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    endpoint->cold_period.OnReport(m_clock->Now(), remaining);
+    UpdateColdLimit(endpoint);
+  }
+}
+
+void EndpointDirectory::UpdateColdLimit(DirectoryEndpoint* endpoint) {
+  const auto limit = m_cold_limits.find(endpoint->entry.service);
+  const bool is_cold = limit != m_cold_limits.end() && endpoint->cold_period.IsCold(m_clock->Now());
+  const std::optional<double> cold_limit = is_cold ? std::optional<double>(limit->second) : std::nullopt;
+  if (cold_limit != endpoint->cold_limit) {
+    endpoint->cold_limit = cold_limit;
+    m_cold_changes.insert(endpoint->entry.id);
+  }
+}
+
+std::vector<std::string> EndpointDirectory::RefreshCold() {
+  for (auto& [id, endpoint] : m_endpoints) {
+    UpdateColdLimit(&endpoint);
+  }
+  std::vector<std::string> changes(m_cold_changes.begin(), m_cold_changes.end());
+  m_cold_changes.clear();
+  return changes;
+}
+
+std::optional<TimePoint> EndpointDirectory::NextColdEnd() const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.is_cold() && (!next.has_value() || *endpoint.cold_period.until() < *next)) {
+      next = endpoint.cold_period.until();
+    }
+  }
+  return next;
+}
+
+int EndpointDirectory::cold_count() const {
+  return static_cast<int>(
+      std::count_if(m_endpoints.begin(), m_endpoints.end(), [](const auto& entry) { return entry.second.is_cold(); }));
+}
+
 void EndpointDirectory::OnModelVersion(const std::string& id, const std::string& model, int64_t version) {
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     int64_t& known = endpoint->entry.model_versions[model];
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -4,11 +4,13 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "base/clock.h"
+#include "state/cold_endpoint.h"
 
 namespace quetzalridge {
 
@@ -35,6 +37,9 @@
   bool is_cheap = false;
   // Loaded version of each model.
   std::map<std::string, int64_t> model_versions;
+  // How long the endpoint stays cold from `read_at`, when this version of the entry arrived.
+  Duration cold_remaining;
+  TimePoint read_at;
 };
 
 // A registry entry together with what this instance has observed in its own calls to the endpoint.
@@ -60,9 +65,16 @@
   std::optional<TimePoint> unlisted_since;
   // The endpoint has said in a response that it will stop.
   bool leaving = false;
+  ColdPeriod cold_period;
+  // Number of requests per second that the endpoint tolerates from all instances together, while it is cold and its
+  // service has such a limit.
+  std::optional<double> cold_limit;
 
   // The endpoint takes new work: it is ready, listed in the registry, and has not said that it will stop.
   bool takes_work() const { return entry.phase == EndpointPhase::kReady && !missing && !leaving; }
+  bool is_cold() const { return cold_limit.has_value(); }
+  // Requests to the endpoint need permits.
+  bool is_limited() const { return rate_limit.has_value() || is_cold(); }
 };
 
 // The endpoints of all services: their registry entries, and what this instance has observed in its own calls.
@@ -125,17 +137,32 @@
   bool OnLeaving(const std::string& id, int64_t started_at_ms);
   // Records the rate limit in a response of the endpoint; nothing if the response has none.
   void OnRateLimit(const std::string& id, std::optional<double> limit);
+  // Sets the requests per second that cold endpoints tolerate, by service. Endpoints of other services have no such
+  // limit.
+  void SetColdLimits(std::map<std::string, double> limits);
+  // Records that a response of the endpoint says how long it stays cold.
+  void OnColdReport(const std::string& id, Duration remaining);
+  // Begins and ends cold periods, also those that have passed since. Returns the endpoints whose limit has changed
+  // since the last call. Until this function is called, an endpoint whose period has ended keeps its limit.
+  std::vector<std::string> RefreshCold();
+  // When the next cold period ends; nothing if no endpoint is cold.
+  std::optional<TimePoint> NextColdEnd() const;
+  int cold_count() const;
   // Records the loaded version of a model, as reported in a response.
   void OnModelVersion(const std::string& id, const std::string& model, int64_t version);
 
  private:
   DirectoryEndpoint* FindMutable(const std::string& id);
+  void UpdateColdLimit(DirectoryEndpoint* endpoint);
 
   const Clock* m_clock;
   bool m_known = false;
   bool m_in_grace_period = false;
   std::optional<TimePoint> m_last_response_at;
   std::map<std::string, DirectoryEndpoint> m_endpoints;
+  std::map<std::string, double> m_cold_limits;
+  // Endpoints whose cold limit has changed since the last call of RefreshCold.
+  std::set<std::string> m_cold_changes;
   // The start of each endpoint that has said that it will stop, and when it was last listed. Its entry may disappear
   // from the registry and come back.
   struct LeavingStart {
--- a/src/state/request_pacer.cc
+++ b/src/state/request_pacer.cc
@@ -21,7 +21,6 @@
     m_started = true;
     m_due_ms = now_ms + interval_ms;
   }
-  m_requested_at = now;
   m_due_ms = std::max(m_due_ms, now_ms - std::max(interval_ms, kClockResolutionMs));
   if (m_due_ms > now_ms) {
     return {false, Duration::Milliseconds(static_cast<int64_t>(std::ceil(m_due_ms - now_ms)))};
--- a/src/state/request_pacer.h
+++ b/src/state/request_pacer.h
@@ -17,12 +17,8 @@
  public:
   // `limit` is in requests per second.
   PermitReply Request(TimePoint now, double limit);
-  // No permit was requested in the last `age`.
-  bool IsIdle(TimePoint now, Duration age) const { return now - m_requested_at >= age; }
 
  private:
-  // When a permit was last requested.
-  TimePoint m_requested_at;
   bool m_started = false;
   // When a request would be due if they were evenly spaced. Not in whole milliseconds, since an interval may be
   // shorter.
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -76,6 +76,10 @@
   std::vector<std::string> models;
   // Absent if the number of endpoints is fixed.
   std::optional<ServiceScaling> scaling;
+  // How long an endpoint is cold after its start, and the requests per second that it tolerates meanwhile; 0 sets no
+  // limit.
+  Duration cold_time;
+  double cold_requests_per_s = 0.0;
 };
 
 // A workspace and the keys that identify its requests.
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -64,6 +64,10 @@
   bool relayed = false;
   // Requests per second that an endpoint accepts from all instances together, by endpoint id.
   std::map<std::string, double> rate_limits;
+  // How long endpoints stay cold after an instance has read the registry, by endpoint id, and the requests per second
+  // that they tolerate meanwhile, by service.
+  std::map<std::string, Duration> cold_times;
+  std::map<std::string, double> cold_limits;
   // Endpoints that have left the registry.
   std::set<std::string> stopped;
   // Endpoints that send events of this size without ids and without end, by endpoint id.
@@ -364,6 +368,9 @@
         entry.slots = 4;
         entry.model_versions[kBatchModel] = 1;
         entry.software_version = fixture->engines.software_versions[entry.id];
+        const auto cold = fixture->engines.cold_times.find(entry.id);
+        entry.cold_remaining = cold == fixture->engines.cold_times.end() ? Duration() : cold->second;
+        entry.read_at = process.clock().Now();
         if (fixture->engines.stopped.count(entry.id) == 0) {
           entries.push_back(entry);
         }
@@ -377,7 +384,9 @@
         entry.slots = kScoreSlots;
         entries.push_back(entry);
       }
+      directory.SetColdLimits(fixture->engines.cold_limits);
       directory.Update(entries, false);
+      caller.OnEndpointsChanged();
     }
     BatchContext Context(BatchFixture* fixture, const std::string& name, int start) {
       BatchContext context;
--- a/tests/coordination/endpoint_relay_test.cc
+++ b/tests/coordination/endpoint_relay_test.cc
@@ -472,5 +472,29 @@
   CHECK(f.direct.size() == 1);
 }
 
+// Guards against probes of many instances under which a cold endpoint crashes. The calls themselves have permits.
+TEST_CASE("a cold endpoint gets no probes, and a call that loses its connection ends at once") {
+  RelayFixture fixture;
+  fixture.directory.SetColdLimits({{"", 2.0}});
+  fixture.directory.OnColdReport("e0", Duration::Seconds(8));
+  Outcome outcome;
+  EndpointCall call = RelayFixture::Call("e0");
+  call.is_suspect = true;
+  const std::unique_ptr<EndpointExchange> exchange = fixture.relay->Start(std::move(call), &outcome);
+  REQUIRE(fixture.direct.size() == 1);
+  fixture.relay->OnConnectionLost("e0");
+  EndpointCallResult lost;
+  lost.outcome = EndpointCallOutcome::kNoResponse;
+  fixture.direct[0]->observer->OnEnd(lost);
+  REQUIRE(outcome.result.has_value());
+  CHECK(outcome.result->outcome == EndpointCallOutcome::kNoResponse);
+  std::optional<Reachability> answer;
+  fixture.relay->CheckReachability("e0", Duration::Seconds(1), [&answer](Reachability given) { answer = given; });
+  CHECK(answer == Reachability::kUnknown);
+  fixture.scheduler.Advance(Duration::Seconds(2));
+  CHECK(fixture.probes == 0);
+  CHECK(fixture.quarantine.size() == 0);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/coordination/model_version_duty_test.cc
+++ b/tests/coordination/model_version_duty_test.cc
@@ -19,7 +19,7 @@
   void Load(const ModelOrder& order, BeforeWrite before_write,
             std::function<void(ModelOrderOutcome)> callback) override {
     ++loads;
-    callback(before_write() ? ModelOrderOutcome::kAccepted : ModelOrderOutcome::kNotSent);
+    callback(before_write() ? outcome : ModelOrderOutcome::kNotSent);
   }
   void ReportVersion(int64_t version) {
     std::vector<std::function<void(const EngineState&)>> callbacks;
@@ -33,6 +33,7 @@
   }
   std::vector<std::function<void(const EngineState&)>> pending_state_reads;
   int loads = 0;
+  ModelOrderOutcome outcome = ModelOrderOutcome::kAccepted;
 };
 
 // The holder of the duty, and a service with four endpoints and one model.
@@ -118,5 +119,27 @@
   CHECK(fixture.orders.loads == loads);
 }
 
+// Guards against polls and repeated orders under which a cold endpoint crashes.
+TEST_CASE("a cold engine is not polled, and gets at most one order in three seconds") {
+  for (const bool refuses : {false, true}) {
+    INFO("the engines refuse the orders: " << refuses);
+    DutyFixture fixture;
+    fixture.orders.outcome = refuses ? ModelOrderOutcome::kConflict : ModelOrderOutcome::kAccepted;
+    fixture.orders.ReportVersion(1);
+    fixture.directory.SetColdLimits({{"sorter", 2.0}});
+    for (const char* endpoint : {"e0", "e1", "e2", "e3"}) {
+      fixture.directory.OnColdReport(endpoint, Duration::Seconds(60));
+    }
+    size_t reads = 0;
+    for (int ms = 0; ms < 10'000; ms += 50) {
+      fixture.scheduler.Advance(Duration::Milliseconds(50));
+      reads += fixture.orders.pending_state_reads.size();
+      fixture.orders.ReportVersion(1);
+    }
+    // Two endpoints may load at once.
+    CHECK(reads <= 2 * 4);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/coordination/rate_limiter_test.cc
+++ b/tests/coordination/rate_limiter_test.cc
@@ -16,7 +16,8 @@
 constexpr int kMostCalls = static_cast<int>(1.5 * kLimit * 4) + 5;
 
 // The largest number of runs that began on the endpoint within one window, from `begin` on.
-int MostRunsInWindow(const std::vector<ItemRunRecord>& runs, const std::string& endpoint, TimePoint begin) {
+int MostRunsInWindow(const std::vector<ItemRunRecord>& runs, const std::string& endpoint, TimePoint begin,
+                     Duration window = kWindow) {
   std::vector<TimePoint> times;
   for (const ItemRunRecord& run : runs) {
     if (run.endpoint == endpoint && run.at >= begin) {
@@ -25,7 +26,7 @@
   }
   size_t most = 0;
   for (size_t first = 0, last = 0; last < times.size(); ++last) {
-    while (times[last] - times[first] >= kWindow) {
+    while (times[last] - times[first] >= window) {
       ++first;
     }
     most = std::max(most, last - first + 1);
@@ -263,5 +264,34 @@
   }
 }
 
+// Guards against cold endpoints that crash under the items of several jobs, and against items that wait for nothing
+// while a service has only cold endpoints.
+TEST_CASE("items of batch jobs warm up cold endpoints at their pace") {
+  constexpr double kColdPerS = 2.0;
+  constexpr int kMostCold = static_cast<int>(kColdPerS * 1.5) + 5;
+  BatchFixture fixture(1);
+  fixture.engines.event_gap = Duration::Milliseconds(100);
+  fixture.engines.cold_limits = {{kBatchService, kColdPerS}};
+  for (const char* engine : {"engine-0", "engine-1", "engine-2", "engine-3"}) {
+    fixture.engines.cold_times[engine] = Duration::Seconds(60);
+  }
+  for (const char* name : {"one", "two", "three"}) {
+    fixture.StartInstance(name);
+  }
+  for (const char* name : {"one", "two", "three"}) {
+    REQUIRE(fixture.Submit(name, BatchFixture::MakeJob(std::string("job-of-") + name, 300)) ==
+            SubmitOutcome::kAccepted);
+  }
+  constexpr int kSeconds = 15;
+  fixture.scheduler.Advance(Duration::Seconds(kSeconds));
+  for (const char* engine : {"engine-0", "engine-1", "engine-2", "engine-3"}) {
+    INFO(engine);
+    CHECK(MostRunsInWindow(fixture.engines.runs, engine, TimePoint(), Duration::Seconds(1)) <= kMostCold);
+    const auto runs = std::count_if(fixture.engines.runs.begin(), fixture.engines.runs.end(),
+                                    [engine](const ItemRunRecord& run) { return run.endpoint == engine; });
+    CHECK(runs >= 0.7 * ColdPace(kColdPerS, ColdBounds(), GrantAuthority::kSettled) * (kSeconds - 1));
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -1,11 +1,14 @@
 #include "gateway/request_forwarder.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "coordination/rate_limiter.h"
 #include "state/request_fingerprint.h"
 #include "tests/fakes/fake_table_store.h"
 #include "tests/fakes/manual_scheduler.h"
@@ -513,5 +516,96 @@
   CHECK_FALSE(fixture.endpoints.attempts[1]->call.runs_alone);
 }
 
+// Answers each call a few milliseconds later.
+class QuickEndpoints : public EndpointCaller {
+ public:
+  explicit QuickEndpoints(ManualScheduler* scheduler) : m_scheduler(scheduler) {}
+  std::unique_ptr<EndpointExchange> Start(EndpointCall call, EndpointCallObserver* observer) override {
+    ++calls[call.endpoint_id];
+    m_scheduler->Post(Duration::Milliseconds(5), [observer] {
+      observer->OnHead(ForwarderFixture::Head(200, false));
+      observer->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+    });
+    return nullptr;
+  }
+  std::map<std::string, int> calls;
+
+ private:
+  ManualScheduler* m_scheduler;
+};
+
+class NoPermitClient : public PermitClient {
+ public:
+  void Ask(const std::string&, const PermitRequest&, std::function<void(std::optional<PermitReply>)>) override {}
+};
+
+// A forwarder before `cold` cold and `warm` warm endpoints, on the instance that grants all permits.
+struct ColdFixture {
+  ColdFixture(int cold, int warm) {
+    std::vector<EndpointEntry> entries(static_cast<size_t>(cold + warm));
+    for (size_t i = 0; i < entries.size(); ++i) {
+      entries[i].id = (static_cast<int>(i) < cold ? "cold-" : "warm-") + std::to_string(i);
+      entries[i].service = kService;
+      entries[i].slots = 6;
+      entries[i].read_at = scheduler.Now();
+      entries[i].cold_remaining = static_cast<int>(i) < cold ? Duration::Seconds(600) : Duration();
+    }
+    directory.SetColdLimits({{kService, kColdPerS}});
+    directory.Update(entries, false);
+    limiter.AddListener([this] { forwarder.OnPermits(); });
+  }
+  // Sends requests at a steady rate. Returns the share that was served.
+  double Serve(double requests_per_s, Duration time) {
+    const int count = static_cast<int>(requests_per_s * static_cast<double>(time.ms()) / 1000.0);
+    std::vector<CallerView> views(static_cast<size_t>(count));
+    for (CallerView& view : views) {
+      ServiceRoute route;
+      route.kind = RouteKind::kIdempotent;
+      route.services = {{kService, 1}};
+      IncomingRequest request;
+      request.id = "r";
+      request.time_left = Duration::Milliseconds(800);
+      forwarder.Forward(std::move(request), route, "w", std::make_shared<FakeResponder>(&view));
+      scheduler.Advance(Duration::Milliseconds(time.ms() / count));
+    }
+    scheduler.Advance(Duration::Seconds(1));
+    const auto served =
+        std::count_if(views.begin(), views.end(), [](const CallerView& view) { return view.status == 200; });
+    return static_cast<double>(served) / count;
+  }
+
+  static constexpr double kColdPerS = 2.0;
+  ManualScheduler scheduler;
+  RouteTable routes;
+  EndpointDirectory directory{&scheduler.clock()};
+  QuickEndpoints endpoints{&scheduler};
+  NoPermitClient client;
+  RateLimiter limiter{
+      {&scheduler, &endpoints, &directory, &client, "own", [] { return std::vector<std::string>{"own"}; }}};
+  FakeTable table{&scheduler, 1};
+  FakeTableStore store{&table, &scheduler};
+  StreamOrigins origins{&store, &scheduler, &directory, [this] { return scheduler.Now().ms(); }};
+  NoUsage usage;
+  NoMetrics metrics;
+  RequestForwarder forwarder{
+      {&scheduler, &routes, &directory, &limiter, &limiter, &usage, &metrics, &origins, "a", nullptr, nullptr}, 1};
+};
+
+// Guards against callers that wait for permits, or that a slow endpoint serves, while warm endpoints have room.
+TEST_CASE("requests go to warm endpoints while there are any") {
+  ColdFixture fixture(3, 1);
+  CHECK(fixture.Serve(20.0, Duration::Seconds(10)) == 1.0);
+  CHECK(fixture.endpoints.calls["warm-3"] == 200);
+}
+
+// Guards against a service that is not served at all while all its endpoints are cold.
+TEST_CASE("a service with cold endpoints only is served at the sum of their paces") {
+  ColdFixture fixture(4, 0);
+  fixture.Serve(8.0, Duration::Seconds(2));
+  const double share = fixture.Serve(8.0, Duration::Seconds(20));
+  CHECK(share >= 0.8);
+  CHECK(fixture.Serve(5.0, Duration::Seconds(20)) >= 0.95);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/platform/decoding_test.cc
+++ b/tests/platform/decoding_test.cc
@@ -155,6 +155,38 @@
   CHECK(entry->model_versions.at("m0") == 4);
 }
 
+// Guards against a cold endpoint that is taken for a warm one.
+TEST_CASE("the time for which an endpoint stays cold is read from its entry, and a malformed one counts as none") {
+  CHECK(DecodeRegistryEntry("i-1", kEntry)->cold_remaining == Duration());
+  const std::pair<std::string, int64_t> cases[] = {{"6500", 6'500}, {"0.4", 1},  {"-3", 0},
+                                                   {"\"6500\"", 0}, {"null", 0}, {"1e300", 600'000}};
+  for (const auto& [value, expected_ms] : cases) {
+    INFO(value);
+    std::string text = kEntry;
+    const std::string field = "\"ColdRemainingMs\":";
+    text.replace(text.find(field), field.size() + 1, field + value);
+    const std::optional<EndpointEntry> entry = DecodeRegistryEntry("i-1", text);
+    REQUIRE(entry.has_value());
+    CHECK(entry->cold_remaining.ms() == expected_ms);
+  }
+}
+
+TEST_CASE("the limit of cold endpoints is read from the operator's configuration and the settings") {
+  const ServingConfig config = DecodeServingConfig(
+      R"({"Version":3,"Routes":[],"Services":[{"Name":"s","ColdStartS":6.5,"ColdPerS":2.5},{"Name":"t"}]})");
+  REQUIRE(config.services.size() == 2);
+  CHECK(config.services[0].cold_time == Duration::Milliseconds(6'500));
+  CHECK(config.services[0].cold_requests_per_s == 2.5);
+  CHECK(config.services[1].cold_requests_per_s == 0.0);
+  CHECK(ParseNodeSettings(kSettings).cold_bounds.overage == 1.5);
+  CHECK(ParseNodeSettings(kSettings).cold_bounds.slack == 5.0);
+  std::string text = kSettings;
+  const std::string field = "\"GraceS\": 8";
+  text.replace(text.find(field), field.size(), "\"ColdOverage\": 1.2, \"ColdSlack\": 3");
+  CHECK(ParseNodeSettings(text).cold_bounds.overage == 1.2);
+  CHECK(ParseNodeSettings(text).cold_bounds.slack == 3.0);
+}
+
 // Guards against a malformed entry, which another program wrote, that crashes the process or is used as an endpoint.
 TEST_CASE("malformed registry entries are not used as endpoints") {
   const std::pair<std::string, std::string> replacements[] = {
--- a/tests/state/endpoint_choice_test.cc
+++ b/tests/state/endpoint_choice_test.cc
@@ -82,5 +82,25 @@
   CHECK(ChooseForMove({{&slow, 130}, {&full, 37}}, MakePlacement(), current, 100) == nullptr);
 }
 
+// Guards against callers that wait for a slow endpoint while others are warm.
+TEST_CASE("a single request goes to a cold endpoint only if no other one is left") {
+  Random random(1);
+  const DirectoryEndpoint busy = MakeEndpoint("busy", 3);
+  DirectoryEndpoint cold = MakeEndpoint("cold", 0);
+  cold.cold_limit = 2.0;
+  CHECK(ChooseForRequest({&cold, &busy}, "a", {}, &random) == &busy);
+  CHECK(ChooseForRequest({&cold, &busy}, "a", {"busy"}, &random) == &cold);
+  CHECK(ChooseForRequest({&cold}, "a", {}, &random) == &cold);
+}
+
+// Guards against moves that use up the few requests of a cold endpoint.
+TEST_CASE("no item moves to a cold endpoint") {
+  const DirectoryEndpoint slow = MakeEndpoint("slow", 1);
+  DirectoryEndpoint cold = MakeEndpoint("cold", 0);
+  REQUIRE(ChooseForMove({{&slow, 40.0}, {&cold, 10.0}}, MakePlacement(), {&slow, 40.0}, 100) == &cold);
+  cold.cold_limit = 2.0;
+  CHECK(ChooseForMove({{&slow, 40.0}, {&cold, 10.0}}, MakePlacement(), {&slow, 40.0}, 100) == nullptr);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/state/endpoint_directory_test.cc
+++ b/tests/state/endpoint_directory_test.cc
@@ -161,5 +161,53 @@
   CHECK_FALSE(directory.HasSoftwareVersion("s", "v1"));
 }
 
+// Guards against bursts on an endpoint that has just started, or has become cold again.
+TEST_CASE("an endpoint is limited while its entry or a response says that it is cold") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  directory.SetColdLimits({{"s", 2.0}});
+  EndpointEntry entry = MakeEntry("one");
+  entry.cold_remaining = Duration::Seconds(6);
+  entry.read_at = clock.Now();
+  directory.Update({entry, MakeEntry("warm")}, false);
+  REQUIRE(directory.Find("one")->is_cold());
+  CHECK(*directory.Find("one")->cold_limit == 2.0);
+  CHECK_FALSE(directory.Find("warm")->is_limited());
+  CHECK(directory.RefreshCold() == std::vector<std::string>{"one"});
+  // The same entry, read again, does not begin a new period.
+  clock.Advance(Duration::Seconds(7));
+  directory.Update({entry, MakeEntry("warm")}, false);
+  CHECK_FALSE(directory.Find("one")->is_cold());
+  CHECK(directory.RefreshCold() == std::vector<std::string>{"one"});
+  directory.OnColdReport("one", Duration::Seconds(3));
+  CHECK(directory.Find("one")->is_cold());
+  CHECK(directory.cold_count() == 1);
+  // A restart under the same id.
+  clock.Advance(Duration::Seconds(4));
+  directory.RefreshCold();
+  REQUIRE_FALSE(directory.Find("one")->is_cold());
+  entry.started_at_ms = 9;
+  entry.read_at = clock.Now();
+  directory.Update({entry}, false);
+  CHECK(directory.Find("one")->is_cold());
+}
+
+// Guards against limits for endpoints of services that the operator has not configured any for.
+TEST_CASE("endpoints of a service without a cold limit are never cold") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  EndpointEntry entry = MakeEntry("one");
+  entry.cold_remaining = Duration::Seconds(6);
+  entry.read_at = clock.Now();
+  directory.Update({entry}, false);
+  CHECK_FALSE(directory.Find("one")->is_limited());
+  CHECK(directory.RefreshCold().empty());
+  // The configuration may arrive after the registry.
+  directory.SetColdLimits({{"s", 2.0}});
+  CHECK(directory.Find("one")->is_cold());
+  directory.SetColdLimits({});
+  CHECK_FALSE(directory.Find("one")->is_cold());
+}
+
 }  // namespace
 }  // namespace quetzalridge
