Send nothing to the endpoints of a zone that the operator evacuates

Cause: the row op/evacuate/ZONE was not read, so requests went on to the endpoints of the zone.

Endpoints of an evacuated zone take no work (requests, items, reward calls, relayed calls, orders) and get no probes; what runs there finishes. Calls that were chosen before are checked again when they are sent or passed on. Requests of a service without other endpoints are refused at once as not run. No endpoints are ordered for the zone: an order computed without the evacuated ones would remove them. After the end of the evacuation the endpoints count as cold until their next entries have arrived.

--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -198,8 +198,9 @@
       call.time_left = call.time_left - elapsed;
       call.head_timeout = std::min(call.head_timeout, call.time_left);
     }
+    const bool is_evacuated = m_relay->IsEvacuated(m_call.endpoint_id);
     const bool in_time = m_call.time_left == Duration() || call.time_left >= kMinRelayTime;
-    m_peer = in_time && m_tried.size() < kMaxPeersPerCall
+    m_peer = in_time && !is_evacuated && m_tried.size() < kMaxPeersPerCall
                  ? m_relay->m_peers.Choose(m_relay->m_context.other_instances(), m_tried)
                  : "";
     if (m_peer.empty()) {
@@ -296,7 +297,12 @@
 
 bool EndpointRelay::MayProbe(const std::string& endpoint) const {
   const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
-  return known != nullptr && !known->is_cold();
+  return known != nullptr && known->may_probe();
+}
+
+bool EndpointRelay::IsEvacuated(const std::string& endpoint) const {
+  const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
+  return known != nullptr && known->evacuated;
 }
 
 int64_t EndpointRelay::StartOf(const std::string& endpoint) const {
@@ -510,7 +516,7 @@
 
 void EndpointRelay::ProbeSuspect(const std::string& endpoint) {
   const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
-  if (known != nullptr && known->is_cold()) {
+  if (known != nullptr && !known->may_probe()) {
     // Without a probe, nothing is known about the path, and the call that has failed ends as its connection did.
     m_lost_calls.erase(endpoint);
     return;
@@ -564,7 +570,7 @@
   const TimePoint began_at = Now();
   for (const std::string& endpoint : m_paths.BeginProbes()) {
     const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
-    if (known == nullptr || known->is_cold()) {
+    if (known == nullptr || !known->may_probe()) {
       m_paths.OnProbeResult(endpoint, false);
       continue;
     }
--- a/src/coordination/endpoint_relay.h
+++ b/src/coordination/endpoint_relay.h
@@ -74,8 +74,10 @@
   TimePoint Now() const { return m_context.scheduler->clock().Now(); }
   std::set<std::string> KnownEndpoints() const;
   // Probes count towards what a cold endpoint tolerates, and any number of instances may send them, so cold endpoints
-  // get none.
+  // get none; neither do those of evacuated zones.
   bool MayProbe(const std::string& endpoint) const;
+  // The endpoint's zone was evacuated, perhaps after the call had begun.
+  bool IsEvacuated(const std::string& endpoint) const;
   // The start of the endpoint that is known now; see EndpointEntry::started_at_ms.
   int64_t StartOf(const std::string& endpoint) const;
   void RecordLeaving(const std::string& endpoint, int64_t started_at_ms);
--- a/src/coordination/model_version_duty.cc
+++ b/src/coordination/model_version_duty.cc
@@ -90,8 +90,9 @@
     const DirectoryEndpoint* endpoint = m_context.endpoints->Find(id);
     const bool due =
         Now() - pending_load.started_at >= kMinLoadTime && Now() - pending_load.queried_at >= kEngineQueryInterval;
-    // The registry entry of a cold endpoint shows the end of its load, and costs it no request.
-    if (endpoint == nullptr || endpoint->is_cold() || !pending_load.accepted || pending_load.query_in_flight || !due) {
+    // The registry entry shows the end of the load, too, and costs the endpoint no request.
+    if (endpoint == nullptr || !endpoint->may_probe() || !pending_load.accepted || pending_load.query_in_flight ||
+        !due) {
       continue;
     }
     pending_load.query_in_flight = true;
@@ -183,7 +184,7 @@
   }
   const auto version = state.versions.find(load.model);
   const bool is_loaded = version != state.versions.end() && version->second >= load.version;
-  if (endpoint == nullptr || m_lease == nullptr || !state.ok || state.is_busy || is_loaded) {
+  if (endpoint == nullptr || endpoint->evacuated || m_lease == nullptr || !state.ok || state.is_busy || is_loaded) {
     OnLoadOutcome(load, is_loaded ? ModelOrderOutcome::kAccepted : ModelOrderOutcome::kNotSent);
     return;
   }
--- a/src/coordination/rate_limiter.cc
+++ b/src/coordination/rate_limiter.cc
@@ -66,7 +66,7 @@
       : m_timer(scheduler->After(Duration(), [observer] {
           EndpointCallResult result;
           result.outcome = EndpointCallOutcome::kNotSent;
-          result.detail = "the endpoint limits the rate of requests, and no permit is left";
+          result.detail = "the endpoint limits the rate of requests, and no permit is left, or its zone is evacuated";
           observer->OnEnd(result);
         })) {}
 
@@ -102,14 +102,14 @@
 }
 
 bool RateLimiter::Take(const std::string& endpoint) {
-  if (!MaySend(endpoint)) {
+  const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
+  if (!MaySend(endpoint) || (known != nullptr && known->evacuated)) {
     return false;
   }
   const auto permit = m_permits.find(endpoint);
   if (permit != m_permits.end()) {
     permit->second.granted_at.reset();
   }
-  const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
   m_cold_calls += known != nullptr && known->is_cold() ? 1 : 0;
   return true;
 }
--- a/src/coordination/scaling_duty.cc
+++ b/src/coordination/scaling_duty.cc
@@ -54,7 +54,11 @@
 bool ScalingDuty::ScaleService(const BackendService& service) {
   std::map<std::string, ScalingZone> zones;
   for (const auto& [name, price] : service.scaling->zone_prices) {
-    zones[name] = {name, price, service.scaling->min, service.scaling->max, 0};
+    // An order sets the number of endpoints in the zone. None is sent while the zone is evacuated, so that its
+    // endpoints are there when it is in use again.
+    if (m_context.endpoints->evacuated_zones().count(name) == 0) {
+      zones[name] = {name, price, service.scaling->min, service.scaling->max, 0};
+    }
   }
   for (const auto& [id, endpoint] : m_context.endpoints->endpoints()) {
     const auto zone = zones.find(endpoint.entry.zone);
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -484,6 +484,9 @@
         !m_forwarder->m_context.endpoints->HasSoftwareVersion(m_service, *m_software_version)) {
       return "no endpoint has the software version that began the stream";
     }
+    if (m_forwarder->m_context.endpoints->IsEvacuated(m_service)) {
+      return "all endpoints of the service are in evacuated zones";
+    }
     if (m_permit_deadline.has_value()) {
       return "the rate limits of all endpoints are reached";
     }
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -23,6 +23,9 @@
 constexpr Duration kResponseLifetime = Duration::Seconds(2);
 // The registry may lose the entry of an endpoint that runs for as long as the store is away.
 constexpr Duration kLeavingRetention = Duration::Seconds(600);
+// After the end of an evacuation, the entries of endpoints that have become cold arrive within this time: endpoints
+// renew them every 1.2 s.
+constexpr Duration kAssumedColdTime = Duration::Seconds(2);
 // Longer than the registry keeps the address of an endpoint that has stopped.
 constexpr Duration kAvoidanceWhenReassigned = Duration::Seconds(10);
 
@@ -63,6 +66,7 @@
     endpoint.entry = entry;
     endpoint.entry.model_versions = std::move(versions);
     UpdateColdLimit(&endpoint);
+    endpoint.evacuated = m_evacuated_zones.count(entry.zone) > 0;
     endpoint.missing = false;
     endpoint.unlisted_since.reset();
     const auto leaving = m_leaving.find(entry.id);
@@ -273,6 +277,40 @@
   return next;
 }
 
+void EndpointDirectory::SetEvacuatedZones(std::set<std::string> zones) {
+  m_evacuated_zones = std::move(zones);
+  for (auto& [id, endpoint] : m_endpoints) {
+    const bool was_evacuated = endpoint.evacuated;
+    endpoint.evacuated = m_evacuated_zones.count(endpoint.entry.zone) > 0;
+    if (was_evacuated && !endpoint.evacuated) {
+      endpoint.cold_period.OnReport(m_clock->Now(), kAssumedColdTime);
+      UpdateColdLimit(&endpoint);
+    }
+  }
+}
+
+EndpointDirectory::ZoneLoad EndpointDirectory::LoadOfZone(const std::string& zone) const {
+  ZoneLoad load;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.entry.zone == zone) {
+      ++load.endpoints;
+      load.in_flight += endpoint.in_flight;
+    }
+  }
+  return load;
+}
+
+bool EndpointDirectory::IsEvacuated(const std::string& service) const {
+  bool has_evacuated = false;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.entry.service == service && endpoint.takes_work()) {
+      return false;
+    }
+    has_evacuated = has_evacuated || (endpoint.entry.service == service && endpoint.evacuated);
+  }
+  return has_evacuated;
+}
+
 int EndpointDirectory::cold_count() const {
   return static_cast<int>(
       std::count_if(m_endpoints.begin(), m_endpoints.end(), [](const auto& entry) { return entry.second.is_cold(); }));
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -70,8 +70,15 @@
   // service has such a limit.
   std::optional<double> cold_limit;
 
-  // The endpoint takes new work: it is ready, listed in the registry, and has not said that it will stop.
-  bool takes_work() const { return entry.phase == EndpointPhase::kReady && !missing && !leaving; }
+  // The operator has evacuated the endpoint's zone. Nothing is sent to the endpoint; what runs there finishes.
+  bool evacuated = false;
+
+  // The endpoint takes new work: it is ready, listed in the registry, has not said that it will stop, and its zone is
+  // not evacuated.
+  bool takes_work() const { return entry.phase == EndpointPhase::kReady && !missing && !leaving && !evacuated; }
+  // Requests without work, such as probes, may be sent: they cost more than the endpoint tolerates while it is cold,
+  // and an evacuated endpoint gets no requests at all.
+  bool may_probe() const { return !is_cold() && !evacuated; }
   bool is_cold() const { return cold_limit.has_value(); }
   // Requests to the endpoint need permits.
   bool is_limited() const { return rate_limit.has_value() || is_cold(); }
@@ -148,6 +155,18 @@
   // When the next cold period ends; nothing if no endpoint is cold.
   std::optional<TimePoint> NextColdEnd() const;
   int cold_count() const;
+  // Sets the zones whose endpoints get no requests. Endpoints of a zone that is in use again may have become cold
+  // meanwhile, so they count as cold until their next entries have arrived.
+  void SetEvacuatedZones(std::set<std::string> zones);
+  const std::set<std::string>& evacuated_zones() const { return m_evacuated_zones; }
+  // Number of endpoints in the zone, and of this instance's requests in flight on them.
+  struct ZoneLoad {
+    int endpoints = 0;
+    int in_flight = 0;
+  };
+  ZoneLoad LoadOfZone(const std::string& zone) const;
+  // Whether the service has ready endpoints, and all of them are in evacuated zones.
+  bool IsEvacuated(const std::string& service) const;
   // Records the loaded version of a model, as reported in a response.
   void OnModelVersion(const std::string& id, const std::string& model, int64_t version);
 
@@ -160,6 +179,7 @@
   bool m_in_grace_period = false;
   std::optional<TimePoint> m_last_response_at;
   std::map<std::string, DirectoryEndpoint> m_endpoints;
+  std::set<std::string> m_evacuated_zones;
   std::map<std::string, double> m_cold_limits;
   // Endpoints whose cold limit has changed since the last call of RefreshCold.
   std::set<std::string> m_cold_changes;
--- a/tests/coordination/endpoint_relay_test.cc
+++ b/tests/coordination/endpoint_relay_test.cc
@@ -496,5 +496,20 @@
   CHECK(fixture.quarantine.size() == 0);
 }
 
+// Guards against calls that reach a zone through another instance after its evacuation, and against probes.
+TEST_CASE("a call that cannot connect is not passed on once the endpoint's zone is evacuated") {
+  RelayFixture fixture;
+  fixture.reaches_none = true;
+  fixture.refusals = {{"a", RelayRefusal::kBusy}, {"b", RelayRefusal::kBusy}, {"c", RelayRefusal::kBusy}};
+  Outcome outcome;
+  const std::unique_ptr<EndpointExchange> exchange = fixture.Send("e0", &outcome);
+  fixture.directory.SetEvacuatedZones({""});
+  fixture.scheduler.Advance(Duration::Seconds(2));
+  CHECK(fixture.relayed.empty());
+  CHECK(fixture.probes == 0);
+  REQUIRE(outcome.result.has_value());
+  CHECK(outcome.result->outcome == EndpointCallOutcome::kNotSent);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/coordination/model_version_duty_test.cc
+++ b/tests/coordination/model_version_duty_test.cc
@@ -141,5 +141,21 @@
   }
 }
 
+// Guards against orders and polls that reach an engine after its zone was evacuated.
+TEST_CASE("an engine of an evacuated zone is neither ordered to load a version nor polled") {
+  DutyFixture fixture;
+  REQUIRE_FALSE(fixture.orders.pending_state_reads.empty());
+  // The engines of the fixture have no zone. Their states arrive after the evacuation.
+  fixture.directory.SetEvacuatedZones({""});
+  fixture.orders.ReportVersion(1);
+  CHECK(fixture.orders.loads == 0);
+  fixture.newest = 3;
+  fixture.scheduler.Advance(Duration::Seconds(5));
+  CHECK(fixture.orders.pending_state_reads.empty());
+  fixture.directory.SetEvacuatedZones({});
+  fixture.scheduler.Advance(Duration::Seconds(5));
+  CHECK_FALSE(fixture.orders.pending_state_reads.empty());
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/coordination/rate_limiter_test.cc
+++ b/tests/coordination/rate_limiter_test.cc
@@ -293,5 +293,18 @@
   }
 }
 
+// Guards against callers that chose an endpoint before its zone was evacuated.
+TEST_CASE("a call to an endpoint of an evacuated zone is not sent") {
+  LimiterFixture fixture;
+  fixture.endpoint.limit.reset();
+  REQUIRE(fixture.Call());
+  fixture.directory.SetEvacuatedZones({""});
+  CHECK_FALSE(fixture.Call());
+  REQUIRE(fixture.observer.result.has_value());
+  CHECK(fixture.observer.result->outcome == EndpointCallOutcome::kNotSent);
+  fixture.directory.SetEvacuatedZones({});
+  CHECK(fixture.Call());
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/coordination/scaling_duty_test.cc
+++ b/tests/coordination/scaling_duty_test.cc
@@ -100,5 +100,18 @@
   CHECK(fixture.orders.orders.empty());
 }
 
+// Guards against an order that removes the endpoints of an evacuated zone, or starts further ones there.
+TEST_CASE("no endpoints are ordered for an evacuated zone") {
+  ScalingFixture fixture;
+  fixture.directory.SetEvacuatedZones({"a"});
+  fixture.directory.Update(ScalingFixture::Entries(kEndpointsInZone), false);
+  fixture.scheduler.Advance(Duration::Seconds(10));
+  REQUIRE_FALSE(fixture.orders.orders.empty());
+  for (const EndpointOrder& order : fixture.orders.orders) {
+    CHECK(order.zone != "a");
+    CHECK(order.target > kEndpointsInZone);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -24,12 +24,15 @@
   std::string body;
   bool ended = false;
   bool aborted = false;
+  HttpHeaders headers;
 };
 
 class FakeResponder : public HttpResponder {
  public:
   explicit FakeResponder(CallerView* view) : m_view(view) {}
-  void Send(int status, HttpHeaders, std::string body) override { *m_view = {status, std::move(body), true, false}; }
+  void Send(int status, HttpHeaders headers, std::string body) override {
+    *m_view = {status, std::move(body), true, false, std::move(headers)};
+  }
   void Start(int status, HttpHeaders) override { m_view->status = status; }
   void Write(std::string_view data) override { m_view->body.append(data); }
   void End() override { m_view->ended = true; }
@@ -607,5 +610,39 @@
   CHECK(fixture.Serve(5.0, Duration::Seconds(20)) >= 0.95);
 }
 
+// Guards against requests that reach an evacuated zone, and against callers that wait in vain.
+TEST_CASE("when all endpoints of a service are in evacuated zones, requests are refused at once as not run") {
+  ForwarderFixture fixture;
+  fixture.Send(RouteKind::kIdempotent);
+  REQUIRE(fixture.endpoints.attempts.size() == 1);
+  // The endpoints of the fixture have no zone.
+  fixture.directory.SetEvacuatedZones({""});
+  const CallerView earlier = fixture.view;
+  fixture.Observer(0)->OnHead(ForwarderFixture::Head(200, false));
+  fixture.Observer(0)->OnBody("whole");
+  fixture.Observer(0)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  CHECK(earlier.status == 0);
+  CHECK(fixture.view.status == 200);
+  fixture.view = CallerView();
+  fixture.Send(RouteKind::kIdempotent);
+  CHECK(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.view.status == 503);
+  CHECK(FindHeader(fixture.view.headers, "retry-after") != nullptr);
+  fixture.directory.SetEvacuatedZones({});
+  fixture.Send(RouteKind::kIdempotent);
+  CHECK(fixture.endpoints.attempts.size() == 2);
+}
+
+// Guards against retries that reach a zone that was evacuated during the request.
+TEST_CASE("a refused request is not retried in a zone that was evacuated meanwhile") {
+  ForwarderFixture fixture;
+  fixture.Send(RouteKind::kIdempotent);
+  fixture.directory.SetEvacuatedZones({""});
+  fixture.Observer(0)->OnHead(ForwarderFixture::Head(503, true));
+  fixture.Observer(0)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  CHECK(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.view.status == 503);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/platform/decoding_test.cc
+++ b/tests/platform/decoding_test.cc
@@ -349,5 +349,11 @@
   CHECK_FALSE(json.at("Results").at(1).contains("Score"));
 }
 
+TEST_CASE("rows that ask for the evacuation of a zone are recognized by their keys") {
+  CHECK(ZoneOfEvacuationRow("evacuate/zone-b") == std::optional<std::string>("zone-b"));
+  CHECK_FALSE(ZoneOfEvacuationRow("config").has_value());
+  CHECK_FALSE(ZoneOfEvacuationRow("version/evacuate/b").has_value());
+}
+
 }  // namespace
 }  // namespace quetzalridge::platform
--- a/tests/platform/node_cluster.h
+++ b/tests/platform/node_cluster.h
@@ -84,6 +84,14 @@
                                           [&id](const soak::ReplicaRun& run) { return run.replica == id; }));
   }
   soak::Replica& endpoint(int i) { return *m_replicas[static_cast<size_t>(i)]; }
+  // Asks for the evacuation of a zone, or ends it. All endpoints are in zone "a".
+  void SetEvacuated(const std::string& zone, bool evacuated) {
+    if (evacuated) {
+      m_platform.Put("op", "evacuate/" + zone, nlohmann::json::object());
+    } else {
+      m_platform.Remove("op", "evacuate/" + zone);
+    }
+  }
   void NameVersion(int64_t version) {
     m_platform.Put("op", std::string("version/") + soak::kModel, {{"Model", soak::kModel}, {"Version", version}});
   }
--- a/tests/state/endpoint_directory_test.cc
+++ b/tests/state/endpoint_directory_test.cc
@@ -209,5 +209,54 @@
   CHECK_FALSE(directory.Find("one")->is_cold());
 }
 
+// Guards against work for a zone that the operator has evacuated, also on endpoints that start there later.
+TEST_CASE("endpoints of an evacuated zone take no work until the evacuation ends") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  EndpointEntry other = MakeEntry("other");
+  other.zone = "b";
+  directory.Update({MakeEntry("one"), other}, false);
+  directory.SetEvacuatedZones({"a"});
+  directory.Update({MakeEntry("one"), MakeEntry("late"), other}, false);
+  REQUIRE(directory.Usable("s").size() == 1);
+  CHECK(directory.Usable("s")[0]->entry.id == "other");
+  CHECK_FALSE(directory.Find("late")->may_probe());
+  CHECK_FALSE(directory.IsEvacuated("s"));
+  CHECK(directory.LoadOfZone("a").endpoints == 2);
+  directory.SetEvacuatedZones({"a", "b"});
+  CHECK(directory.Usable("s").empty());
+  CHECK(directory.IsEvacuated("s"));
+  CHECK_FALSE(directory.IsEvacuated("of other endpoints"));
+  directory.SetEvacuatedZones({});
+  CHECK(directory.Usable("s").size() == 3);
+  // Without a limit for cold endpoints, nothing is assumed about them.
+  CHECK(directory.cold_count() == 0);
+}
+
+// Guards against a burst on endpoints that have become cold while their zone was evacuated, before their entries say
+// so.
+TEST_CASE("endpoints of a zone that is in use again count as cold until their next entries") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  directory.SetColdLimits({{"s", 2.0}});
+  EndpointEntry other = MakeEntry("other");
+  other.zone = "b";
+  directory.Update({MakeEntry("one"), MakeEntry("two"), other}, false);
+  directory.SetEvacuatedZones({"a"});
+  clock.Advance(Duration::Seconds(60));
+  directory.SetEvacuatedZones({});
+  CHECK(directory.Find("one")->is_cold());
+  CHECK_FALSE(directory.Find("other")->is_cold());
+  EndpointEntry cold = MakeEntry("one");
+  cold.cold_remaining = Duration::Seconds(6);
+  clock.Advance(Duration::Seconds(1));
+  cold.read_at = clock.Now();
+  directory.Update({cold, MakeEntry("two"), other}, false);
+  clock.Advance(Duration::Seconds(2));
+  directory.RefreshCold();
+  CHECK(directory.Find("one")->is_cold());
+  CHECK_FALSE(directory.Find("two")->is_cold());
+}
+
 }  // namespace
 }  // namespace quetzalridge
