Keep requests and their bodies in the home regions of their route and workspace

Cause: AllowedRegions of a route or a workspace was not read, so requests went to endpoints in any region, and calls and jobs to instances in any region.

Change: where a route or a workspace has home regions, only endpoints in them are candidates for requests, items, moves and reward calls, calls are passed on only to instances in them, and jobs are handed over to and taken over by instances in them only. Without home regions nothing changes.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -144,7 +144,7 @@
   std::vector<std::string> ends_to_store;
   std::vector<std::string> expired;
   for (auto& [id, job] : m_jobs) {
-    if (IsExpired(job) && !job.removing && TakeoverRank(id, "") == 0) {
+    if (IsExpired(job) && !job.removing && TakeoverRank(id, m_fleet.live_instances(), "") == 0) {
       expired.push_back(id);
     }
     if (job.runner != nullptr && job.runner->IsDone() && job.runner->HasNoPendingAppend()) {
@@ -344,8 +344,8 @@
 
 // Rendezvous hashing spreads the jobs of a lost instance over the others, and gives each job one instance that tries
 // first.
-int BatchCoordinator::TakeoverRank(const std::string& id, const std::string& excluded) const {
-  const std::vector<std::string> live = m_fleet.live_instances();
+int BatchCoordinator::TakeoverRank(const std::string& id, const std::vector<std::string>& live,
+                                   const std::string& excluded) const {
   if (std::find(live.begin(), live.end(), m_context.instance) == live.end()) {
     return -1;
   }
@@ -360,7 +360,7 @@
 int BatchCoordinator::TakeoverRank(const std::string& id, const Job& job) const {
   const BatchOwner& owner = job.rows.owner;
   const std::string& excluded = owner.instance.empty() ? owner.released_by : owner.instance;
-  const int rank = TakeoverRank(id, excluded);
+  const int rank = TakeoverRank(id, PossibleOwners(job.rows.head.spec), excluded);
   return rank >= 0 && owner.instance == m_context.instance ? 0 : rank;
 }
 
@@ -662,7 +662,7 @@
   head.item_rows = chunks->size();
   head.submission = submission;
   const BatchOwner owner =
-      m_draining ? NextOwner(spec->id, 1) : BatchOwner{m_context.instance, m_context.incarnation, 1, ""};
+      m_draining ? NextOwner(*spec, 1) : BatchOwner{m_context.instance, m_context.incarnation, 1, ""};
   transaction.checks = {{BatchHeadKey(spec->id), 0}};
   transaction.writes.push_back({BatchHeadKey(spec->id), EncodeBatchHead(head)});
   transaction.writes.push_back({BatchOwnerKey(spec->id), EncodeBatchOwner(owner)});
@@ -957,11 +957,15 @@
   }
 }
 
+std::vector<std::string> BatchCoordinator::PossibleOwners(const BatchSpec& spec) const {
+  return m_fleet.possible_owners ? m_fleet.possible_owners(spec) : m_fleet.live_instances();
+}
+
 // If no other instance is live, the job is left without an owner, and any instance that starts may take it over.
-BatchOwner BatchCoordinator::NextOwner(const std::string& id, int64_t epoch) const {
-  const uint64_t seed = Hash64(id);
+BatchOwner BatchCoordinator::NextOwner(const BatchSpec& spec, int64_t epoch) const {
+  const uint64_t seed = Hash64(spec.id);
   BatchOwner next;
-  for (const std::string& instance : m_fleet.live_instances()) {
+  for (const std::string& instance : PossibleOwners(spec)) {
     const bool better = next.instance.empty() || Hash64(instance, seed) > Hash64(next.instance, seed);
     const std::string incarnation = m_fleet.incarnation_of(instance);
     if (instance != m_context.instance && better && !incarnation.empty()) {
@@ -977,7 +981,7 @@
 // Stores the partial texts first, so that the next owner can read them. If the write of the next owner fails, another
 // instance takes the job over as it would from a lost instance.
 void BatchCoordinator::HandOver(const std::string& id, Job* job) {
-  const BatchOwner next = NextOwner(id, job->rows.owner.epoch + 1);
+  const BatchOwner next = NextOwner(job->rows.head.spec, job->rows.owner.epoch + 1);
   const std::string key = BatchOwnerKey(id);
   TableTransaction transaction;
   transaction.id = RandomHex(kRandomIdBytes);
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -26,6 +26,8 @@
   std::function<void(const std::set<std::string>&)> watch_owners;
   // Ids of the live instances, including this one.
   std::function<std::vector<std::string>()> live_instances;
+  // The live instances that may hold the bodies of a job; all if null.
+  std::function<std::vector<std::string>(const BatchSpec&)> possible_owners;
   // Incarnation id (unique for each process start) of a live instance; empty if unknown.
   std::function<std::string(const std::string& instance)> incarnation_of;
   // Notifies the owner of a job that a caller has ended the job, so that the owner need not wait for its next read of
@@ -156,12 +158,13 @@
   void CheckOwner(const std::string& id, Job* job);
   // How many live instances other than `excluded` precede this one in the order in which instances take a job over; -1
   // when this instance does not count as live.
-  int TakeoverRank(const std::string& id, const std::string& excluded) const;
+  int TakeoverRank(const std::string& id, const std::vector<std::string>& live, const std::string& excluded) const;
   // The rank for taking the job over from its current owner.
   int TakeoverRank(const std::string& id, const Job& job) const;
   bool IsThisProcess(const BatchOwner& owner) const;
   // The instance to which this process hands a job over.
-  BatchOwner NextOwner(const std::string& id, int64_t epoch) const;
+  std::vector<std::string> PossibleOwners(const BatchSpec& spec) const;
+  BatchOwner NextOwner(const BatchSpec& spec, int64_t epoch) const;
   void HandOver(const std::string& id, Job* job);
   void TakeOver(const std::string& id, Job* job);
   // Reads a job whose owner row names this process, and runs it.
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -334,13 +334,18 @@
 
 std::vector<ItemCandidate> BatchRunner::CandidatesFor(const std::string& service) const {
   std::vector<ItemCandidate> candidates;
-  for (const DirectoryEndpoint* endpoint : m_context->endpoints->Usable(service)) {
+  for (const DirectoryEndpoint* endpoint : m_context->endpoints->Usable(service, Regions())) {
     candidates.push_back(
         {endpoint, m_context->endpoints->MsPerEvent(*endpoint), m_context->endpoints->RespondedLately(*endpoint)});
   }
   return candidates;
 }
 
+HomeRegions BatchRunner::Regions() const {
+  const ServiceRoute* route = Route();
+  return m_context->routes->HomeRegionsOf(route == nullptr ? ServiceRoute() : *route, m_spec.workspace);
+}
+
 ItemPlacement BatchRunner::PlacementOf(size_t index) const {
   ItemPlacement placement;
   placement.model = m_spec.model;
@@ -409,6 +414,7 @@
   call.idle_timeout = kItemIdleTimeout;
   call.resume_after = progress.transcript.last_id();
   call.reads_events = true;
+  call.home_regions = Regions();
   call.is_repeatable = true;
   m_group_endpoints[item.group] = endpoint->entry.id;
   const auto version = endpoint->entry.model_versions.find(m_spec.model);
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -115,6 +115,7 @@
   int running() const { return static_cast<int>(m_runs.size()); }
 
   const std::string& job() const override { return m_spec.id; }
+  const std::string& workspace() const override { return m_spec.workspace; }
   bool MayStartRewardCalls() const override { return MayStartItems(); }
   WaitingRewardCall UrgencyOf(size_t item) const override;
   int MinFailedResponses() const override;
@@ -138,6 +139,7 @@
   const ServiceRoute* Route() const;
   bool MayStartItems() const;
   void FailExpiredItems();
+  HomeRegions Regions() const;
   std::vector<ItemCandidate> CandidatesFor(const std::string& service) const;
   ItemPlacement PlacementOf(size_t index) const;
   bool StartItem(size_t index, const ServiceRoute& route);
--- a/src/coordination/endpoint_caller.h
+++ b/src/coordination/endpoint_caller.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/http_header.h"
+#include "state/home_regions.h"
 
 namespace quetzalridge {
 
@@ -44,6 +45,8 @@
   bool is_suspect = false;
   // A suspect, and this instance has no other call in flight on the endpoint.
   bool runs_alone = false;
+  // The call is passed on only to instances in these regions.
+  HomeRegions home_regions;
 };
 
 struct EndpointResponseHead {
--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -198,10 +198,12 @@
       call.time_left = call.time_left - elapsed;
       call.head_timeout = std::min(call.head_timeout, call.time_left);
     }
-    const bool is_evacuated = m_relay->IsEvacuated(m_call.endpoint_id);
+    const DirectoryEndpoint* known = m_relay->m_context.endpoints->Find(m_call.endpoint_id);
+    const bool is_evacuated = known != nullptr && known->evacuated;
+    const bool is_late = known != nullptr && known->is_cold() && elapsed > kMaxColdCallDelay;
     const bool in_time = m_call.time_left == Duration() || call.time_left >= kMinRelayTime;
-    m_peer = in_time && !is_evacuated && m_tried.size() < kMaxPeersPerCall
-                 ? m_relay->m_peers.Choose(m_relay->m_context.other_instances(), m_tried)
+    m_peer = in_time && !is_evacuated && !is_late && m_tried.size() < kMaxPeersPerCall
+                 ? m_relay->m_peers.Choose(m_relay->InstancesFor(m_call.home_regions), m_tried)
                  : "";
     if (m_peer.empty()) {
       // Observers are not called within Start.
@@ -300,9 +302,15 @@
   return known != nullptr && known->may_probe();
 }
 
-bool EndpointRelay::IsEvacuated(const std::string& endpoint) const {
-  const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
-  return known != nullptr && known->evacuated;
+std::vector<std::string> EndpointRelay::InstancesFor(const HomeRegions& regions) const {
+  std::vector<std::string> instances = m_context.other_instances();
+  if (regions.restricts()) {
+    const auto is_elsewhere = [&](const std::string& instance) {
+      return !m_context.region_of || !regions.Allows(m_context.region_of(instance));
+    };
+    instances.erase(std::remove_if(instances.begin(), instances.end(), is_elsewhere), instances.end());
+  }
+  return instances;
 }
 
 int64_t EndpointRelay::StartOf(const std::string& endpoint) const {
--- a/src/coordination/endpoint_relay.h
+++ b/src/coordination/endpoint_relay.h
@@ -33,6 +33,8 @@
   std::function<void(const std::string& address)> drop_connections;
   // Receives the calls whose connections were lost when an endpoint stopped to accept connections; may be null.
   CrashRecorder* crashes = nullptr;
+  // The region of another instance; empty if it is not known.
+  std::function<std::string(const std::string& instance)> region_of;
 };
 
 // Sends calls to endpoints over own connections, or through another instance while the own path to an endpoint has
@@ -73,11 +75,11 @@
 
   TimePoint Now() const { return m_context.scheduler->clock().Now(); }
   std::set<std::string> KnownEndpoints() const;
+  // The other instances to which a call with these home regions may be passed on.
+  std::vector<std::string> InstancesFor(const HomeRegions& regions) const;
   // Probes count towards what a cold endpoint tolerates, and any number of instances may send them, so cold endpoints
   // get none; neither do those of evacuated zones.
   bool MayProbe(const std::string& endpoint) const;
-  // The endpoint's zone was evacuated, perhaps after the call had begun.
-  bool IsEvacuated(const std::string& endpoint) const;
   // The start of the endpoint that is known now; see EndpointEntry::started_at_ms.
   int64_t StartOf(const std::string& endpoint) const;
   void RecordLeaving(const std::string& endpoint, int64_t started_at_ms);
--- a/src/coordination/rate_limiter.cc
+++ b/src/coordination/rate_limiter.cc
@@ -291,8 +291,11 @@
     return;
   }
   if (head.cold_remaining.has_value()) {
+    const bool was_cold = known->is_cold();
     m_context.endpoints->OnColdReport(endpoint, *head.cold_remaining);
-    OnEndpointsChanged();
+    if (known->is_cold() != was_cold) {
+      OnEndpointsChanged();
+    }
   }
   const bool may_lift = !head.not_run && head.status < kFirstServerError && started_at > known->rate_limit_at;
   if (!head.rate_limit.has_value() && known->rate_limit.has_value() && !may_lift) {
--- a/src/coordination/reward_call_dispatcher.cc
+++ b/src/coordination/reward_call_dispatcher.cc
@@ -147,7 +147,8 @@
   const std::string& service = ChooseService(*route, Hash64(call.id));
   ServiceLoad& load = (*loads)[service];
   const bool is_retry = pending->attempts > 0;
-  std::vector<const DirectoryEndpoint*> usable = m_context.endpoints->Usable(service);
+  const HomeRegions regions = m_context.routes->HomeRegionsOf(*route, key.first->workspace());
+  std::vector<const DirectoryEndpoint*> usable = m_context.endpoints->Usable(service, regions);
   const RewardCallLimits limits = m_context.policy->Limits(usable, m_context.instances());
   if (load.in_flight >= limits.in_flight || (is_retry && load.retries >= limits.retries)) {
     return;
@@ -176,6 +177,7 @@
   request.head_timeout = request.time_left;
   request.idle_timeout = request.time_left;
   request.is_repeatable = true;
+  request.home_regions = regions;
   Log(LogEvent::kRewardCallSent, {{"job", key.first->job()},
                                   {"call", call.id},
                                   {"endpoint", endpoint->entry.id},
--- a/src/coordination/reward_call_dispatcher.h
+++ b/src/coordination/reward_call_dispatcher.h
@@ -40,6 +40,7 @@
  public:
   virtual ~RewardCallOwner() = default;
   virtual const std::string& job() const = 0;
+  virtual const std::string& workspace() const = 0;
   // Whether calls may be sent now. A call that is in flight continues when this becomes false.
   virtual bool MayStartRewardCalls() const = 0;
   virtual WaitingRewardCall UrgencyOf(size_t item) const = 0;
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -324,6 +324,8 @@
     result.detail = "the refusal was cut off: " + reason;
     OnEnd(result);
   }
+  // A change of the configuration applies to the next attempt.
+  HomeRegions Regions() const { return m_forwarder->m_context.routes->HomeRegionsOf(m_route, m_workspace); }
   bool HasTimeLeft() const { return m_deadline - Now() > kMinTimeLeft + kResponseMargin; }
 
   // Waits for a permit for one of the endpoints, unless none can be had in time. Returns whether the request waits.
@@ -487,6 +489,9 @@
     if (m_forwarder->m_context.endpoints->IsEvacuated(m_service)) {
       return "all endpoints of the service are in evacuated zones";
     }
+    if (Regions().restricts() && m_forwarder->m_context.endpoints->Usable(m_service, Regions()).empty()) {
+      return "no endpoint in the home regions is usable";
+    }
     if (m_permit_deadline.has_value()) {
       return "the rate limits of all endpoints are reached";
     }
@@ -665,7 +670,7 @@
 
 void RequestForwarder::Request::StartAttempt() {
   StopWaiting();
-  std::vector<const DirectoryEndpoint*> usable = m_forwarder->m_context.endpoints->Usable(m_service);
+  std::vector<const DirectoryEndpoint*> usable = m_forwarder->m_context.endpoints->Usable(m_service, Regions());
   if (m_software_version.has_value()) {
     usable.erase(std::remove_if(usable.begin(), usable.end(),
                                 [this](const DirectoryEndpoint* endpoint) {
@@ -718,6 +723,7 @@
   call.idle_timeout = m_route.kind == RouteKind::kStream ? kStreamIdleTimeout : call.time_left;
   call.is_repeatable = m_route.kind == RouteKind::kIdempotent;
   call.is_suspect = is_suspect;
+  call.home_regions = Regions();
   call.runs_alone = is_suspect && endpoint->in_flight == 0;
   if (is_suspect) {
     m_runs_as_suspect = m_forwarder->m_suspect_endpoints.insert(m_endpoint).second;
--- a/src/state/cold_endpoint.cc
+++ b/src/state/cold_endpoint.cc
@@ -15,9 +15,8 @@
 constexpr Duration kMaxReportLag = Duration::Seconds(2);
 // Longer than any endpoint takes to warm up. A malformed value must not limit an endpoint for good.
 constexpr Duration kMaxColdTime = Duration::Seconds(600);
-// Permits granted within this time may be used within the same second: a permit waits for its use, and the call then
-// takes up to one failed connection and one call to another instance.
-constexpr Duration kGrantWindow = Duration::Seconds(1) + kColdPermitLifetime + Duration::Milliseconds(150);
+// Calls with permits that were granted within this time may be sent within the same second.
+constexpr Duration kGrantWindow = Duration::Seconds(1) + kColdPermitLifetime + kMaxColdCallDelay;
 // While instances do not agree on who grants the permits, two may.
 constexpr int kMaxGrantingInstances = 2;
 // An order to load weights reads the state of the endpoint first. ModelVersionDuty sends it without a permit, and none
--- a/src/state/cold_endpoint.h
+++ b/src/state/cold_endpoint.h
@@ -42,6 +42,9 @@
 
 // A permit for a cold endpoint that is not used in this time after it was requested is lost.
 inline constexpr Duration kColdPermitLifetime = Duration::Milliseconds(200);
+// A call to a cold endpoint is not sent any more when this time has passed since its permit was used: one connection
+// has failed, and another instance was asked to pass the call on.
+inline constexpr Duration kMaxColdCallDelay = Duration::Milliseconds(150);
 
 // Returns the requests per second for which one instance may grant permits, 0 for none. `requests_per_s` is the rate
 // that the endpoint tolerates while it is cold. Two instances that both grant permits at this pace stay within the
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -127,10 +127,11 @@
   return endpoint.takes_work() && m_clock->Now() >= endpoint.avoid_until;
 }
 
-std::vector<const DirectoryEndpoint*> EndpointDirectory::Usable(const std::string& service) const {
+std::vector<const DirectoryEndpoint*> EndpointDirectory::Usable(const std::string& service,
+                                                                const HomeRegions& regions) const {
   std::vector<const DirectoryEndpoint*> usable;
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (endpoint.entry.service == service && IsUsable(endpoint)) {
+    if (endpoint.entry.service == service && IsUsable(endpoint) && regions.Allows(endpoint.entry.region)) {
       usable.push_back(&endpoint);
     }
   }
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "state/cold_endpoint.h"
+#include "state/home_regions.h"
 
 namespace quetzalridge {
 
@@ -26,6 +27,8 @@
   std::string service;
   std::string address;
   std::string zone;
+  // The region of the zone; empty if unknown.
+  std::string region;
   EndpointPhase phase = EndpointPhase::kReady;
   // Version of the endpoint's software. Versions have no order.
   std::string software_version;
@@ -112,8 +115,8 @@
   const DirectoryEndpoint* Find(const std::string& id) const;
   // True if the endpoint takes work and may be called now (see DirectoryEndpoint::avoid_until).
   bool IsUsable(const DirectoryEndpoint& endpoint) const;
-  // Returns the usable endpoints of one service.
-  std::vector<const DirectoryEndpoint*> Usable(const std::string& service) const;
+  // Returns the usable endpoints of one service, in any region or in those that are allowed.
+  std::vector<const DirectoryEndpoint*> Usable(const std::string& service, const HomeRegions& regions = {}) const;
 
   // Whether a ready endpoint of the service has the software version, also one that is avoided now.
   bool HasSoftwareVersion(const std::string& service, const std::string& version) const;
--- a/src/state/serving_config.cc
+++ b/src/state/serving_config.cc
@@ -41,10 +41,14 @@
                      [](const ServiceRoute* a, const ServiceRoute* b) { return a->prefix.size() > b->prefix.size(); });
   }
   m_workspace_by_key.clear();
+  m_home_regions.clear();
   for (const WorkspaceKeys& workspace : m_config.workspaces) {
     for (const std::string& key : workspace.keys) {
       m_workspace_by_key[key] = workspace.name;
     }
+    if (workspace.home_regions.restricts()) {
+      m_home_regions[workspace.name] = workspace.home_regions;
+    }
   }
   return true;
 }
@@ -79,6 +83,11 @@
   return found == m_workspace_by_key.end() ? nullptr : &found->second;
 }
 
+HomeRegions RouteTable::HomeRegionsOf(const ServiceRoute& route, const std::string& workspace) const {
+  const auto found = m_home_regions.find(workspace);
+  return found == m_home_regions.end() ? route.home_regions : route.home_regions.And(found->second);
+}
+
 const std::string& ChooseService(const ServiceRoute& route, uint64_t request_hash) {
   if (route.services.empty()) {
     throw std::logic_error("route " + route.name + " has no service; the decoder must refuse such a route");
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -68,6 +68,9 @@
   // that they tolerate meanwhile, by service.
   std::map<std::string, Duration> cold_times;
   std::map<std::string, double> cold_limits;
+  // The regions of endpoints, by endpoint id, and the home regions of all jobs.
+  std::map<std::string, std::string> regions;
+  HomeRegions home_regions;
   // Endpoints that have left the registry.
   std::set<std::string> stopped;
   // Endpoints that send events of this size without ids and without end, by endpoint id.
@@ -351,6 +354,9 @@
       ServingConfig config;
       config.version = 1;
       config.routes = {route, ScoreRoute()};
+      if (fixture->engines.home_regions.restricts()) {
+        config.workspaces = {{kBatchWorkspace, {"key"}, fixture->engines.home_regions}};
+      }
       routes.Apply(config);
       ReadRegistry(fixture);
       caller.AddListener([this] { coordinator.ScheduleStartItems(); });
@@ -371,6 +377,8 @@
         const auto cold = fixture->engines.cold_times.find(entry.id);
         entry.cold_remaining = cold == fixture->engines.cold_times.end() ? Duration() : cold->second;
         entry.read_at = process.clock().Now();
+        const auto region = fixture->engines.regions.find(entry.id);
+        entry.region = region == fixture->engines.regions.end() ? "" : region->second;
         if (fixture->engines.stopped.count(entry.id) == 0) {
           entries.push_back(entry);
         }
@@ -481,6 +489,9 @@
       }
       return live;
     };
+    if (possible_owners) {
+      fleet.possible_owners = [this, live = fleet.live_instances](const BatchSpec&) { return possible_owners(live()); };
+    }
     return fleet;
   }
 
@@ -550,6 +561,8 @@
   std::map<std::string, std::unique_ptr<Instance>> instances;
   // Notices to new owners of jobs are lost.
   bool drop_owner_notices = false;
+  // Those of the live instances that may own jobs; all if null.
+  std::function<std::vector<std::string>(std::vector<std::string> live)> possible_owners;
 
  private:
   CheckFilterStore::DropPredicate m_drops;
--- a/tests/coordination/batch_test.cc
+++ b/tests/coordination/batch_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -504,5 +505,34 @@
   CHECK(fixture.table.ReadRows({BatchEndKey("job")}).rows.front().version > 0);
 }
 
+// Guards against items that run outside the home regions of their workspace, and against owners elsewhere, which would
+// read the bodies of the items.
+TEST_CASE("items run, and jobs are taken over, only in their home regions") {
+  BatchFixture fixture(1);
+  fixture.engines.event_gap = Duration::Milliseconds(100);
+  fixture.engines.regions = {{"engine-0", "east"}, {"engine-1", "east"}, {"engine-2", "west"}};
+  fixture.engines.home_regions = HomeRegions({"east"});
+  fixture.possible_owners = [](std::vector<std::string> live) {
+    live.erase(std::remove(live.begin(), live.end(), "three"), live.end());
+    return live;
+  };
+  for (const char* name : {"one", "two", "three"}) {
+    fixture.StartInstance(name);
+  }
+  constexpr int kJobs = 8;
+  for (int i = 0; i < kJobs; ++i) {
+    REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job-" + std::to_string(i), 20)) == SubmitOutcome::kAccepted);
+  }
+  fixture.KillInstance("one");
+  const size_t before = fixture.engines.runs.size();
+  fixture.scheduler.Advance(Duration::Seconds(15));
+  REQUIRE(fixture.engines.runs.size() > before);
+  for (size_t i = 0; i < fixture.engines.runs.size(); ++i) {
+    const ItemRunRecord& run = fixture.engines.runs[i];
+    CHECK((run.endpoint == "engine-0" || run.endpoint == "engine-1"));
+    CHECK(run.instance != "three");
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/coordination/endpoint_relay_test.cc
+++ b/tests/coordination/endpoint_relay_test.cc
@@ -69,6 +69,7 @@
     context.other_instances = [this] { return others; };
     context.drop_connections = [this](const std::string& address) { dropped.insert(address); };
     context.crashes = &crashes;
+    context.region_of = [this](const std::string& instance) { return regions[instance]; };
     relay = std::make_unique<EndpointRelay>(std::move(context), 1);
   }
 
@@ -175,6 +176,8 @@
   Quarantine quarantine;
   CrashRecorder crashes{&quarantine, &scheduler.clock()};
   std::vector<std::string> others = {"a", "b", "c"};
+  // The regions of instances, as far as they are known.
+  std::map<std::string, std::string> regions;
   // Own connections are refused, or hang.
   bool reaches_none = false;
   bool refuses = true;
@@ -511,5 +514,48 @@
   CHECK(outcome.result->outcome == EndpointCallOutcome::kNotSent);
 }
 
+// Guards against bodies that leave their home regions when the own path to an endpoint has failed.
+TEST_CASE("a call with home regions is passed on only to instances there") {
+  for (uint64_t round = 0; round < 20; ++round) {
+    RelayFixture fixture;
+    fixture.reaches_none = true;
+    fixture.regions = {{"a", "west"}, {"b", "east"}};
+    fixture.refusals = {{"b", RelayRefusal::kBusy}};
+    Outcome outcome;
+    EndpointCall call = RelayFixture::Call("e0");
+    call.home_regions = HomeRegions({"east"});
+    const std::unique_ptr<EndpointExchange> exchange = fixture.relay->Start(std::move(call), &outcome);
+    fixture.scheduler.Advance(Duration::Seconds(1));
+    REQUIRE(fixture.relayed.size() == 1);
+    CHECK(fixture.relayed[0]->instance == "b");
+    REQUIRE(outcome.result.has_value());
+    CHECK(outcome.result->outcome == EndpointCallOutcome::kNotSent);
+  }
+}
+
+// Guards against calls with old permits that reach a cold endpoint together.
+TEST_CASE("a call to a cold endpoint is not passed on once its permit is old") {
+  for (const bool is_cold : {false, true}) {
+    INFO("cold: " << is_cold);
+    RelayFixture fixture;
+    fixture.reaches_none = true;
+    fixture.refuses = false;
+    if (is_cold) {
+      fixture.directory.SetColdLimits({{"", 2.0}});
+      fixture.directory.OnColdReport("e0", Duration::Seconds(30));
+    }
+    Outcome outcome;
+    const std::unique_ptr<EndpointExchange> exchange = fixture.Send("e0", &outcome);
+    REQUIRE(fixture.direct.size() == 1);
+    fixture.scheduler.Advance(kMaxColdCallDelay + Duration::Milliseconds(50));
+    EndpointCallResult not_connected;
+    not_connected.connection_failed = true;
+    fixture.direct[0]->observer->OnEnd(not_connected);
+    fixture.scheduler.Advance(Duration::Milliseconds(10));
+    CHECK(fixture.relayed.empty() == is_cold);
+    CHECK(outcome.result.has_value() == is_cold);
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -644,5 +644,45 @@
   CHECK(fixture.view.status == 503);
 }
 
+// Guards against requests that run outside their home regions, also when they are retried.
+TEST_CASE("a request with home regions goes only to endpoints there, and is refused as not run without any") {
+  ForwarderFixture fixture;
+  std::vector<EndpointEntry> entries(2);
+  for (size_t i = 0; i < entries.size(); ++i) {
+    entries[i].id = "e" + std::to_string(i);
+    entries[i].service = kService;
+    entries[i].slots = 6;
+    entries[i].region = i == 0 ? "east" : "west";
+  }
+  fixture.directory.Update(entries, false);
+  const auto send = [&fixture](const std::set<std::string>& regions) {
+    fixture.view = CallerView();
+    ServiceRoute route;
+    route.kind = RouteKind::kIdempotent;
+    route.services = {{kService, 1}};
+    route.max_attempts = 3;
+    route.home_regions = HomeRegions(regions);
+    IncomingRequest request;
+    request.id = "r";
+    fixture.forwarder.Forward(std::move(request), route, "w", std::make_shared<FakeResponder>(&fixture.view));
+  };
+  for (int i = 0; i < 10; ++i) {
+    send({"west"});
+    REQUIRE(fixture.endpoints.attempts.size() == static_cast<size_t>(i + 1));
+    CHECK(fixture.endpoints.attempts.back()->call.endpoint_id == "e1");
+    CHECK_FALSE(fixture.endpoints.attempts.back()->call.home_regions.Allows("east"));
+  }
+  fixture.Observer(9)->OnHead(ForwarderFixture::Head(500, false));
+  fixture.Observer(9)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  for (size_t i = 10; i < fixture.endpoints.attempts.size(); ++i) {
+    CHECK(fixture.endpoints.attempts[i]->call.endpoint_id == "e1");
+  }
+  const size_t attempts = fixture.endpoints.attempts.size();
+  send({"north"});
+  CHECK(fixture.endpoints.attempts.size() == attempts);
+  CHECK(fixture.view.status == 503);
+  CHECK(FindHeader(fixture.view.headers, "retry-after") != nullptr);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/state/endpoint_directory_test.cc
+++ b/tests/state/endpoint_directory_test.cc
@@ -258,5 +258,19 @@
   CHECK_FALSE(directory.Find("two")->is_cold());
 }
 
+TEST_CASE("only endpoints in allowed regions are usable for a request with home regions") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  EndpointEntry home = MakeEntry("home");
+  home.region = "east";
+  EndpointEntry away = MakeEntry("away");
+  away.region = "west";
+  directory.Update({home, away, MakeEntry("unknown")}, false);
+  CHECK(directory.Usable("s").size() == 3);
+  const auto usable = directory.Usable("s", HomeRegions({"east", "north"}));
+  REQUIRE(usable.size() == 1);
+  CHECK(usable[0]->entry.id == "home");
+}
+
 }  // namespace
 }  // namespace quetzalridge
