Let instances take turns with the permits for a cold endpoint

Cause: on three real nodes with more requests than permits, the instances served 0, 39 and 13 requests through four cold endpoints: the granting instance asks itself without a message and was first each time.

Requests for permits for cold endpoints name the instance.

--- a/src/coordination/rate_limiter.cc
+++ b/src/coordination/rate_limiter.cc
@@ -139,6 +139,7 @@
     request.limit_age = Now() - known->rate_limit_at;
   }
   request.cold_limit = known->cold_limit.value_or(0.0);
+  request.instance = m_context.instance;
   if (instance == m_context.instance) {
     OnReply(endpoint, Grant(request));
     return;
@@ -219,8 +220,8 @@
   // Either instance may be the first to know that the endpoint is cold.
   const DirectoryEndpoint* known = m_context.endpoints->Find(request.endpoint);
   const double cold_limit = known != nullptr && known->is_cold() ? *known->cold_limit : request.cold_limit;
-  const PermitReply reply = cold_limit > 0.0 ? GrantCold(request.endpoint, &endpoint, cold_limit, request.limit)
-                                             : endpoint.pacer.Request(Now(), endpoint.limit);
+  const PermitReply reply =
+      cold_limit > 0.0 ? GrantCold(request, cold_limit, &endpoint) : endpoint.pacer.Request(Now(), endpoint.limit);
   ++(reply.granted ? m_granted : m_refused);
   m_granted_cold += reply.granted && cold_limit > 0.0 ? 1 : 0;
   return reply;
@@ -228,19 +229,19 @@
 
 // An instance that is cut off from the others must not grant permits on its own, and one that has lost its place to
 // another must not either, whoever asks it.
-PermitReply RateLimiter::GrantCold(const std::string& id, GrantedEndpoint* endpoint, double cold_limit,
-                                   double named_limit) {
+PermitReply RateLimiter::GrantCold(const PermitRequest& request, double cold_limit, GrantedEndpoint* endpoint) {
   const GrantAuthority authority = m_context.grant_authority ? m_context.grant_authority() : GrantAuthority::kSettled;
   const double cold_pace = ColdPace(cold_limit, m_context.cold_bounds, authority);
-  if (cold_pace <= 0.0 || GrantingInstance(id, true) != m_context.instance) {
+  if (cold_pace <= 0.0 || GrantingInstance(request.endpoint, true) != m_context.instance) {
     return {false, kNoAuthorityRetryDelay};
   }
-  if (named_limit <= 0.0) {
-    return endpoint->cold_pacer.Request(Now(), cold_pace);
+  if (request.limit <= 0.0) {
+    return endpoint->cold_pacer.Request(Now(), cold_pace, request.instance);
   }
   // The cold period ends while the limit of the endpoint may go on, so both pacers count the permit.
   const PermitReply named = endpoint->pacer.Request(Now(), endpoint->limit);
-  return named.granted ? endpoint->cold_pacer.Request(Now(), std::min(cold_pace, endpoint->limit)) : named;
+  return named.granted ? endpoint->cold_pacer.Request(Now(), std::min(cold_pace, endpoint->limit), request.instance)
+                       : named;
 }
 
 void RateLimiter::OnEndpointsChanged() {
--- a/src/coordination/rate_limiter.h
+++ b/src/coordination/rate_limiter.h
@@ -27,6 +27,8 @@
   // The requests per second that the endpoint tolerates while it is cold; 0 if it is not. `limit` is 0 if the endpoint
   // has set none.
   double cold_limit = 0.0;
+  // The asking instance; only for cold endpoints.
+  std::string instance = {};
 };
 
 // Asks another instance for a permit.
@@ -115,8 +117,9 @@
   bool Take(const std::string& endpoint);
   // The instance that grants the permits for the endpoint, also while it is cold; empty if no instance is known.
   std::string GrantingInstance(const std::string& endpoint, bool is_cold) const;
-  // Grants or refuses a permit for a cold endpoint. `named_limit` is 0 if the endpoint has set no limit.
-  PermitReply GrantCold(const std::string& id, GrantedEndpoint* endpoint, double cold_limit, double named_limit);
+  // Grants or refuses a permit for a cold endpoint. `cold_limit` is what is known
+  // here, or else what the asking instance knows.
+  PermitReply GrantCold(const PermitRequest& request, double cold_limit, GrantedEndpoint* endpoint);
   void NotifyListeners();
   void OnReply(const std::string& endpoint, std::optional<PermitReply> reply);
   // Records the limit in the head of a response to a call that was started at `started_at`.
--- a/src/state/cold_endpoint.h
+++ b/src/state/cold_endpoint.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <map>
 #include <optional>
+#include <string>
 
 #include "base/clock.h"
 #include "state/request_pacer.h"
@@ -51,15 +53,27 @@
 // bounds.
 double ColdPace(double requests_per_s, const ColdBounds& bounds, GrantAuthority authority);
 
-// Spaces the permits for one cold endpoint. Unlike RequestPacer, it never grants two permits within one interval.
+// Spaces the permits for one cold endpoint, and lets the instances that ask for them take turns: without that, the
+// granting instance itself, which needs no message, would take them all. Unlike RequestPacer, it never grants two
+// permits within one interval.
 class ColdPacer {
  public:
-  // `pace` is in permits per second. The first permit is granted one interval after the first request, since another
-  // instance may have granted permits until now.
-  PermitReply Request(TimePoint now, double pace);
+  // `pace` is in permits per second, and `instance` asks for the permit. The first permit is granted one interval after
+  // the first request, since another instance may have granted permits until now.
+  PermitReply Request(TimePoint now, double pace, const std::string& instance);
 
  private:
+  // An instance that was refused, since its last permit.
+  struct Refused {
+    TimePoint since;
+    TimePoint last_at;
+  };
+  // Whether an instance was refused before `since` and is expected to ask again.
+  bool HasEarlier(TimePoint since, Duration interval, TimePoint now) const;
+  PermitReply Refuse(const std::string& instance, TimePoint now, TimePoint retry_at);
+
   std::optional<TimePoint> m_last_at;
+  std::map<std::string, Refused> m_refused;
 };
 
 }  // namespace quetzalridge
--- a/tests/platform/node_cluster.h
+++ b/tests/platform/node_cluster.h
@@ -26,6 +26,7 @@
 inline constexpr int kMetricsPort = 18'703;
 inline constexpr int kEndpoints = 4;
 inline constexpr int kEngines = 2;
+inline constexpr double kColdPerS = 2.0;
 inline constexpr char kHost[] = "agency.example";
 
 // An instance, and its own way to each endpoint.
@@ -53,7 +54,7 @@
         {{"Version", 1},
          {"Routes", {route, stream}},
          {"Services",
-          {{{"Name", soak::kPlainService}},
+          {{{"Name", soak::kPlainService}, {"ColdStartS", 8}, {"ColdPerS", kColdPerS}},
            {{"Name", soak::kEngineService}, {"Engine", {{"Slots", 8}, {"Models", {{{"Name", soak::kModel}}}}}}}}},
          {"Tenants", {{{"Name", soak::kWorkspace}, {"ApiKeys", {"key"}}}}}});
     for (int i = 0; i < kEndpoints; ++i) {
--- a/tests/soak/replica.cc
+++ b/tests/soak/replica.cc
@@ -115,6 +115,9 @@
   if (m_service == kEngineService) {
     entry["Models"] = {{{"Name", kModel}, {"Version", m_version}}};
   }
+  if (m_cold_until.has_value()) {
+    entry["ColdRemainingMs"] = std::max((*m_cold_until - m_log->Now()).ms(), int64_t{0});
+  }
   m_platform->Put("servers", m_id, entry);
 }
 
--- a/tests/soak/replica.h
+++ b/tests/soak/replica.h
@@ -5,6 +5,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "tests/history/tcp_relay.h"
@@ -43,6 +44,11 @@
   void EndRuns();
   // Names this limit of requests per second in its answers from now on; none if it is 0.
   void SetRateLimit(double limit);
+  // Its registry entry says from now on that it stays cold for this time.
+  void SetCold(Duration time) {
+    m_cold_until = m_log->Now() + time;
+    Renew();
+  }
   // Says in all answers from now on that it will stop, until it starts again. The registry says that it is ready.
   void Leave() { m_leaving = true; }
   bool leaving() const { return m_leaving; }
@@ -92,6 +98,7 @@
   int m_starts = 0;
   std::string m_id;
   std::string m_software;
+  std::optional<TimePoint> m_cold_until;
   double m_rate_limit = 0.0;
   TimePoint m_limited_since;
   // When items and streams began to run in the last few seconds.
--- a/tests/state/cold_endpoint_test.cc
+++ b/tests/state/cold_endpoint_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace quetzalridge {
@@ -46,7 +48,7 @@
   std::vector<int64_t> granted;
   for (int64_t ms = 0; ms < 20'000; ++ms) {
     for (ColdPacer& pacer : granting) {
-      if (pacer.Request(At(ms), pace).granted) {
+      if (pacer.Request(At(ms), pace, "one").granted) {
         granted.push_back(ms);
       }
     }
@@ -85,14 +87,43 @@
 
 TEST_CASE("permits for a cold endpoint are spaced, and the first one waits") {
   ColdPacer pacer;
-  const PermitReply first = pacer.Request(At(0), 2.0);
+  const PermitReply first = pacer.Request(At(0), 2.0, "one");
   CHECK_FALSE(first.granted);
   CHECK(first.wait == Duration::Milliseconds(500));
-  CHECK(pacer.Request(At(500), 2.0).granted);
-  CHECK_FALSE(pacer.Request(At(999), 2.0).granted);
+  CHECK(pacer.Request(At(500), 2.0, "one").granted);
+  CHECK_FALSE(pacer.Request(At(999), 2.0, "one").granted);
   // A pause gives no credit.
-  CHECK(pacer.Request(At(9'000), 2.0).granted);
-  CHECK_FALSE(pacer.Request(At(9'001), 2.0).granted);
+  CHECK(pacer.Request(At(9'000), 2.0, "one").granted);
+  CHECK_FALSE(pacer.Request(At(9'001), 2.0, "one").granted);
+}
+
+// Guards against an instance that gets no permits because others ask earlier each time, as the granting one itself
+// does.
+TEST_CASE("instances that want permits all the time take turns") {
+  ColdPacer pacer;
+  std::map<std::string, int> granted;
+  std::map<std::string, int64_t> next_at = {{"near", 0}, {"far", 0}, {"farther", 0}};
+  const std::map<std::string, int64_t> delays = {{"near", 0}, {"far", 5}, {"farther", 20}};
+  for (int64_t ms = 0; ms < 30'000; ++ms) {
+    for (auto& [name, at] : next_at) {
+      if (ms < at) {
+        continue;
+      }
+      const PermitReply reply = pacer.Request(At(ms), 2.0, name);
+      granted[name] += reply.granted ? 1 : 0;
+      at = ms + reply.wait.ms() + delays.at(name) + 1;
+    }
+  }
+  for (const auto& [name, count] : granted) {
+    INFO(name);
+    CHECK(count >= 15);
+  }
+  // An instance that no longer asks delays the others once.
+  int alone = 0;
+  for (int64_t ms = 30'000; ms < 40'000; ++ms) {
+    alone += pacer.Request(At(ms), 2.0, "near").granted ? 1 : 0;
+  }
+  CHECK(alone >= 18);
 }
 
 }  // namespace
