Hold the ends of calls to endpoints that have just left the registry, as before

Cause: since cold endpoints get no probes, a call whose endpoint was no longer in the directory counted as one that may not be probed, and its end was no longer held until it was known whether the path is at fault.

Change: only a known cold or evacuated endpoint gets no probe. The new test fails without it.

--- a/src/coordination/endpoint_relay.cc
+++ b/src/coordination/endpoint_relay.cc
@@ -299,7 +299,7 @@
 
 bool EndpointRelay::MayProbe(const std::string& endpoint) const {
   const DirectoryEndpoint* known = m_context.endpoints->Find(endpoint);
-  return known != nullptr && known->may_probe();
+  return known == nullptr || known->may_probe();
 }
 
 std::vector<std::string> EndpointRelay::InstancesFor(const HomeRegions& regions) const {
--- a/tests/coordination/endpoint_relay_test.cc
+++ b/tests/coordination/endpoint_relay_test.cc
@@ -557,5 +557,21 @@
   }
 }
 
+// Guards against a call that ends as failed on an endpoint that has just left the registry, before it is known whether
+// the path is at fault.
+TEST_CASE("the end of a call to an endpoint that is no longer listed is held") {
+  RelayFixture fixture;
+  Outcome outcome;
+  const std::unique_ptr<EndpointExchange> exchange = fixture.Send("e0", &outcome);
+  fixture.directory.Update({}, false);
+  REQUIRE(fixture.directory.Find("e0") == nullptr);
+  EndpointCallResult lost;
+  lost.outcome = EndpointCallOutcome::kNoResponse;
+  fixture.direct[0]->observer->OnEnd(lost);
+  CHECK_FALSE(outcome.result.has_value());
+  fixture.scheduler.Advance(Duration::Seconds(1));
+  CHECK(outcome.result.has_value());
+}
+
 }  // namespace
 }  // namespace quetzalridge
