--- a/src/coordination/endpoint_caller.h
+++ b/src/coordination/endpoint_caller.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/http_header.h"
 #include "base/shared_text.h"
+#include "state/home_regions.h"
 
 namespace quetzalridge {
 
@@ -45,6 +46,8 @@
   bool is_suspect = false;
   // A suspect, and this instance has no other call in flight on the endpoint.
   bool runs_alone = false;
+  // The call is passed on only to instances in these regions.
+  HomeRegions home_regions;
 };
 
 struct EndpointResponseHead {
@@ -61,6 +64,8 @@
   std::optional<double> rate_limit;
   // The endpoint will stop, and takes no new work.
   bool leaving = false;
+  // How long the endpoint stays cold, if the response says so.
+  std::optional<Duration> cold_remaining;
   // Another instance passes the response on, so the times at which its parts arrive do not show the endpoint's speed.
   bool relayed = false;
   // Identifies the endpoint and the run; empty if the response carries none.
--- a/src/coordination/model_version_duty.cc
+++ b/src/coordination/model_version_duty.cc
@@ -16,6 +16,8 @@
 // it, so the engine is queried directly from this time on.
 constexpr Duration kMinLoadTime = Duration::Milliseconds(880);
 constexpr Duration kEngineQueryInterval = Duration::Milliseconds(60);
+// An order takes two requests, which the pace of cold endpoints leaves room for once a second.
+constexpr Duration kMinColdOrderInterval = Duration::Seconds(3);
 // Time after which a failed order is sent again.
 constexpr Duration kFailedLoadRetryDelay = Duration::Milliseconds(500);
 
@@ -88,7 +90,9 @@
     const DirectoryEndpoint* endpoint = m_context.endpoints->Find(id);
     const bool due =
         Now() - pending_load.started_at >= kMinLoadTime && Now() - pending_load.queried_at >= kEngineQueryInterval;
-    if (endpoint == nullptr || !pending_load.accepted || pending_load.query_in_flight || !due) {
+    // The registry entry shows the end of the load, too, and costs the endpoint no request.
+    if (endpoint == nullptr || !endpoint->may_probe() || !pending_load.accepted || pending_load.query_in_flight ||
+        !due) {
       continue;
     }
     pending_load.query_in_flight = true;
@@ -156,6 +160,15 @@
 // engine refuses an order that arrives late.
 void ModelVersionDuty::StartLoad(const ModelLoad& load) {
   const DirectoryEndpoint* endpoint = m_context.endpoints->Find(load.endpoint);
+  if (endpoint->is_cold()) {
+    const auto [ordered_at, is_first] = m_cold_ordered_at.try_emplace(load.endpoint, Now());
+    if (!is_first && Now() - ordered_at->second < kMinColdOrderInterval) {
+      return;
+    }
+    ordered_at->second = Now();
+  } else {
+    m_cold_ordered_at.erase(load.endpoint);
+  }
   m_pending_loads[load.endpoint] = {load.model, load.version, Now()};
   ++m_orders_in_flight;
   m_context.orders->ReadState(load.endpoint, endpoint->entry.address,
@@ -171,7 +184,7 @@
   }
   const auto version = state.versions.find(load.model);
   const bool is_loaded = version != state.versions.end() && version->second >= load.version;
-  if (endpoint == nullptr || m_lease == nullptr || !state.ok || state.is_busy || is_loaded) {
+  if (endpoint == nullptr || endpoint->evacuated || m_lease == nullptr || !state.ok || state.is_busy || is_loaded) {
     OnLoadOutcome(load, is_loaded ? ModelOrderOutcome::kAccepted : ModelOrderOutcome::kNotSent);
     return;
   }
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace quetzalridge {
 
@@ -22,6 +23,9 @@
 constexpr Duration kResponseLifetime = Duration::Seconds(2);
 // The registry may lose the entry of an endpoint that runs for as long as the store is away.
 constexpr Duration kLeavingRetention = Duration::Seconds(600);
+// After the end of an evacuation, the entries of endpoints that have become cold arrive within this time: endpoints
+// renew them every 1.2 s.
+constexpr Duration kAssumedColdTime = Duration::Seconds(2);
 // Longer than the registry keeps the address of an endpoint that has stopped.
 constexpr Duration kAvoidanceWhenReassigned = Duration::Seconds(10);
 
@@ -37,7 +41,9 @@
     listed.insert(entry.id);
     const auto [found, is_new] = m_endpoints.try_emplace(entry.id);
     DirectoryEndpoint& endpoint = found->second;
-    if (is_new || endpoint.entry.started_at_ms != entry.started_at_ms || endpoint.entry.address != entry.address) {
+    const bool is_restarted =
+        endpoint.entry.started_at_ms != entry.started_at_ms || endpoint.entry.address != entry.address;
+    if (is_new || is_restarted) {
       // A restarted endpoint has lost its state, but calls of this instance to its previous run may not have ended yet.
       const int in_flight = endpoint.in_flight;
       endpoint = {};
@@ -54,8 +60,13 @@
         version = std::max(version, own->second);
       }
     }
+    if (is_new || is_restarted || entry.read_at != endpoint.entry.read_at) {
+      endpoint.cold_period.OnReport(entry.read_at, entry.cold_remaining);
+    }
     endpoint.entry = entry;
     endpoint.entry.model_versions = std::move(versions);
+    UpdateColdLimit(&endpoint);
+    endpoint.evacuated = m_evacuated_zones.count(entry.zone) > 0;
     endpoint.missing = false;
     endpoint.unlisted_since.reset();
     const auto leaving = m_leaving.find(entry.id);
@@ -116,10 +127,11 @@
   return endpoint.takes_work() && m_clock->Now() >= endpoint.avoid_until;
 }
 
-std::vector<const DirectoryEndpoint*> EndpointDirectory::Usable(const std::string& service) const {
+std::vector<const DirectoryEndpoint*> EndpointDirectory::Usable(const std::string& service,
+                                                                const HomeRegions& regions) const {
   std::vector<const DirectoryEndpoint*> usable;
   for (const auto& [id, endpoint] : m_endpoints) {
-    if (endpoint.entry.service == service && IsUsable(endpoint)) {
+    if (endpoint.entry.service == service && IsUsable(endpoint) && regions.Allows(endpoint.entry.region)) {
       usable.push_back(&endpoint);
     }
   }
@@ -223,6 +235,88 @@
   }
 }
 
+void EndpointDirectory::SetColdLimits(std::map<std::string, double> limits) {
+  m_cold_limits = std::move(limits);
+  for (auto& [id, endpoint] : m_endpoints) {
+    UpdateColdLimit(&endpoint);
+  }
+}
+
+void EndpointDirectory::OnColdReport(const std::string& id, Duration remaining) {
+  if (DirectoryEndpoint* endpoint = FindMutable(id)) {
+    endpoint->cold_period.OnReport(m_clock->Now(), remaining);
+    UpdateColdLimit(endpoint);
+  }
+}
+
+void EndpointDirectory::UpdateColdLimit(DirectoryEndpoint* endpoint) {
+  const auto limit = m_cold_limits.find(endpoint->entry.service);
+  const bool is_cold = limit != m_cold_limits.end() && endpoint->cold_period.IsCold(m_clock->Now());
+  const std::optional<double> cold_limit = is_cold ? std::optional<double>(limit->second) : std::nullopt;
+  if (cold_limit != endpoint->cold_limit) {
+    endpoint->cold_limit = cold_limit;
+    m_cold_changes.insert(endpoint->entry.id);
+  }
+}
+
+std::vector<std::string> EndpointDirectory::RefreshCold() {
+  for (auto& [id, endpoint] : m_endpoints) {
+    UpdateColdLimit(&endpoint);
+  }
+  std::vector<std::string> changes(m_cold_changes.begin(), m_cold_changes.end());
+  m_cold_changes.clear();
+  return changes;
+}
+
+std::optional<TimePoint> EndpointDirectory::NextColdEnd() const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.is_cold() && (!next.has_value() || *endpoint.cold_period.until() < *next)) {
+      next = endpoint.cold_period.until();
+    }
+  }
+  return next;
+}
+
+void EndpointDirectory::SetEvacuatedZones(std::set<std::string> zones) {
+  m_evacuated_zones = std::move(zones);
+  for (auto& [id, endpoint] : m_endpoints) {
+    const bool was_evacuated = endpoint.evacuated;
+    endpoint.evacuated = m_evacuated_zones.count(endpoint.entry.zone) > 0;
+    if (was_evacuated && !endpoint.evacuated) {
+      endpoint.cold_period.OnReport(m_clock->Now(), kAssumedColdTime);
+      UpdateColdLimit(&endpoint);
+    }
+  }
+}
+
+EndpointDirectory::ZoneLoad EndpointDirectory::LoadOfZone(const std::string& zone) const {
+  ZoneLoad load;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.entry.zone == zone) {
+      ++load.endpoints;
+      load.in_flight += endpoint.in_flight;
+    }
+  }
+  return load;
+}
+
+bool EndpointDirectory::IsEvacuated(const std::string& service) const {
+  bool has_evacuated = false;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (endpoint.entry.service == service && endpoint.takes_work()) {
+      return false;
+    }
+    has_evacuated = has_evacuated || (endpoint.entry.service == service && endpoint.evacuated);
+  }
+  return has_evacuated;
+}
+
+int EndpointDirectory::cold_count() const {
+  return static_cast<int>(
+      std::count_if(m_endpoints.begin(), m_endpoints.end(), [](const auto& entry) { return entry.second.is_cold(); }));
+}
+
 void EndpointDirectory::OnModelVersion(const std::string& id, const std::string& model, int64_t version) {
   if (DirectoryEndpoint* endpoint = FindMutable(id)) {
     int64_t& known = endpoint->entry.model_versions[model];
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -4,11 +4,14 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "base/clock.h"
+#include "state/cold_endpoint.h"
+#include "state/home_regions.h"
 
 namespace quetzalridge {
 
@@ -24,6 +27,8 @@
   std::string service;
   std::string address;
   std::string zone;
+  // The region of the zone; empty if unknown.
+  std::string region;
   EndpointPhase phase = EndpointPhase::kReady;
   // Version of the endpoint's software. Versions have no order.
   std::string software_version;
@@ -35,6 +40,9 @@
   bool is_cheap = false;
   // Loaded version of each model.
   std::map<std::string, int64_t> model_versions;
+  // How long the endpoint stays cold from `read_at`, when this version of the entry arrived.
+  Duration cold_remaining;
+  TimePoint read_at;
 };
 
 // A registry entry together with what this instance has observed in its own calls to the endpoint.
@@ -60,9 +68,23 @@
   std::optional<TimePoint> unlisted_since;
   // The endpoint has said in a response that it will stop.
   bool leaving = false;
-
-  // The endpoint takes new work: it is ready, listed in the registry, and has not said that it will stop.
-  bool takes_work() const { return entry.phase == EndpointPhase::kReady && !missing && !leaving; }
+  ColdPeriod cold_period;
+  // Number of requests per second that the endpoint tolerates from all instances together, while it is cold and its
+  // service has such a limit.
+  std::optional<double> cold_limit;
+
+  // The operator has evacuated the endpoint's zone. Nothing is sent to the endpoint; what runs there finishes.
+  bool evacuated = false;
+
+  // The endpoint takes new work: it is ready, listed in the registry, has not said that it will stop, and its zone is
+  // not evacuated.
+  bool takes_work() const { return entry.phase == EndpointPhase::kReady && !missing && !leaving && !evacuated; }
+  // Requests without work, such as probes, may be sent: they cost more than the endpoint tolerates while it is cold,
+  // and an evacuated endpoint gets no requests at all.
+  bool may_probe() const { return !is_cold() && !evacuated; }
+  bool is_cold() const { return cold_limit.has_value(); }
+  // Requests to the endpoint need permits.
+  bool is_limited() const { return rate_limit.has_value() || is_cold(); }
 };
 
 // The endpoints of all services: their registry entries, and what this instance has observed in its own calls.
@@ -93,8 +115,8 @@
   const DirectoryEndpoint* Find(const std::string& id) const;
   // True if the endpoint takes work and may be called now (see DirectoryEndpoint::avoid_until).
   bool IsUsable(const DirectoryEndpoint& endpoint) const;
-  // Returns the usable endpoints of one service.
-  std::vector<const DirectoryEndpoint*> Usable(const std::string& service) const;
+  // Returns the usable endpoints of one service, in any region or in those that are allowed.
+  std::vector<const DirectoryEndpoint*> Usable(const std::string& service, const HomeRegions& regions = {}) const;
 
   // Whether a ready endpoint of the service has the software version, also one that is avoided now.
   bool HasSoftwareVersion(const std::string& service, const std::string& version) const;
@@ -125,17 +147,45 @@
   bool OnLeaving(const std::string& id, int64_t started_at_ms);
   // Records the rate limit in a response of the endpoint; nothing if the response has none.
   void OnRateLimit(const std::string& id, std::optional<double> limit);
+  // Sets the requests per second that cold endpoints tolerate, by service. Endpoints of other services have no such
+  // limit.
+  void SetColdLimits(std::map<std::string, double> limits);
+  // Records that a response of the endpoint says how long it stays cold.
+  void OnColdReport(const std::string& id, Duration remaining);
+  // Begins and ends cold periods, also those that have passed since. Returns the endpoints whose limit has changed
+  // since the last call. Until this function is called, an endpoint whose period has ended keeps its limit.
+  std::vector<std::string> RefreshCold();
+  // When the next cold period ends; nothing if no endpoint is cold.
+  std::optional<TimePoint> NextColdEnd() const;
+  int cold_count() const;
+  // Sets the zones whose endpoints get no requests. Endpoints of a zone that is in use again may have become cold
+  // meanwhile, so they count as cold until their next entries have arrived.
+  void SetEvacuatedZones(std::set<std::string> zones);
+  const std::set<std::string>& evacuated_zones() const { return m_evacuated_zones; }
+  // Number of endpoints in the zone, and of this instance's requests in flight on them.
+  struct ZoneLoad {
+    int endpoints = 0;
+    int in_flight = 0;
+  };
+  ZoneLoad LoadOfZone(const std::string& zone) const;
+  // Whether the service has ready endpoints, and all of them are in evacuated zones.
+  bool IsEvacuated(const std::string& service) const;
   // Records the loaded version of a model, as reported in a response.
   void OnModelVersion(const std::string& id, const std::string& model, int64_t version);
 
  private:
   DirectoryEndpoint* FindMutable(const std::string& id);
+  void UpdateColdLimit(DirectoryEndpoint* endpoint);
 
   const Clock* m_clock;
   bool m_known = false;
   bool m_in_grace_period = false;
   std::optional<TimePoint> m_last_response_at;
   std::map<std::string, DirectoryEndpoint> m_endpoints;
+  std::set<std::string> m_evacuated_zones;
+  std::map<std::string, double> m_cold_limits;
+  // Endpoints whose cold limit has changed since the last call of RefreshCold.
+  std::set<std::string> m_cold_changes;
   // The start of each endpoint that has said that it will stop, and when it was last listed. Its entry may disappear
   // from the registry and come back.
   struct LeavingStart {
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -1,11 +1,14 @@
 #include "gateway/request_forwarder.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "coordination/rate_limiter.h"
 #include "state/request_fingerprint.h"
 #include "tests/fakes/fake_table_store.h"
 #include "tests/fakes/manual_scheduler.h"
@@ -21,12 +24,15 @@
   std::string body;
   bool ended = false;
   bool aborted = false;
+  HttpHeaders headers;
 };
 
 class FakeResponder : public HttpResponder {
  public:
   explicit FakeResponder(CallerView* view) : m_view(view) {}
-  void Send(int status, HttpHeaders, std::string body) override { *m_view = {status, std::move(body), true, false}; }
+  void Send(int status, HttpHeaders headers, std::string body) override {
+    *m_view = {status, std::move(body), true, false, std::move(headers)};
+  }
   void Start(int status, HttpHeaders) override { m_view->status = status; }
   void Write(std::string_view data) override { m_view->body.append(data); }
   void End() override { m_view->ended = true; }
@@ -513,5 +519,170 @@
   CHECK_FALSE(fixture.endpoints.attempts[1]->call.runs_alone);
 }
 
+// Answers each call a few milliseconds later.
+class QuickEndpoints : public EndpointCaller {
+ public:
+  explicit QuickEndpoints(ManualScheduler* scheduler) : m_scheduler(scheduler) {}
+  std::unique_ptr<EndpointExchange> Start(EndpointCall call, EndpointCallObserver* observer) override {
+    ++calls[call.endpoint_id];
+    m_scheduler->Post(Duration::Milliseconds(5), [observer] {
+      observer->OnHead(ForwarderFixture::Head(200, false));
+      observer->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+    });
+    return nullptr;
+  }
+  std::map<std::string, int> calls;
+
+ private:
+  ManualScheduler* m_scheduler;
+};
+
+class NoPermitClient : public PermitClient {
+ public:
+  void Ask(const std::string&, const PermitRequest&, std::function<void(std::optional<PermitReply>)>) override {}
+};
+
+// A forwarder before `cold` cold and `warm` warm endpoints, on the instance that grants all permits.
+struct ColdFixture {
+  ColdFixture(int cold, int warm) {
+    std::vector<EndpointEntry> entries(static_cast<size_t>(cold + warm));
+    for (size_t i = 0; i < entries.size(); ++i) {
+      entries[i].id = (static_cast<int>(i) < cold ? "cold-" : "warm-") + std::to_string(i);
+      entries[i].service = kService;
+      entries[i].slots = 6;
+      entries[i].read_at = scheduler.Now();
+      entries[i].cold_remaining = static_cast<int>(i) < cold ? Duration::Seconds(600) : Duration();
+    }
+    directory.SetColdLimits({{kService, kColdPerS}});
+    directory.Update(entries, false);
+    limiter.AddListener([this] { forwarder.OnPermits(); });
+  }
+  // Sends requests at a steady rate. Returns the share that was served.
+  double Serve(double requests_per_s, Duration time) {
+    const int count = static_cast<int>(requests_per_s * static_cast<double>(time.ms()) / 1000.0);
+    std::vector<CallerView> views(static_cast<size_t>(count));
+    for (CallerView& view : views) {
+      ServiceRoute route;
+      route.kind = RouteKind::kIdempotent;
+      route.services = {{kService, 1}};
+      IncomingRequest request;
+      request.id = "r";
+      request.time_left = Duration::Milliseconds(800);
+      forwarder.Forward(std::move(request), route, "w", std::make_shared<FakeResponder>(&view));
+      scheduler.Advance(Duration::Milliseconds(time.ms() / count));
+    }
+    scheduler.Advance(Duration::Seconds(1));
+    const auto served =
+        std::count_if(views.begin(), views.end(), [](const CallerView& view) { return view.status == 200; });
+    return static_cast<double>(served) / count;
+  }
+
+  static constexpr double kColdPerS = 2.0;
+  ManualScheduler scheduler;
+  RouteTable routes;
+  EndpointDirectory directory{&scheduler.clock()};
+  QuickEndpoints endpoints{&scheduler};
+  NoPermitClient client;
+  RateLimiter limiter{
+      {&scheduler, &endpoints, &directory, &client, "own", [] { return std::vector<std::string>{"own"}; }}};
+  FakeTable table{&scheduler, 1};
+  FakeTableStore store{&table, &scheduler};
+  StreamOrigins origins{&store, &scheduler, &directory, [this] { return scheduler.Now().ms(); }};
+  NoUsage usage;
+  NoMetrics metrics;
+  RequestForwarder forwarder{
+      {&scheduler, &routes, &directory, &limiter, &limiter, &usage, &metrics, &origins, "a", nullptr, nullptr}, 1};
+};
+
+// Guards against callers that wait for permits, or that a slow endpoint serves, while warm endpoints have room.
+TEST_CASE("requests go to warm endpoints while there are any") {
+  ColdFixture fixture(3, 1);
+  CHECK(fixture.Serve(20.0, Duration::Seconds(10)) == 1.0);
+  CHECK(fixture.endpoints.calls["warm-3"] == 200);
+}
+
+// Guards against a service that is not served at all while all its endpoints are cold.
+TEST_CASE("a service with cold endpoints only is served at the sum of their paces") {
+  ColdFixture fixture(4, 0);
+  fixture.Serve(8.0, Duration::Seconds(2));
+  const double share = fixture.Serve(8.0, Duration::Seconds(20));
+  CHECK(share >= 0.8);
+  CHECK(fixture.Serve(5.0, Duration::Seconds(20)) >= 0.95);
+}
+
+// Guards against requests that reach an evacuated zone, and against callers that wait in vain.
+TEST_CASE("when all endpoints of a service are in evacuated zones, requests are refused at once as not run") {
+  ForwarderFixture fixture;
+  fixture.Send(RouteKind::kIdempotent);
+  REQUIRE(fixture.endpoints.attempts.size() == 1);
+  // The endpoints of the fixture have no zone.
+  fixture.directory.SetEvacuatedZones({""});
+  const CallerView earlier = fixture.view;
+  fixture.Observer(0)->OnHead(ForwarderFixture::Head(200, false));
+  fixture.Observer(0)->OnBody("whole");
+  fixture.Observer(0)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  CHECK(earlier.status == 0);
+  CHECK(fixture.view.status == 200);
+  fixture.view = CallerView();
+  fixture.Send(RouteKind::kIdempotent);
+  CHECK(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.view.status == 503);
+  CHECK(FindHeader(fixture.view.headers, "retry-after") != nullptr);
+  fixture.directory.SetEvacuatedZones({});
+  fixture.Send(RouteKind::kIdempotent);
+  CHECK(fixture.endpoints.attempts.size() == 2);
+}
+
+// Guards against retries that reach a zone that was evacuated during the request.
+TEST_CASE("a refused request is not retried in a zone that was evacuated meanwhile") {
+  ForwarderFixture fixture;
+  fixture.Send(RouteKind::kIdempotent);
+  fixture.directory.SetEvacuatedZones({""});
+  fixture.Observer(0)->OnHead(ForwarderFixture::Head(503, true));
+  fixture.Observer(0)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  CHECK(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.view.status == 503);
+}
+
+// Guards against requests that run outside their home regions, also when they are retried.
+TEST_CASE("a request with home regions goes only to endpoints there, and is refused as not run without any") {
+  ForwarderFixture fixture;
+  std::vector<EndpointEntry> entries(2);
+  for (size_t i = 0; i < entries.size(); ++i) {
+    entries[i].id = "e" + std::to_string(i);
+    entries[i].service = kService;
+    entries[i].slots = 6;
+    entries[i].region = i == 0 ? "east" : "west";
+  }
+  fixture.directory.Update(entries, false);
+  const auto send = [&fixture](const std::set<std::string>& regions) {
+    fixture.view = CallerView();
+    ServiceRoute route;
+    route.kind = RouteKind::kIdempotent;
+    route.services = {{kService, 1}};
+    route.max_attempts = 3;
+    route.home_regions = HomeRegions(regions);
+    IncomingRequest request;
+    request.id = "r";
+    fixture.forwarder.Forward(std::move(request), route, "w", std::make_shared<FakeResponder>(&fixture.view));
+  };
+  for (int i = 0; i < 10; ++i) {
+    send({"west"});
+    REQUIRE(fixture.endpoints.attempts.size() == static_cast<size_t>(i + 1));
+    CHECK(fixture.endpoints.attempts.back()->call.endpoint_id == "e1");
+    CHECK_FALSE(fixture.endpoints.attempts.back()->call.home_regions.Allows("east"));
+  }
+  fixture.Observer(9)->OnHead(ForwarderFixture::Head(500, false));
+  fixture.Observer(9)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  for (size_t i = 10; i < fixture.endpoints.attempts.size(); ++i) {
+    CHECK(fixture.endpoints.attempts[i]->call.endpoint_id == "e1");
+  }
+  const size_t attempts = fixture.endpoints.attempts.size();
+  send({"north"});
+  CHECK(fixture.endpoints.attempts.size() == attempts);
+  CHECK(fixture.view.status == 503);
+  CHECK(FindHeader(fixture.view.headers, "retry-after") != nullptr);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/state/endpoint_directory_test.cc
+++ b/tests/state/endpoint_directory_test.cc
@@ -161,5 +161,116 @@
   CHECK_FALSE(directory.HasSoftwareVersion("s", "v1"));
 }
 
+// Guards against bursts on an endpoint that has just started, or has become cold again.
+TEST_CASE("an endpoint is limited while its entry or a response says that it is cold") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  directory.SetColdLimits({{"s", 2.0}});
+  EndpointEntry entry = MakeEntry("one");
+  entry.cold_remaining = Duration::Seconds(6);
+  entry.read_at = clock.Now();
+  directory.Update({entry, MakeEntry("warm")}, false);
+  REQUIRE(directory.Find("one")->is_cold());
+  CHECK(*directory.Find("one")->cold_limit == 2.0);
+  CHECK_FALSE(directory.Find("warm")->is_limited());
+  CHECK(directory.RefreshCold() == std::vector<std::string>{"one"});
+  // The same entry, read again, does not begin a new period.
+  clock.Advance(Duration::Seconds(7));
+  directory.Update({entry, MakeEntry("warm")}, false);
+  CHECK_FALSE(directory.Find("one")->is_cold());
+  CHECK(directory.RefreshCold() == std::vector<std::string>{"one"});
+  directory.OnColdReport("one", Duration::Seconds(3));
+  CHECK(directory.Find("one")->is_cold());
+  CHECK(directory.cold_count() == 1);
+  // A restart under the same id.
+  clock.Advance(Duration::Seconds(4));
+  directory.RefreshCold();
+  REQUIRE_FALSE(directory.Find("one")->is_cold());
+  entry.started_at_ms = 9;
+  entry.read_at = clock.Now();
+  directory.Update({entry}, false);
+  CHECK(directory.Find("one")->is_cold());
+}
+
+// Guards against limits for endpoints of services that the operator has not configured any for.
+TEST_CASE("endpoints of a service without a cold limit are never cold") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  EndpointEntry entry = MakeEntry("one");
+  entry.cold_remaining = Duration::Seconds(6);
+  entry.read_at = clock.Now();
+  directory.Update({entry}, false);
+  CHECK_FALSE(directory.Find("one")->is_limited());
+  CHECK(directory.RefreshCold().empty());
+  // The configuration may arrive after the registry.
+  directory.SetColdLimits({{"s", 2.0}});
+  CHECK(directory.Find("one")->is_cold());
+  directory.SetColdLimits({});
+  CHECK_FALSE(directory.Find("one")->is_cold());
+}
+
+// Guards against work for a zone that the operator has evacuated, also on endpoints that start there later.
+TEST_CASE("endpoints of an evacuated zone take no work until the evacuation ends") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  EndpointEntry other = MakeEntry("other");
+  other.zone = "b";
+  directory.Update({MakeEntry("one"), other}, false);
+  directory.SetEvacuatedZones({"a"});
+  directory.Update({MakeEntry("one"), MakeEntry("late"), other}, false);
+  REQUIRE(directory.Usable("s").size() == 1);
+  CHECK(directory.Usable("s")[0]->entry.id == "other");
+  CHECK_FALSE(directory.Find("late")->may_probe());
+  CHECK_FALSE(directory.IsEvacuated("s"));
+  CHECK(directory.LoadOfZone("a").endpoints == 2);
+  directory.SetEvacuatedZones({"a", "b"});
+  CHECK(directory.Usable("s").empty());
+  CHECK(directory.IsEvacuated("s"));
+  CHECK_FALSE(directory.IsEvacuated("of other endpoints"));
+  directory.SetEvacuatedZones({});
+  CHECK(directory.Usable("s").size() == 3);
+  // Without a limit for cold endpoints, nothing is assumed about them.
+  CHECK(directory.cold_count() == 0);
+}
+
+// Guards against a burst on endpoints that have become cold while their zone was evacuated, before their entries say
+// so.
+TEST_CASE("endpoints of a zone that is in use again count as cold until their next entries") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  directory.SetColdLimits({{"s", 2.0}});
+  EndpointEntry other = MakeEntry("other");
+  other.zone = "b";
+  directory.Update({MakeEntry("one"), MakeEntry("two"), other}, false);
+  directory.SetEvacuatedZones({"a"});
+  clock.Advance(Duration::Seconds(60));
+  directory.SetEvacuatedZones({});
+  CHECK(directory.Find("one")->is_cold());
+  CHECK_FALSE(directory.Find("other")->is_cold());
+  EndpointEntry cold = MakeEntry("one");
+  cold.cold_remaining = Duration::Seconds(6);
+  clock.Advance(Duration::Seconds(1));
+  cold.read_at = clock.Now();
+  directory.Update({cold, MakeEntry("two"), other}, false);
+  clock.Advance(Duration::Seconds(2));
+  directory.RefreshCold();
+  CHECK(directory.Find("one")->is_cold());
+  CHECK_FALSE(directory.Find("two")->is_cold());
+}
+
+TEST_CASE("only endpoints in allowed regions are usable for a request with home regions") {
+  ManualClock clock;
+  EndpointDirectory directory(&clock);
+  EndpointEntry home = MakeEntry("home");
+  home.region = "east";
+  EndpointEntry away = MakeEntry("away");
+  away.region = "west";
+  directory.Update({home, away, MakeEntry("unknown")}, false);
+  CHECK(directory.Usable("s").size() == 3);
+  const auto usable = directory.Usable("s", HomeRegions({"east", "north"}));
+  REQUIRE(usable.size() == 1);
+  CHECK(usable[0]->entry.id == "home");
+}
+
 }  // namespace
 }  // namespace quetzalridge
