Place items of batch jobs by predicted cost

Cause: requests that look alike cost endpoints very different amounts of work, and the endpoint of an item depended on the number of requests in flight alone.

Change: a folder src/placement/ predicts the length of an item from the caller's estimate, the requested tokens and the results of its group, and keeps the speed and the remaining work of each endpoint. Items start, and stragglers move, by their expected ends. Where predictions are not clearly better than the mean length, all decisions are those of ChooseForItem and ChooseForMove, as before. BatchRunner hands the choice over to JobPlacer; it shrinks by 34 lines. Stored items have the number of requested tokens as one more field, which earlier versions ignore.

--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -3,7 +3,7 @@
 # when a name of the users' platform stands outside platform/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-layers=(base state coordination protocol transport daemon gateway)
+layers=(base state placement coordination protocol transport daemon gateway)
 failed=0
 for ((i = 0; i < ${#layers[@]}; i++)); do
   for ((j = i + 1; j < ${#layers[@]}; j++)); do
--- a/src/coordination/batch_records.cc
+++ b/src/coordination/batch_records.cc
@@ -297,25 +297,42 @@
   return parts;
 }
 
+// The fields that were added later are left out if no item has them, so that processes of an earlier version can read
+// the value; they ignore the fields that they don't know.
 std::string EncodeBatchItems(const std::vector<BatchItem>& items) {
   std::vector<IndexedRewardCall> calls;
+  std::vector<int64_t> requested_tokens;
+  bool has_tokens = false;
   for (size_t i = 0; i < items.size(); ++i) {
     if (items[i].reward_call.has_value()) {
       calls.push_back({i, *items[i].reward_call});
     }
+    requested_tokens.push_back(items[i].requested_tokens);
+    has_tokens = has_tokens || items[i].requested_tokens != 0;
+  }
+  if (has_tokens) {
+    return EncodeWithFields(items, calls, requested_tokens);
   }
   return calls.empty() ? EncodeBinary(items) : EncodeWithFields(items, calls);
 }
 
 std::optional<std::vector<BatchItem>> DecodeBatchItems(const std::string& value) {
   std::vector<IndexedRewardCall> calls;
-  std::optional<std::vector<BatchItem>> items = DecodeWithFields<std::vector<BatchItem>>(value, &calls);
+  std::vector<int64_t> requested_tokens;
+  std::optional<std::vector<BatchItem>> items =
+      DecodeWithFields<std::vector<BatchItem>>(value, &calls, &requested_tokens);
+  if (!items.has_value() || (!requested_tokens.empty() && requested_tokens.size() != items->size())) {
+    return std::nullopt;
+  }
   for (IndexedRewardCall& entry : calls) {
-    if (!items.has_value() || entry.item_index >= items->size()) {
+    if (entry.item_index >= items->size()) {
       return std::nullopt;
     }
     (*items)[entry.item_index].reward_call = std::move(entry.call);
   }
+  for (size_t i = 0; i < requested_tokens.size(); ++i) {
+    (*items)[i].requested_tokens = requested_tokens[i];
+  }
   return items;
 }
 
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -101,7 +101,7 @@
         m_index(index),
         m_endpoint(endpoint.id),
         m_software_version(endpoint.software_version),
-        m_count(runner->m_context->endpoints, endpoint.id) {}
+        m_placed(&runner->m_placer, index, endpoint.id) {}
   ~ItemRun() override = default;
   ItemRun(const ItemRun&) = delete;
   ItemRun& operator=(const ItemRun&) = delete;
@@ -132,7 +132,7 @@
     const TimePoint now = m_runner->Now();
     EventTranscript::AppendResult append_result = EventTranscript::AppendResult::kGap;
     if (!m_stale && !m_event_missing) {
-      RecordEventInterval(now);
+      m_placed.OnEvent(m_head->relayed);
       append_result = m_runner->m_progress.item(m_index).transcript.Append(event.id, event.data, event.model_version);
       m_event_missing = append_result == EventTranscript::AppendResult::kGap;
     }
@@ -163,15 +163,6 @@
   int new_events() const { return m_new_events; }
 
  private:
-  void RecordEventInterval(TimePoint now) {
-    if (m_head->relayed) {
-      m_runner->m_context->endpoints->OnResponse(m_endpoint);
-    } else if (m_last_event_at.has_value()) {
-      m_runner->m_context->endpoints->OnEventInterval(m_endpoint, now - *m_last_event_at);
-    }
-    m_last_event_at = now;
-  }
-
   // Ends the call. This destroys the run.
   void EndRun(const std::string& detail, bool timed_out) {
     EndpointCallResult result;
@@ -185,7 +176,7 @@
   size_t m_index;
   std::string m_endpoint;
   std::string m_software_version;
-  EndpointCallCount m_count;
+  JobPlacer::Run m_placed;
   std::optional<EndpointResponseHead> m_head;
   // The endpoint generates with a model version that is too old for the job.
   bool m_stale = false;
@@ -196,7 +187,6 @@
   int m_new_events = 0;
   // When an event last continued the text; the response head before the first one.
   TimePoint m_progress_at;
-  std::optional<TimePoint> m_last_event_at;
   std::unique_ptr<EndpointExchange> m_exchange;
 };
 
@@ -210,6 +200,8 @@
         return spec;
       }()),
       m_progress(&m_spec),
+      m_placer(&m_spec, &m_progress, context->placement.get(), context->endpoints, &context->scheduler->clock(),
+               Route() == nullptr ? "" : Route()->name, context->zone),
       m_confirmed_at(confirmed_at),
       m_ended(m_rows.ended) {
   for (const size_t index : m_rows.result_list.item_indices) {
@@ -277,11 +269,11 @@
 bool BatchRunner::StartItem(size_t index, const ServiceRoute& route) {
   const BatchItem& item = m_spec.items[index];
   const std::string& service = ChooseService(route, Hash64(item.id));
-  ItemPlacement placement = PlacementOf(index);
-  const DirectoryEndpoint* endpoint = ChooseEndpoint(service, placement);
+  ItemPlacement placement = m_placer.PlacementOf(index);
+  const DirectoryEndpoint* endpoint = ChooseEndpoint(service, index, placement);
   if (endpoint == nullptr && placement.software_version.has_value() && MayRestart(index, service)) {
     placement.software_version.reset();
-    endpoint = ChooseEndpoint(service, placement);
+    endpoint = ChooseEndpoint(service, index, placement);
     if (endpoint != nullptr) {
       DiscardText(index, "no endpoint with its software version");
     }
@@ -293,10 +285,11 @@
   return true;
 }
 
-const DirectoryEndpoint* BatchRunner::ChooseEndpoint(const std::string& service, const ItemPlacement& placement) const {
-  return ChooseWithPermit(m_context->permits, CandidatesFor(service),
-                          [this, &placement](const std::vector<ItemCandidate>& candidates) {
-                            return ChooseForItem(candidates, placement, m_context->zone);
+const DirectoryEndpoint* BatchRunner::ChooseEndpoint(const std::string& service, size_t index,
+                                                     const ItemPlacement& placement) const {
+  return ChooseWithPermit(m_context->permits, m_placer.CandidatesFor(service),
+                          [this, index, &placement](const std::vector<CostCandidate>& candidates) {
+                            return m_placer.Choose(candidates, index, placement);
                           });
 }
 
@@ -332,51 +325,24 @@
   return share->second.Resize(m_progress.item(index).transcript.text().size());
 }
 
-std::vector<ItemCandidate> BatchRunner::CandidatesFor(const std::string& service) const {
-  std::vector<ItemCandidate> candidates;
-  for (const DirectoryEndpoint* endpoint : m_context->endpoints->Usable(service)) {
-    candidates.push_back(
-        {endpoint, m_context->endpoints->MsPerEvent(*endpoint), m_context->endpoints->RespondedLately(*endpoint)});
-  }
-  return candidates;
-}
-
-ItemPlacement BatchRunner::PlacementOf(size_t index) const {
-  ItemPlacement placement;
-  placement.model = m_spec.model;
-  placement.oldest_version = m_spec.oldest_version;
-  const EventTranscript& transcript = m_progress.item(index).transcript;
-  if (!transcript.empty()) {
-    placement.software_version = transcript.software_version();
-  }
-  const auto preferred = m_group_endpoints.find(m_spec.items[index].group);
-  placement.preferred_endpoint = preferred == m_group_endpoints.end() ? "" : preferred->second;
-  const auto avoided = m_last_endpoints.find(index);
-  placement.avoided_endpoint = avoided == m_last_endpoints.end() ? "" : avoided->second;
-  return placement;
-}
-
 void BatchRunner::MoveStragglers() {
   const ServiceRoute* route = Route();
   if (!MayStartItems() || route == nullptr || route->single_version) {
     return;
   }
+  std::map<std::string, std::vector<CostCandidate>> candidates;
   for (const auto& [index, run] : m_runs) {
-    const EventTranscript& transcript = m_progress.item(index).transcript;
-    const DirectoryEndpoint* current_endpoint = m_context->endpoints->Find(run->endpoint());
-    if (current_endpoint == nullptr || transcript.empty()) {
-      continue;
-    }
     const std::string& service = ChooseService(*route, Hash64(m_spec.items[index].id));
-    const ItemCandidate current_candidate{current_endpoint, m_context->endpoints->MsPerEvent(*current_endpoint)};
-    const DirectoryEndpoint* target =
-        ChooseForMove(CandidatesFor(service), PlacementOf(index), current_candidate, transcript.event_count());
-    if (target == nullptr) {
-      continue;
+    const auto [found, is_new] = candidates.try_emplace(service);
+    if (is_new) {
+      found->second = m_placer.CandidatesFor(service);
+    }
+    const DirectoryEndpoint* target = m_placer.ChooseForMove(found->second, index, run->endpoint());
+    if (target != nullptr) {
+      MoveItem(index, *target);
+      // The move uses a free slot. The next choice must be made with the updated number of free slots.
+      return;
     }
-    MoveItem(index, *target);
-    // The move uses a free slot. The next choice must be made with the updated number of free slots.
-    return;
   }
 }
 
@@ -410,7 +376,6 @@
   call.resume_after = progress.transcript.last_id();
   call.reads_events = true;
   call.is_repeatable = true;
-  m_group_endpoints[item.group] = endpoint->entry.id;
   const auto version = endpoint->entry.model_versions.find(m_spec.model);
   Log(LogEvent::kBatchItemSent,
       {{"job", m_spec.id},
@@ -438,7 +403,7 @@
   const ServiceRoute* route = Route();
   const bool complete = result.outcome == EndpointCallOutcome::kComplete;
   if (result.blames_endpoint()) {
-    m_last_endpoints[index] = endpoint;
+    m_placer.OnRunBlamed(index, endpoint);
   }
   if (complete && status == kStatusOk && !run->stale() && !run->event_missing() && !item.transcript.empty()) {
     if (IsUsable(item.transcript)) {
@@ -515,6 +480,7 @@
 }
 
 void BatchRunner::OnTextComplete(size_t index) {
+  m_placer.OnTextComplete(index);
   if (!m_spec.items[index].reward_call.has_value()) {
     FinishItem(index, BatchResultState::kCompleted, "");
     return;
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -15,6 +15,7 @@
 #include "coordination/scheduler.h"
 #include "coordination/send_permits.h"
 #include "coordination/table_store.h"
+#include "placement/job_placer.h"
 #include "state/batch_progress.h"
 #include "state/endpoint_choice.h"
 #include "state/endpoint_directory.h"
@@ -38,6 +39,8 @@
   const RewardCallPolicy* reward_call_policy = nullptr;
   // Set by the BatchCoordinator, which owns it.
   RewardCallDispatcher* reward_calls = nullptr;
+  // What the jobs learn about the costs of their items.
+  std::shared_ptr<PlacementKnowledge> placement = std::make_shared<PlacementKnowledge>();
   // Unix time in milliseconds.
   std::function<int64_t()> wall_ms;
   // Identify this process.
@@ -138,10 +141,9 @@
   const ServiceRoute* Route() const;
   bool MayStartItems() const;
   void FailExpiredItems();
-  std::vector<ItemCandidate> CandidatesFor(const std::string& service) const;
-  ItemPlacement PlacementOf(size_t index) const;
   bool StartItem(size_t index, const ServiceRoute& route);
-  const DirectoryEndpoint* ChooseEndpoint(const std::string& service, const ItemPlacement& placement) const;
+  const DirectoryEndpoint* ChooseEndpoint(const std::string& service, size_t index,
+                                          const ItemPlacement& placement) const;
   // Only endpoints with the software version of the item's text may continue it. Whether the item may start again from
   // the beginning on another endpoint, because none of them serves or has taken it for a while.
   bool MayRestart(size_t index, const std::string& service) const;
@@ -181,15 +183,12 @@
   BatchRows m_rows;
   BatchSpec m_spec;
   BatchProgress m_progress;
+  JobPlacer m_placer;
   // When the latest read or write that showed this process as the owner began.
   TimePoint m_confirmed_at;
   // When the latest failed read of the rows began.
   TimePoint m_unreachable_at;
   std::map<size_t, std::unique_ptr<ItemRun>> m_runs;
-  // The endpoint that last processed the shared prompt of a group, by group.
-  std::map<std::string, std::string> m_group_endpoints;
-  // The endpoint of the last finished run of an item, by item index. The next run avoids it.
-  std::map<size_t, std::string> m_last_endpoints;
   // The memory of the texts of unfinished items, by item index.
   std::map<size_t, MemoryBudget::Share> m_text_memory;
   // Callbacks of WaitForResult, with their positions.
--- a/src/coordination/send_permits.h
+++ b/src/coordination/send_permits.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "state/endpoint_choice.h"
+#include "placement/cost_choice.h"
 #include "state/endpoint_directory.h"
 
 namespace quetzalridge {
@@ -28,8 +28,8 @@
 inline const std::string& EndpointIdOf(const DirectoryEndpoint* endpoint) {
   return endpoint->entry.id;
 }
-inline const std::string& EndpointIdOf(const ItemCandidate& candidate) {
-  return candidate.endpoint->entry.id;
+inline const std::string& EndpointIdOf(const CostCandidate& candidate) {
+  return candidate.candidate.endpoint->entry.id;
 }
 
 }  // namespace detail
--- a/src/state/batch_job.h
+++ b/src/state/batch_job.h
@@ -31,6 +31,8 @@
   std::string group;
   // The caller's estimate of the number of generated tokens; 0 if unknown.
   int64_t length_hint = 0;
+  // Tokens of the prompt and the largest number of generated tokens; 0 if unknown.
+  int64_t requested_tokens = 0;
   // Absent if the result needs no score.
   std::optional<RewardCall> reward_call;
 };
--- a/src/state/batch_progress.cc
+++ b/src/state/batch_progress.cc
@@ -61,6 +61,10 @@
   return next;
 }
 
+void BatchProgress::SetExpectedLengths(const std::vector<double>& lengths) {
+  std::stable_sort(m_order.begin(), m_order.end(), [&lengths](size_t a, size_t b) { return lengths[a] > lengths[b]; });
+}
+
 int BatchProgress::MissingGroups() const {
   const auto complete = std::count(m_unfinished_in_group.begin(), m_unfinished_in_group.end(), 0);
   return std::max(m_desired_groups - static_cast<int>(complete), 0);
--- a/src/state/batch_progress.h
+++ b/src/state/batch_progress.h
@@ -53,6 +53,8 @@
 
   // The waiting items that may start next, the first choice first: the interrupted items, then one without a text.
   std::vector<size_t> NextItems(TimePoint now) const;
+  // Replaces the token estimates by expected lengths, by item index, for the order in which items start.
+  void SetExpectedLengths(const std::vector<double>& lengths);
   void SetPhase(size_t index, ItemPhase phase);
   int CountIn(ItemPhase phase) const { return m_counts[static_cast<size_t>(phase)]; }
   // Number of items in the item's group that have no result yet.
--- a/src/state/endpoint_choice.cc
+++ b/src/state/endpoint_choice.cc
@@ -18,9 +18,22 @@
   return static_cast<double>(endpoint.in_flight) / std::max(endpoint.entry.slots, 1);
 }
 
+// Returns the smallest time per event among the candidates whose speed is known, or 0 if no speed is known.
+double FastestMsPerEvent(const std::vector<ItemCandidate>& candidates) {
+  double fastest = 0.0;
+  for (const ItemCandidate& candidate : candidates) {
+    if (candidate.ms_per_event > 0.0 && (fastest == 0.0 || candidate.ms_per_event < fastest)) {
+      fastest = candidate.ms_per_event;
+    }
+  }
+  return fastest;
+}
+
+}  // namespace
+
 // An endpoint that has not responded for a while may have set a rate limit or have stopped, so it gets one item until
 // it responds.
-bool CanTake(const ItemCandidate& candidate, const ItemPlacement& placement) {
+bool CanTakeItem(const ItemCandidate& candidate, const ItemPlacement& placement) {
   const EndpointEntry& entry = candidate.endpoint->entry;
   if (candidate.endpoint->in_flight > 0 && !candidate.responded_lately) {
     return false;
@@ -33,19 +46,6 @@
          version->second >= placement.oldest_version;
 }
 
-// Returns the smallest time per event among the candidates whose speed is known, or 0 if no speed is known.
-double FastestMsPerEvent(const std::vector<ItemCandidate>& candidates) {
-  double fastest = 0.0;
-  for (const ItemCandidate& candidate : candidates) {
-    if (candidate.ms_per_event > 0.0 && (fastest == 0.0 || candidate.ms_per_event < fastest)) {
-      fastest = candidate.ms_per_event;
-    }
-  }
-  return fastest;
-}
-
-}  // namespace
-
 // This order suits short requests that use a few percent of the slots. In that case the main cost of a bad choice is a
 // request that crosses zones, and only a slow or stuck endpoint holds requests for long, which the in-flight count
 // shows.
@@ -74,7 +74,7 @@
   const DirectoryEndpoint* best = nullptr;
   std::tuple<bool, bool, bool, double, bool> best_rank;
   for (const ItemCandidate& candidate : candidates) {
-    if (!CanTake(candidate, placement)) {
+    if (!CanTakeItem(candidate, placement)) {
       continue;
     }
     const EndpointEntry& entry = candidate.endpoint->entry;
@@ -101,7 +101,7 @@
     const bool known = candidate.ms_per_event > 0.0 && candidate.endpoint != current.endpoint;
     // A move would use up a request that a waiting item needs more.
     const bool limited = candidate.endpoint->rate_limit.has_value();
-    if (known && !limited && CanTake(candidate, placement) &&
+    if (known && !limited && CanTakeItem(candidate, placement) &&
         (best == nullptr || candidate.ms_per_event < best->ms_per_event)) {
       best = &candidate;
     }
--- a/src/state/endpoint_choice.h
+++ b/src/state/endpoint_choice.h
@@ -37,6 +37,9 @@
   bool responded_lately = true;
 };
 
+// Whether the endpoint has a free slot and may run the item.
+bool CanTakeItem(const ItemCandidate& candidate, const ItemPlacement& placement);
+
 // Returns the endpoint for an item of a batch job: one with a free slot and a version of the model that the job
 // accepts. The avoided endpoint comes last. Otherwise fast endpoints come first, then the preferred one, then the one
 // with the largest fraction of free slots, then those in this instance's availability zone. Returns nullptr if there is
--- a/tests/coordination/reward_call_test.cc
+++ b/tests/coordination/reward_call_test.cc
@@ -283,5 +283,19 @@
   CHECK(decoded->at(1).reward_call->body == std::string("\0b", 2));
 }
 
+// Guards against token counts that are lost when another instance takes a job over, and against items that an earlier
+// version of the program has stored and this one rejects.
+TEST_CASE("stored items keep their token counts, with and without reward calls") {
+  std::vector<BatchItem> items = BatchFixture::MakeJob("job", 3).items;
+  CHECK(DecodeBatchItems(EncodeBatchItems(items))->at(2).requested_tokens == 0);
+  items[2].requested_tokens = 940;
+  CHECK(DecodeBatchItems(EncodeBatchItems(items))->at(2).requested_tokens == 940);
+  items[1].reward_call = RewardCall{"c", "h", "/t", "b"};
+  const std::optional<std::vector<BatchItem>> decoded = DecodeBatchItems(EncodeBatchItems(items));
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->at(2).requested_tokens == 940);
+  CHECK(decoded->at(1).reward_call->body == "b");
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/platform/decoding_test.cc
+++ b/tests/platform/decoding_test.cc
@@ -244,6 +244,7 @@
   CHECK(spec.desired_groups == 12);
   REQUIRE(spec.items.size() == 1);
   CHECK(spec.items[0].length_hint == 120);
+  CHECK(spec.items[0].requested_tokens == 940);
   CHECK(spec.items[0].body == *DecodeBase64("q83vEjRWeJA="));
   for (const HttpHeader& header : spec.items[0].headers) {
     CHECK(header.name != "api-key");
