Let full endpoints show how fast the others should be

Cause: JobPlacer left endpoints without a free slot out of the candidates to save time. ChooseForItem compares speeds with the fastest candidate, so items of which nothing was predicted could go to another endpoint than before.

Change: all usable endpoints are candidates again.

--- a/src/placement/job_placer.cc
+++ b/src/placement/job_placer.cc
@@ -119,9 +119,7 @@
 std::vector<CostCandidate> JobPlacer::CandidatesFor(const std::string& service) const {
   std::vector<CostCandidate> candidates;
   for (const DirectoryEndpoint* endpoint : m_endpoints->Usable(service)) {
-    if (endpoint->in_flight < endpoint->entry.slots) {
-      candidates.push_back(CandidateOf(*endpoint));
-    }
+    candidates.push_back(CandidateOf(*endpoint));
   }
   return candidates;
 }
--- a/src/placement/job_placer.h
+++ b/src/placement/job_placer.h
@@ -60,7 +60,7 @@
   };
 
   ItemPlacement PlacementOf(size_t item) const;
-  // The usable endpoints of the service with a free slot.
+  // The usable endpoints of the service. Those without a free slot still show how fast the fastest one is.
   std::vector<CostCandidate> CandidatesFor(const std::string& service) const;
   // Returns the endpoint on which the item should start, or nullptr.
   const DirectoryEndpoint* Choose(const std::vector<CostCandidate>& candidates, size_t item,
