--- a/tests/fakes/fake_table_store.h
+++ b/tests/fakes/fake_table_store.h
@@ -121,9 +121,9 @@
 
   ManualScheduler* scheduler() { return m_scheduler; }
   Duration DrawReadDelay() {
-    return max_read_delay == Duration()
-               ? Duration()
-               : Duration::Milliseconds(static_cast<int64_t>(m_random.Below(static_cast<uint64_t>(max_read_delay.ms()))));
+    return max_read_delay == Duration() ? Duration()
+                                        : Duration::Milliseconds(static_cast<int64_t>(
+                                              m_random.Below(static_cast<uint64_t>(max_read_delay.ms()))));
   }
 
   bool ShouldLoseResponse() {
