--- a/src/state/memory_budget.h
+++ b/src/state/memory_budget.h
@@ -12,12 +12,10 @@
 namespace quetzalridge {
 
 // Bounds the sum of the memory that the holders of a kind of data take, such as all responses that are being received.
-// Two kinds of holders may share one budget:
-// * The holder of a Share that may not grow gives up what it holds. Once the sum exceeds the limit, those that hold
-// more
-//   than an equal part of the limit may not grow; once it exceeds twice the limit, none may.
-// * The growth of a ReclaimableShare ends holders of such shares, in the order of ChooseHolderToEnd, until the sum is
-//   within the limit.
+// Two kinds of holders may share one budget. The holder of a Share that may not grow gives up what it holds: once the
+// sum exceeds the limit, those that hold more than an equal part of the limit may not grow; once it exceeds twice the
+// limit, none may. The growth of a ReclaimableShare ends holders of such shares, in the order of ChooseHolderToEnd,
+// until the sum is within the limit.
 class MemoryBudget {
  public:
   explicit MemoryBudget(size_t limit) : m_limit(limit) {}
