Do not work out costs of endpoints while placement by cost is off

Each choice of an endpoint for an item looked up the speed and the remaining work of every candidate, which the choice by requests in flight does not read. By default, placement by cost is off. The choice is the same in both modes.

The processor time that this saves was not measured.

--- a/src/placement/job_placer.cc
+++ b/src/placement/job_placer.cc
@@ -114,6 +114,10 @@
   const std::string& id = endpoint.entry.id;
   CostCandidate candidate;
   candidate.candidate = {&endpoint, m_endpoints->MsPerEvent(endpoint), m_endpoints->RespondedLately(endpoint)};
+  if (!m_knowledge->uses_predictions) {
+    // The choice by requests in flight does not look at costs.
+    return candidate;
+  }
   candidate.ms_per_event = m_knowledge->times.MsPerEvent(id, now);
   candidate.remaining_ms = m_knowledge->work.RemainingMs(id, endpoint.in_flight, candidate.ms_per_event, now);
   return candidate;
