--- a/review/common-2/case_kit.cc
+++ b/review/common-2/case_kit.cc
@@ -20,7 +20,7 @@
 #include <sstream>
 #include <stdexcept>
 
-#include "base/log_event.h"
+#include "platform/caller_request_handler.h"
 
 namespace quetzalridge::review {
 
@@ -37,6 +37,8 @@
 constexpr int kPortsPerCase = 20;
 constexpr int kNetworks = 250;
 constexpr int kMisdirected = 421;
+// Rows of at most 64 KB in an answer of at most 1 MB.
+constexpr int kLargeRowsInAnswer = 15;
 
 int64_t SteadyMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch())
@@ -206,9 +208,23 @@
   run->responder->Write(event);
 }
 
-StandIns::StandIns(Record* record, const std::vector<ServerOptions>& servers)
-    : m_record(record), m_log(&m_loop.clock()) {
+StoreFront::StoreFront(EventLoop* loop, soak::UsersPlatform* platform)
+    : m_platform(platform), m_server(loop, LargeServer(), this) {}
+
+// The rows of large values have up to 64 KB each.
+void StoreFront::OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  const bool is_read = request.path == "/api/rows-get";
+  if (is_read && platform::QueryParameter(request.query, "Table").rfind("batch-", 0) == 0) {
+    const size_t limit = request.query.find("&Limit=");
+    request.query = request.query.substr(0, limit) + "&Limit=" + std::to_string(kLargeRowsInAnswer);
+  }
+  m_platform->OnRequest(std::move(request), std::move(responder));
+}
+
+StandIns::StandIns(Record* record, const std::vector<ServerOptions>& servers, bool records_runs)
+    : m_record(record), m_records_runs(records_runs), m_log(&m_loop.clock()) {
   m_platform = std::make_unique<soak::UsersPlatform>(&m_loop, &m_log, 1);
+  m_store = std::make_unique<StoreFront>(&m_loop, m_platform.get());
   std::map<std::string, int> numbers;
   for (const ServerOptions& options : servers) {
     const std::string id = "i-" + options.service + "-" + std::to_string(++numbers[options.service]);
@@ -220,6 +236,7 @@
 StandIns::~StandIns() {
   m_stopped = true;
   m_thread.join();
+  m_record->Add("servers have run " + std::to_string(m_runs.size()) + " requests");
 }
 
 void StandIns::Serve() {
@@ -262,7 +279,7 @@
 }
 
 std::string StandIns::platform_address() {
-  return "127.0.0.1:" + std::to_string(m_platform->port());
+  return "127.0.0.1:" + std::to_string(m_store->port());
 }
 
 std::vector<ServerRun> StandIns::Runs() {
@@ -272,8 +289,10 @@
 
 void StandIns::AddRun(ServerRun run) {
   run.at = m_record->Now();
-  m_record->Add("server " + run.server + " runs request " + run.id + " of tenant '" + run.tenant + "': " + run.method +
-                " " + run.target + ", body of " + std::to_string(run.body.size()) + " bytes");
+  if (m_records_runs) {
+    m_record->Add("server " + run.server + " runs request " + run.id + " of tenant '" + run.tenant +
+                  "': " + run.method + " " + run.target + ", body of " + std::to_string(run.body.size()) + " bytes");
+  }
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_runs.push_back(std::move(run));
 }
--- a/review/common-2/case_kit.h
+++ b/review/common-2/case_kit.h
@@ -104,10 +104,23 @@
 // The whole output of an item with this body.
 std::string WholeOutput(const std::string& body, int events);
 
+// Serves the project's stand-in of the platform, with reads of at most 1 MB.
+class StoreFront : public HttpHandler {
+ public:
+  StoreFront(EventLoop* loop, soak::UsersPlatform* platform);
+  int port() const { return m_server.port(); }
+  void OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) override;
+
+ private:
+  soak::UsersPlatform* m_platform;
+  HttpServer m_server;
+};
+
 // The platform and the servers, on a thread of their own.
 class StandIns {
  public:
-  StandIns(Record* record, const std::vector<ServerOptions>& servers);
+  // Without `records_runs`, record.txt has only a count of the runs.
+  StandIns(Record* record, const std::vector<ServerOptions>& servers, bool records_runs = true);
   ~StandIns();
   StandIns(const StandIns&) = delete;
   StandIns& operator=(const StandIns&) = delete;
@@ -118,8 +131,6 @@
   void WriteConfig(const Json& config);
   std::string platform_address();
   std::vector<ServerRun> Runs();
-  // A row of the store as text; empty if it does not exist.
-  soak::UsersPlatform* platform() { return m_platform.get(); }
 
  private:
   friend class Server;
@@ -127,6 +138,7 @@
   void AddRun(ServerRun run);
 
   Record* m_record;
+  bool m_records_runs;
   std::mutex m_mutex;
   std::vector<std::function<void()>> m_posted;
   std::vector<ServerRun> m_runs;
@@ -134,6 +146,7 @@
   EventLoop m_loop;
   soak::SoakLog m_log;
   std::unique_ptr<soak::UsersPlatform> m_platform;
+  std::unique_ptr<StoreFront> m_store;
   std::vector<std::unique_ptr<Server>> m_servers;
   std::thread m_thread;
 };
