Review case 8: read the results on from the last page

With TROUBLE=0 the case did not count all results once the stand-in of the store answered reads of at most 15 rows; only the rows of items are large.

--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -69,11 +69,11 @@
     SleepMs(kReadPauseMs);
     const int machine = read % kMachines;
     ClientRequest request;
-    request.target = "/api/lots/" + job + "?After=0";
+    request.target = "/api/lots/" + job + "?After=" + std::to_string(listed);
     request.key = "key-of-school";
     const Answer page = Exchange(machines.ip(machine), machines.front_port(), ToBytes(request), kClientTimeoutMs);
     if (page.status == 200) {
-      listed = Json::parse(page.body).at("Results").size();
+      listed += Json::parse(page.body).at("Results").size();
       ++served;
     }
     record->Add("client reads the job at machine " + std::to_string(machine + 1) + ": " + std::to_string(page.status) +
--- a/review/common-2/case_kit.cc
+++ b/review/common-2/case_kit.cc
@@ -211,10 +211,10 @@
 StoreFront::StoreFront(EventLoop* loop, soak::UsersPlatform* platform)
     : m_platform(platform), m_server(loop, LargeServer(), this) {}
 
-// The rows of large values have up to 64 KB each.
+// The rows with the items of a job have up to 64 KB each.
 void StoreFront::OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
   const bool is_read = request.path == "/api/rows-get";
-  if (is_read && platform::QueryParameter(request.query, "Table").rfind("batch-", 0) == 0) {
+  if (is_read && platform::QueryParameter(request.query, "Table") == "batch-items") {
     const size_t limit = request.query.find("&Limit=");
     request.query = request.query.substr(0, limit) + "&Limit=" + std::to_string(kLargeRowsInAnswer);
   }
