--- a/review/common-2/case_kit.h
+++ b/review/common-2/case_kit.h
@@ -232,7 +232,6 @@
 Json Route(const std::string& name, const std::string& prefix, const std::string& kind, const std::string& service);
 Json SmallConfig();
 
-// Makes the threads of this process and its children end when the case is interrupted.
 void SleepMs(int64_t ms);
 // Whether the disruption is wanted: false if TROUBLE=0 is in the environment.
 bool WithTrouble();
