Review case 9: a lost service keeps the items of the others from running

Cause: BatchProgress::NextItems offers only the first waiting item of a job. If its share of a split route has no replica, BatchRunner starts no other item.

Run: review/9/run.sh five times, then once with TROUBLE=0, beside cases 6 to 8 and 10.

--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,118 +1,69 @@
-// Trainers of two tenants number their items alike. One of them ends a batch job while its items run, as trainers do;
-// then the other submits its own.
+// The batch route is split: nine tenths of its items go to one service, a tenth to another one that has one replica.
+// That replica is lost.
 
-#include "base/base64.h"
-#include "case_kit.h"
+#include "lab/step_check.h"
 
-namespace quetzalridge::review {
-namespace {
+namespace review {
 
 constexpr int kMachines = 3;
-constexpr int kStartTimeoutMs = 15'000;
-// Machines are in touch from this time after their start.
-constexpr int kContactMs = 3000;
-constexpr int kClientTimeoutMs = 4000;
-constexpr int kItems = 8;
-constexpr int kEvents = 60;
-constexpr int kTimeBeforeEndMs = 700;
-constexpr int kTimeBetweenJobsMs = 1500;
-constexpr int kReadTimeMs = 15'000;
+constexpr int kModelServers = 5;
+constexpr int kSlots = 12;
+constexpr char kCanaryService[] = "tavo31c";
+// Of the users' sheets: a step is given up after 12 s.
+constexpr int64_t kStepTimeMs = 12'000;
+constexpr int kSteps = 3;
+constexpr int kItems = 112;
 
-std::string ItemId(const std::string& prefix, int item) {
-  return prefix + "step-7-group-1-item-" + std::to_string(item);
-}
-
-std::string Prompt(const std::string& tenant, int item) {
-  return "prompt " + std::to_string(item) + " of tenant " + tenant;
-}
-
-Answer Submit(Record* record, Machines* machines, int machine, const std::string& tenant, const std::string& job,
-              const std::string& prefix) {
-  Json requests = Json::array();
-  for (int i = 0; i < kItems; ++i) {
-    const std::string item = ItemId(prefix, i);
-    requests.push_back({{"Id", item},
-                        {"Path", "/finish/" + tenant + "/" + std::to_string(i)},
-                        {"Headers", {{"X-Quetzalridge-Model", kModel}, {"X-Quetzalridge-Token-Count", "16,60"}}},
-                        {"Body", EncodeBase64(Prompt(tenant, i))},
-                        {"Tokens", 76},
-                        {"Group", prefix + "step-7-group-1"}});
-  }
-  ClientRequest submission;
-  submission.method = "POST";
-  submission.target = "/finish/" + job;
-  submission.key = "key-of-" + tenant;
-  submission.id = job;
-  submission.body =
-      Json{{"Step", 7}, {"Model", kModel}, {"MinVersion", 1}, {"Desired", 1}, {"Requests", requests}}.dump();
-  const Answer answer = Exchange(machines->ip(machine), machines->front_port(), ToBytes(submission), kClientTimeoutMs);
-  record->Add("trainer of tenant " + tenant + " submits batch job " + job + " at machine " +
-              std::to_string(machine + 1) + ", items " + ItemId(prefix, 0) +
-              " and on: " + std::to_string(answer.status));
-  return answer;
-}
-
-int Run(Record* record) {
-  ServerOptions engine{kEngineService};
-  engine.events = kEvents;
-  StandIns stand_ins(record, {engine, engine, {kPlainService}});
-  stand_ins.WriteConfig(SmallConfig());
-  Machines machines(record, stand_ins.platform_address(), kMachines, {});
-  if (!machines.WaitReady(kStartTimeoutMs)) {
-    record->Add("the machines did not become ready");
-    return kNotRun;
+int Play(Lab* lab, Record* record, bool trouble) {
+  // Its threads run until the process ends.
+  auto* canary = new Replica(&lab->platform, record, kCanaryService, "i-canary1", true);
+  nlohmann::json configuration = Configuration(9);
+  nlohmann::json& route = configuration["Routes"][1];
+  route.erase("Service");
+  route["Split"] = {{{"Service", kModelService}, {"Weight", 90}}, {{"Service", kCanaryService}, {"Weight", 10}}};
+  nlohmann::json service = configuration["Services"][0];
+  service["Name"] = kCanaryService;
+  configuration["Services"].push_back(service);
+  lab->platform.Put("op", "config", configuration);
+  SleepMs(5000);
+  if (trouble) {
+    canary->Crash();
   }
-  SleepMs(kContactMs);
-  const std::string first_job = "7c41e09b52d6a301";
-  const std::string second_job = "7c41e09b52d6a302";
-  if (Submit(record, &machines, 0, "school", first_job, "").status != 202) {
-    return kNotRun;
-  }
-  SleepMs(kTimeBeforeEndMs);
-  ClientRequest end;
-  end.method = "DELETE";
-  end.target = "/api/lots/" + first_job;
-  end.key = "key-of-school";
-  const Answer ended = Exchange(machines.ip(0), machines.front_port(), ToBytes(end), kClientTimeoutMs);
-  record->Add("trainer of tenant school ends its batch job: " + std::to_string(ended.status));
-  SleepMs(kTimeBetweenJobsMs);
-  if (Submit(record, &machines, 1, "museum", second_job, WithTrouble() ? "" : "m-").status != 202) {
-    return kNotRun;
-  }
-  Json results = Json::array();
-  const int64_t deadline = record->Now() + kReadTimeMs;
-  while (results.size() < kItems && record->Now() < deadline) {
-    SleepMs(500);
-    ClientRequest read;
-    read.target = "/api/lots/" + second_job + "?After=0";
-    read.key = "key-of-museum";
-    const Answer page = Exchange(machines.ip(2), machines.front_port(), ToBytes(read), kClientTimeoutMs);
-    if (page.status == 200) {
-      results = Json::parse(page.body).at("Results");
+  // The entry of the lost replica is gone, and steady state has begun.
+  SleepMs(10'000);
+  BatchClient trainer(lab->fleet.get(), record, kKeyA);
+  int lost = 0;
+  int accepted = 0;
+  for (int step = 0; step < kSteps; ++step) {
+    const Machine& machine = lab->fleet->machines()[static_cast<size_t>(step)];
+    const std::string job = "a" + std::to_string(step);
+    std::vector<Item> items;
+    for (int i = 0; i < kItems; ++i) {
+      constexpr int kGroupSize = 8;
+      const std::string id = job + "-" + std::to_string(i);
+      items.push_back(
+          {id, std::string(kBatchPrefix) + id, {}, "prompt of " + id, "group-" + std::to_string(i / kGroupSize)});
     }
-    record->Add("trainer of tenant museum reads its batch job: " + std::to_string(page.status) + ", " +
-                std::to_string(results.size()) + " results");
-  }
-  int mixed = 0;
-  for (const Json& result : results) {
-    const std::string id = result.at("Id").get<std::string>();
-    const int number = std::atoi(id.c_str() + id.rfind('-') + 1);
-    const std::string output = result.at("Output").get<std::string>();
-    const bool completed = result.at("State").get<std::string>() == "completed";
-    if (completed && output != WholeOutput(Prompt("museum", number), kEvents)) {
-      ++mixed;
-      record->Add("MIXED: result " + id + " of tenant museum is completed with this text: " + output);
+    const int64_t submitted_ms = NowMs();
+    if (trainer.Submit(machine, std::string(kBatchPrefix) + job, job, BatchBody(items, 14)) != 202) {
+      continue;
+    }
+    ++accepted;
+    const size_t results = trainer.Results(machine, job, kItems, kStepTimeMs - (NowMs() - submitted_ms)).size();
+    if (results < kItems) {
+      lost += IsLost(lab, record, job, kItems, submitted_ms, kModelServers * kSlots) ? 1 : 0;
     }
+    trainer.End(machine, job);
   }
-  if (mixed > 0) {
-    return kBroken;
+  record->Line(std::to_string(lost) + " of " + std::to_string(accepted) + " steps break LOST");
+  if (accepted == 0) {
+    return kNotRun;
   }
-  return results.size() == kItems ? kHeld : kNotRun;
+  return lost > 0 ? kBroken : kHeld;
 }
 
-}  // namespace
-}  // namespace quetzalridge::review
+}  // namespace review
 
 int main(int argc, char** argv) {
-  return quetzalridge::review::RunCase(argc, argv, quetzalridge::review::Run);
+  return review::RunCase(argc, argv, review::kMachines, review::kModelServers, review::Play);
 }
