Let review cases 9 and 10 use the stand-ins of the other cases

They now use case_kit, which learned to lose a server or a machine and to record the ends of runs. Its processes are started with vfork, so that the watch of memory never sees that of the parent. Checks and bounds are the same.

--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,69 +1,127 @@
-// The batch route is split: nine tenths of its items go to one service, a tenth to another one that has one replica.
-// That replica is lost.
+// A batch route is split: nine tenths of its items go to one service, a tenth to another one that has one server. That
+// server is lost.
 
-#include "lab/step_check.h"
+#include "case_kit.h"
 
-namespace review {
+namespace quetzalridge::review {
+namespace {
 
 constexpr int kMachines = 3;
-constexpr int kModelServers = 5;
-constexpr int kSlots = 12;
-constexpr char kCanaryService[] = "tavo31c";
-// Of the users' sheets: a step is given up after 12 s.
-constexpr int64_t kStepTimeMs = 12'000;
+constexpr int kStartTimeoutMs = 15'000;
+constexpr int kClientTimeoutMs = 4000;
+constexpr int kServers = 5;
+constexpr char kSmallService[] = "rollout-canary";
+constexpr int kBeforeLossMs = 5000;
+// The entry of the lost server has lapsed, and the steady state has begun.
+constexpr int kAfterLossMs = 10'000;
 constexpr int kSteps = 3;
 constexpr int kItems = 112;
+constexpr int kGroupSize = 8;
+// A trainer gives a step up after this time.
+constexpr int kStepTimeMs = 12'000;
+constexpr int kReadPauseMs = 300;
+// Of the rule.
+constexpr int kAtNoServerMs = 5000;
 
-int Play(Lab* lab, Record* record, bool trouble) {
-  // Its threads run until the process ends.
-  auto* canary = new Replica(&lab->platform, record, kCanaryService, "i-canary1", true);
-  nlohmann::json configuration = Configuration(9);
-  nlohmann::json& route = configuration["Routes"][1];
-  route.erase("Service");
-  route["Split"] = {{{"Service", kModelService}, {"Weight", 90}}, {{"Service", kCanaryService}, {"Weight", 10}}};
-  nlohmann::json service = configuration["Services"][0];
-  service["Name"] = kCanaryService;
-  configuration["Services"].push_back(service);
-  lab->platform.Put("op", "config", configuration);
-  SleepMs(5000);
-  if (trouble) {
-    canary->Crash();
+// Whether the step, which runs out of time now, breaks the rule: an item has been at no server for 5 s, others had
+// begun, and the servers are under half full.
+bool IsLost(const std::vector<ServerRun>& runs, const std::string& job, int64_t submitted_at, Record* record) {
+  const int64_t now = record->Now();
+  std::multimap<std::string, ServerRun> runs_by_item;
+  int running = 0;
+  for (const ServerRun& run : runs) {
+    runs_by_item.emplace(run.id, run);
+    running += run.ended_at < 0 ? 1 : 0;
   }
-  // The entry of the lost replica is gone, and steady state has begun.
-  SleepMs(10'000);
-  BatchClient trainer(lab->fleet.get(), record, kKeyA);
+  int begun = 0;
+  int finished = 0;
   int lost = 0;
-  int accepted = 0;
+  for (int i = 0; i < kItems; ++i) {
+    const auto [first, last] = runs_by_item.equal_range(job + "-" + std::to_string(i));
+    bool is_finished = false;
+    int64_t last_at_server = submitted_at;
+    for (auto run = first; run != last; ++run) {
+      is_finished = is_finished || run->second.finished;
+      last_at_server = std::max(last_at_server, run->second.ended_at < 0 ? now : run->second.ended_at);
+    }
+    begun += first == last ? 0 : 1;
+    finished += is_finished ? 1 : 0;
+    lost += !is_finished && now - last_at_server >= kAtNoServerMs ? 1 : 0;
+  }
+  record->Add("step " + job + " runs out of time: " + std::to_string(begun) + " of " + std::to_string(kItems) +
+              " items begun, " + std::to_string(finished) + " finished, " + std::to_string(lost) +
+              " at no server for " + std::to_string(kAtNoServerMs) + " ms; " + std::to_string(running) +
+              " runs at all servers");
+  const bool under_half_full = 2 * running < kServers * ServerOptions().slots;
+  return lost > 0 && begun > 0 && under_half_full;
+}
+
+int Run(Record* record) {
+  ServerOptions engine{kEngineService};
+  engine.events = 25;
+  std::vector<ServerOptions> servers(kServers, engine);
+  engine.service = kSmallService;
+  servers.push_back(engine);
+  StandIns stand_ins(record, servers);
+  Json config = SmallConfig();
+  Json& route = config["Routes"][1];
+  route.erase("Service");
+  route["Split"] = {{{"Service", kEngineService}, {"Weight", 90}}, {{"Service", kSmallService}, {"Weight", 10}}};
+  Json service = config["Services"][1];
+  service["Name"] = kSmallService;
+  config["Services"].push_back(service);
+  stand_ins.WriteConfig(config);
+  Machines machines(record, stand_ins.platform_address(), kMachines, {});
+  if (!machines.WaitReady(kStartTimeoutMs)) {
+    record->Add("the machines did not become ready");
+    return kNotRun;
+  }
+  SleepMs(kBeforeLossMs);
+  if (WithTrouble()) {
+    stand_ins.LoseServer(std::string("i-") + kSmallService + "-1");
+  }
+  SleepMs(kAfterLossMs);
+  int broken = 0;
   for (int step = 0; step < kSteps; ++step) {
-    const Machine& machine = lab->fleet->machines()[static_cast<size_t>(step)];
     const std::string job = "a" + std::to_string(step);
-    std::vector<Item> items;
+    Json items = Json::array();
     for (int i = 0; i < kItems; ++i) {
-      constexpr int kGroupSize = 8;
       const std::string id = job + "-" + std::to_string(i);
-      items.push_back(
-          {id, std::string(kBatchPrefix) + id, {}, "prompt of " + id, "group-" + std::to_string(i / kGroupSize)});
+      items.push_back(BatchItem(id, "prompt of " + id, "group-" + std::to_string(i / kGroupSize)));
     }
-    const int64_t submitted_ms = NowMs();
-    if (trainer.Submit(machine, std::string(kBatchPrefix) + job, job, BatchBody(items, 14)) != 202) {
-      continue;
+    const auto send = [&](const ClientRequest& request) {
+      return Exchange(machines.ip(step), machines.front_port(), ToBytes(request), kClientTimeoutMs);
+    };
+    const int64_t submitted_at = record->Now();
+    const Answer accepted = send(Submission(job, items, kItems / kGroupSize));
+    record->Add("client: batch job " + job + " answered " + std::to_string(accepted.status));
+    if (accepted.status != 202) {
+      return kNotRun;
     }
-    ++accepted;
-    const size_t results = trainer.Results(machine, job, kItems, kStepTimeMs - (NowMs() - submitted_ms)).size();
-    if (results < kItems) {
-      lost += IsLost(lab, record, job, kItems, submitted_ms, kModelServers * kSlots) ? 1 : 0;
+    size_t listed = 0;
+    while (listed < kItems && record->Now() - submitted_at < kStepTimeMs) {
+      ClientRequest read;
+      read.target = "/api/lots/" + job + "?After=" + std::to_string(listed);
+      read.key = "key-of-school";
+      const Answer page = send(read);
+      listed += page.status == 200 ? Json::parse(page.body).at("Results").size() : 0;
+      SleepMs(kReadPauseMs);
     }
-    trainer.End(machine, job);
-  }
-  record->Line(std::to_string(lost) + " of " + std::to_string(accepted) + " steps break LOST");
-  if (accepted == 0) {
-    return kNotRun;
+    record->Add("client has read " + std::to_string(listed) + " results of " + job);
+    broken += listed < kItems && IsLost(stand_ins.Runs(), job, submitted_at, record) ? 1 : 0;
+    ClientRequest end;
+    end.method = "DELETE";
+    end.target = "/api/lots/" + job;
+    end.key = "key-of-school";
+    record->Add("client ends " + job + ": " + std::to_string(send(end).status));
   }
-  return lost > 0 ? kBroken : kHeld;
+  record->Add("LOST: " + std::to_string(broken) + " of " + std::to_string(kSteps) + " steps");
+  return broken > 0 ? kBroken : kHeld;
 }
 
-}  // namespace review
+}  // namespace
+}  // namespace quetzalridge::review
 
 int main(int argc, char** argv) {
-  return review::RunCase(argc, argv, review::kMachines, review::kModelServers, review::Play);
+  return quetzalridge::review::RunCase(argc, argv, quetzalridge::review::Run);
 }
--- a/review/common-2/case_kit.cc
+++ b/review/common-2/case_kit.cc
@@ -20,6 +20,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "base/base64.h"
 #include "platform/caller_request_handler.h"
 
 namespace quetzalridge::review {
@@ -129,6 +130,9 @@
 }
 
 void Server::Renew() {
+  if (m_lost) {
+    return;
+  }
   Json entry = {{"Service", m_options.service},
                 {"Addr", "127.0.0.1:" + std::to_string(m_server.port())},
                 {"Zone", m_options.zone},
@@ -138,14 +142,31 @@
                 {"born", 1'700'000'000'000},
                 {"ColdRemainingMs", 0},
                 {"Version", "v1"}};
-  if (m_options.service == kEngineService) {
+  if (m_options.service != kPlainService) {
     entry["Stage"] = "both";
     entry["Models"] = {{{"Name", kModel}, {"Version", 1}, {"Adapters", Json::array()}}};
   }
   m_owner->m_platform->Put("servers", m_id, entry);
 }
 
+void Server::Lose() {
+  m_lost = true;
+  m_server.BeginShutdown();
+  for (Run& run : m_runs) {
+    run.responder->SetCloseCallback(nullptr);
+    run.responder->Abort();
+    m_owner->EndRun(run.number, false);
+  }
+  m_runs.clear();
+  m_lapse_timer = m_loop->After(Duration::Milliseconds(int64_t{3} * kHeartbeatMs),
+                                [this] { m_owner->m_platform->Remove("servers", m_id); });
+}
+
 void Server::OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+  if (m_lost) {
+    responder->Abort();
+    return;
+  }
   const std::string expected = HeaderOf(request, "x-quetzalridge-expect-instance");
   if (!expected.empty() && expected != m_id) {
     responder->Send(kMisdirected, {{"x-quetzalridge-not-run", "1"}}, "");
@@ -171,20 +192,25 @@
   run.tenant = HeaderOf(request, "x-quetzalridge-tenant");
   run.method = request.method;
   run.target = request.query.empty() ? request.path : request.path + "?" + request.query;
-  run.body = request.body;
-  m_owner->AddRun(run);
+  run.body = request.body.substr(0, m_options.quoted_bytes);
+  const size_t number = m_owner->AddRun(run);
   const std::string stamp = m_id + "." + std::to_string(++m_runs_begun);
-  if (m_options.service != kEngineService) {
+  if (m_options.service == kPlainService) {
+    m_owner->EndRun(number, true);
     responder->Send(200, {{"x-quetzalridge-request-id", run.id}, {"x-quetzalridge-server-stamp", stamp}},
                     "answer to " + run.id);
     return;
   }
   const std::string last = HeaderOf(request, "last-event-id");
   const auto started = m_runs.emplace(m_runs.end());
-  started->prompt = request.body;
+  started->prompt = run.body;
+  started->number = number;
   started->next_event = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
   started->responder = responder;
-  responder->SetCloseCallback([this, started] { m_runs.erase(started); });
+  responder->SetCloseCallback([this, started] {
+    m_owner->EndRun(started->number, false);
+    m_runs.erase(started);
+  });
   responder->Start(200, {{"content-type", "text/event-stream"},
                          {"x-quetzalridge-request-id", run.id},
                          {"x-quetzalridge-server-stamp", stamp},
@@ -197,6 +223,7 @@
   if (run->next_event > m_options.events) {
     run->responder->SetCloseCallback(nullptr);
     run->responder->End();
+    m_owner->EndRun(run->number, true);
     const std::unique_ptr<Timer> ended = std::move(run->timer);
     m_runs.erase(run);
     return;
@@ -228,7 +255,7 @@
   std::map<std::string, int> numbers;
   for (const ServerOptions& options : servers) {
     const std::string id = "i-" + options.service + "-" + std::to_string(++numbers[options.service]);
-    m_servers.push_back(std::make_unique<Server>(&m_loop, this, id, options));
+    m_servers[id] = std::make_unique<Server>(&m_loop, this, id, options);
   }
   m_thread = std::thread([this] { Serve(); });
 }
@@ -253,7 +280,7 @@
     }
     if (SteadyMs() >= next_heartbeat) {
       next_heartbeat = SteadyMs() + kHeartbeatMs;
-      for (const std::unique_ptr<Server>& server : m_servers) {
+      for (const auto& [id, server] : m_servers) {
         server->Renew();
       }
     }
@@ -278,6 +305,11 @@
   m_record->Add("operator: the store acknowledges configuration " + config.at("Version").dump());
 }
 
+void StandIns::LoseServer(const std::string& id) {
+  Call([this, &id] { m_servers.at(id)->Lose(); });
+  m_record->Add("server " + id + " is lost");
+}
+
 std::string StandIns::platform_address() {
   return "127.0.0.1:" + std::to_string(m_store->port());
 }
@@ -287,7 +319,7 @@
   return m_runs;
 }
 
-void StandIns::AddRun(ServerRun run) {
+size_t StandIns::AddRun(ServerRun run) {
   run.at = m_record->Now();
   if (m_records_runs) {
     m_record->Add("server " + run.server + " runs request " + run.id + " of tenant '" + run.tenant +
@@ -295,6 +327,13 @@
   }
   const std::lock_guard<std::mutex> lock(m_mutex);
   m_runs.push_back(std::move(run));
+  return m_runs.size() - 1;
+}
+
+void StandIns::EndRun(size_t number, bool finished) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_runs[number].ended_at = m_record->Now();
+  m_runs[number].finished = finished;
 }
 
 Machines::Machines(Record* record, const std::string& platform_address, int count, NodeOptions options)
@@ -410,7 +449,8 @@
 void Machines::Start(Machine* machine) {
   const std::string variable = "QUETZALRIDGE_SETTINGS=" + machine->settings_file;
   const pid_t parent = getpid();
-  const pid_t process = fork();
+  // This process waits until the program runs, so that the memory of the new one is never taken for that of this one.
+  const pid_t process = vfork();
   if (process < 0) {
     throw std::runtime_error("cannot start a process");
   }
@@ -439,6 +479,9 @@
     SleepMs(kWatchMs);
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (Machine& machine : m_machines) {
+      if (machine.lost) {
+        continue;
+      }
       if (machine.process <= 0) {
         if (SteadyMs() >= machine.start_at) {
           Start(&machine);
@@ -506,6 +549,18 @@
   }
 }
 
+void Machines::Lose(int machine) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  Machine& target = m_machines[static_cast<size_t>(machine)];
+  m_record->Add("machine " + target.name + " is lost");
+  if (target.process > 0) {
+    kill(target.process, SIGKILL);
+    waitpid(target.process, nullptr, 0);
+  }
+  target.process = -1;
+  target.lost = true;
+}
+
 std::string Machines::LastLogLines(int machine, int count) {
   std::ifstream log(m_machines[static_cast<size_t>(machine)].log_file);
   std::vector<std::string> lines;
@@ -629,6 +684,26 @@
   return bytes + "Connection: close\r\n\r\n" + request.body;
 }
 
+Json BatchItem(const std::string& id, const std::string& body, const std::string& group) {
+  return {{"Id", id},
+          {"Path", "/finish/" + id},
+          {"Headers", {{"X-Quetzalridge-Model", kModel}, {"X-Quetzalridge-Token-Count", "16,25"}}},
+          {"Body", EncodeBase64(body)},
+          {"Tokens", 41},
+          {"Group", group}};
+}
+
+ClientRequest Submission(const std::string& job, const Json& items, int desired_groups) {
+  ClientRequest request;
+  request.method = "POST";
+  request.target = "/finish/" + job;
+  request.key = "key-of-school";
+  request.id = job;
+  request.body =
+      Json{{"Step", 0}, {"Model", kModel}, {"MinVersion", 1}, {"Desired", desired_groups}, {"Requests", items}}.dump();
+  return request;
+}
+
 Json Route(const std::string& name, const std::string& prefix, const std::string& kind, const std::string& service) {
   return {{"Name", name},           {"Host", kHost},          {"Prefix", prefix},
           {"Kind", kind},           {"TimeoutMs", 1500},      {"Service", service},
--- a/review/common-2/case_kit.h
+++ b/review/common-2/case_kit.h
@@ -58,6 +58,10 @@
   std::string method;
   std::string target;
   std::string body;
+  // -1 while it runs.
+  int64_t ended_at = -1;
+  // It came to its end, and was not broken off.
+  bool finished = false;
 };
 
 struct ServerOptions {
@@ -67,6 +71,8 @@
   // Events of one item, and the time between two of them.
   int events = 8;
   int event_gap_ms = 20;
+  // How much of an item's body its text and the list of runs quote.
+  size_t quoted_bytes = std::string::npos;
 };
 
 class StandIns;
@@ -77,6 +83,8 @@
   Server(EventLoop* loop, StandIns* owner, std::string id, ServerOptions options);
   // Renews its entry in the registry.
   void Renew();
+  // Is lost for good: its runs break off, connections are refused, and its entry lapses after three heartbeats.
+  void Lose();
   void OnRequest(HttpRequest request, std::shared_ptr<HttpResponder> responder) override;
 
  private:
@@ -85,6 +93,8 @@
     int next_event = 1;
     std::shared_ptr<HttpResponder> responder;
     std::unique_ptr<Timer> timer;
+    // Its place in the list of all runs.
+    size_t number = 0;
   };
   void SendEvent(std::list<Run>::iterator run);
 
@@ -96,6 +106,8 @@
   int64_t m_runs_begun = 0;
   int64_t m_orders = 0;
   std::list<Run> m_runs;
+  bool m_lost = false;
+  std::unique_ptr<Timer> m_lapse_timer;
   HttpServer m_server;
 };
 
@@ -129,13 +141,17 @@
   void Call(const std::function<void()>& function);
   // Writes a row as the operator does.
   void WriteConfig(const Json& config);
+  // Loses the server with this id for good.
+  void LoseServer(const std::string& id);
   std::string platform_address();
   std::vector<ServerRun> Runs();
 
  private:
   friend class Server;
   void Serve();
-  void AddRun(ServerRun run);
+  // Returns the run's place in the list.
+  size_t AddRun(ServerRun run);
+  void EndRun(size_t number, bool finished);
 
   Record* m_record;
   bool m_records_runs;
@@ -147,7 +163,8 @@
   soak::SoakLog m_log;
   std::unique_ptr<soak::UsersPlatform> m_platform;
   std::unique_ptr<StoreFront> m_store;
-  std::vector<std::unique_ptr<Server>> m_servers;
+  // By their ids.
+  std::map<std::string, std::unique_ptr<Server>> m_servers;
   std::thread m_thread;
 };
 
@@ -177,6 +194,8 @@
   // The largest resident memory of a machine's processes, in KB.
   int64_t peak_kb(int machine);
   void Signal(int machine, int signal);
+  // The machine is lost for good; its process ends, and none is started again.
+  void Lose(int machine);
   // The last lines that the machine's process has logged.
   std::string LastLogLines(int machine, int count);
 
@@ -190,6 +209,7 @@
     int ends = 0;
     int64_t peak_kb = 0;
     int64_t start_at = 0;
+    bool lost = false;
   };
   void Start(Machine* machine);
   void Watch();
@@ -227,6 +247,10 @@
   int deadline_ms = 0;
 };
 std::string ToBytes(const ClientRequest& request);
+// An item of a batch job on the batch route of SmallConfig.
+Json BatchItem(const std::string& id, const std::string& body, const std::string& group);
+// The submission of a batch job there by tenant "school".
+ClientRequest Submission(const std::string& job, const Json& items, int desired_groups);
 
 // The operator's configuration of a small deployment.
 Json Route(const std::string& name, const std::string& prefix, const std::string& kind, const std::string& service);
