Do not take a reset during an upload for the end of the response

Cause: the kernel reports the reset of a connection once, to the first read or write after it. While a request is being written, h2o writes before it reads, so the write got ECONNRESET and the next read returned 0, as after a FIN. The client only looked at the read and took the body as ended in order. A comment even said that an error of the write shows as one of the read.

Change: the client writes the request itself and keeps the code of an error. After any error but EPIPE, a body without a length is cut. Bodies with a length or in chunks show their end themselves and stay whole after a reset.

A caller now gets the response of another endpoint where the request may be repeated, else 502, which promises nothing.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -1,11 +1,14 @@
 #include "transport/http_client.h"
 
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <stdexcept>
@@ -336,15 +339,37 @@
       return;
     }
     m_written = true;
-    m_writing = true;
     ArmStage(m_call.head_timeout, "response head");
-    h2o_iovec_t buffers[2] = {h2o_iovec_init(m_head_bytes.data(), m_head_bytes.size()),
-                              h2o_iovec_init(m_call.body.data(), m_call.body.size())};
-    h2o_socket_write(m_connection->socket(), buffers, m_call.body.empty() ? 1 : 2, &OnWritten);
+    WriteSome();
+  }
+
+  // Writes what the connection takes, and continues when it takes more. After an error, the call ends when the response
+  // that the peer may have sent before is read.
+  //
+  // Does not use the write of h2o, which does not report the error's code. The kernel reports the reset of a connection
+  // once, to the first read or write after it; if that is a write, reads then report an orderly end of the connection.
+  void WriteSome() {
+    const size_t head_sent = std::min(m_sent, m_head_bytes.size());
+    const size_t body_sent = m_sent - head_sent;
+    iovec buffers[] = {{m_head_bytes.data() + head_sent, m_head_bytes.size() - head_sent},
+                       {const_cast<char*>(m_call.body.data()) + body_sent, m_call.body.size() - body_sent}};
+    msghdr message{};
+    message.msg_iov = buffers;
+    message.msg_iovlen = std::size(buffers);
+    const ssize_t sent = sendmsg(h2o_socket_get_fd(m_connection->socket()), &message, MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+      // EPIPE reports a reset after the peer's FIN, so what was received before is all that the peer has sent.
+      m_connection_lost = errno != EPIPE;
+      return;
+    }
+    m_sent += static_cast<size_t>(std::max<ssize_t>(sent, 0));
+    if (!IsRequestSent()) {
+      h2o_socket_notify_write(m_connection->socket(),
+                              [](h2o_socket_t* socket, const char*) { From(socket)->WriteSome(); });
+    }
   }
 
-  // An error of the write shows as an error of the read, after what the peer had still answered.
-  static void OnWritten(h2o_socket_t* socket, const char* error) { From(socket)->m_writing = error != nullptr; }
+  bool IsRequestSent() const { return m_sent == m_head_bytes.size() + m_call.body.size(); }
 
   static void OnRead(h2o_socket_t* socket, const char* error) {
     Call* self = From(socket);
@@ -560,7 +585,7 @@
       Finish(CallOutcome::kCut, "the connection closed in the response body");
     } else if (!m_call.accepts_unframed_body) {
       Finish(CallOutcome::kCut, "the response has neither a length nor chunks, so its end cannot be told");
-    } else if (error != h2o_socket_error_closed) {
+    } else if (error != h2o_socket_error_closed || m_connection_lost) {
       Finish(CallOutcome::kCut, "the connection was reset in the response body");
     } else {
       Finish(CallOutcome::kWhole, "");
@@ -573,7 +598,7 @@
     const bool closes = header != nullptr && ToLower(*header).find("close") != std::string::npos;
     const bool has_more_input = !m_input.empty() || m_connection->socket()->input->size > 0;
     const bool keeps = !m_call.fresh_connection && !closes && m_head->minor_version > 0 && !has_more_input &&
-                       !m_writing && m_head->framing != BodyFraming::kUntilClose;
+                       IsRequestSent() && m_head->framing != BodyFraming::kUntilClose;
     const Duration idle_time = IdleTimeOf(m_head->headers);
     if (keeps && idle_time > Duration()) {
       m_client->Keep(std::move(m_connection), m_call.address, idle_time);
@@ -640,9 +665,12 @@
   TimePoint m_stage_timer_at;
   // A new connection is being made.
   bool m_connecting = false;
+  // The first write has begun.
   bool m_written = false;
-  // The request is not wholly written yet.
-  bool m_writing = false;
+  // Bytes of the request that were written.
+  size_t m_sent = 0;
+  // A write failed because the peer or the network has broken the connection off.
+  bool m_connection_lost = false;
   bool m_timed_out = false;
   // The whole response has arrived.
   bool m_is_whole = false;
--- a/tests/fakes/raw_server.h
+++ b/tests/fakes/raw_server.h
@@ -7,7 +7,9 @@
 
 #include <catch2/catch.hpp>
 #include <cerrno>
+#include <functional>
 #include <string>
+#include <string_view>
 
 namespace quetzalridge {
 
@@ -37,6 +39,12 @@
 
   // Accepts a connection if none is open, and sends `response` if a request has arrived. Does not block.
   void Poll(const std::string& response) {
+    Poll([&response](std::string_view) { return response; });
+  }
+
+  // The same with a response that depends on the bytes of the request. A long request arrives in several pieces, each
+  // of which gets a response.
+  void Poll(const std::function<std::string(std::string_view request)>& respond) {
     if (m_connection < 0) {
       m_connection = accept4(m_fd, nullptr, nullptr, SOCK_NONBLOCK);
       connections += m_connection >= 0 ? 1 : 0;
@@ -49,26 +57,33 @@
     if (received == 0) {
       end_of_connection = End::kClosed;
       // The client has closed the connection, so the next one can be accepted.
-      close(m_connection);
-      m_connection = -1;
+      Disconnect();
     }
     if (received < 0 && errno == ECONNRESET) {
       end_of_connection = End::kReset;
     }
-    if (received <= 0) {
+    if (received <= 0 || m_ended_sending) {
       return;
     }
     ++requests;
+    const std::string response = respond(std::string_view(request, static_cast<size_t>(received)));
     send(m_connection, response.data(), response.size(), MSG_NOSIGNAL);
-    if (keeps_connection_open) {
-      return;
+    if (sends_fin_first) {
+      shutdown(m_connection, SHUT_WR);
+      m_ended_sending = true;
     }
-    if (closes_with_reset) {
+    if (!keeps_connection_open) {
+      Close();
+    }
+  }
+
+  // Closes the open connection, if there is one.
+  void Close() {
+    if (closes_with_reset && m_connection >= 0) {
       const linger reset_on_close{1, 0};
       setsockopt(m_connection, SOL_SOCKET, SO_LINGER, &reset_on_close, sizeof(reset_on_close));
     }
-    close(m_connection);
-    m_connection = -1;
+    Disconnect();
   }
 
   // Sends further bytes on the open connection. Returns the number that were sent; bytes that do not fit are left out.
@@ -83,15 +98,27 @@
   bool keeps_connection_open = false;
   // Closes the connection with a TCP reset instead of a FIN.
   bool closes_with_reset = false;
+  // Sends a FIN right after the response. If the connection stays open, the rest of the request is read.
+  bool sends_fin_first = false;
   int requests = 0;
   int connections = 0;
 
   std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
  private:
+  void Disconnect() {
+    if (m_connection >= 0) {
+      close(m_connection);
+    }
+    m_connection = -1;
+    m_ended_sending = false;
+  }
+
   int m_fd;
   int m_port = 0;
   int m_connection = -1;
+  // The FIN of the open connection was sent.
+  bool m_ended_sending = false;
 };
 
 }  // namespace quetzalridge
--- /dev/null
+++ b/tests/platform/broken_response_delivery_test.cc
@@ -0,0 +1,159 @@
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "tests/fakes/raw_server.h"
+#include "tests/platform/node_cluster.h"
+
+namespace quetzalridge::platform {
+namespace {
+
+constexpr char kIdempotentPath[] = "/lookup/";
+constexpr char kOncePath[] = "/once/";
+constexpr char kSignatureField[] = "x-quetzalridge-server-stamp: s\r\n";
+constexpr char kSoundBody[] = "the whole body";
+constexpr int kStatusServerFailed = 502;
+// Does not fit the buffers of a connection, so that the instance still writes when the response arrives.
+constexpr size_t kUploadBytes = 16 << 20;
+constexpr size_t kSmallBytes = 16;
+constexpr Duration kStep = Duration::Milliseconds(5);
+// The instances know a change of the registry after this time.
+constexpr Duration kRegistryDelay = Duration::Seconds(1);
+
+std::string SoundResponse() {
+  return std::string("HTTP/1.1 200 OK\r\n") + kSignatureField + "content-length: 14\r\n\r\n" + kSoundBody;
+}
+
+// An endpoint whose responses are given byte by byte. It answers probes soundly.
+struct RawEndpoint {
+  RawServer server;
+  std::string response;
+  int requests = 0;
+
+  void Poll() {
+    server.Poll([this](std::string_view received) -> std::string {
+      if (received.substr(0, 4) == "GET ") {
+        return "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+      }
+      const bool begins = received.substr(0, 5) == "POST ";
+      requests += begins ? 1 : 0;
+      return begins ? response : "";
+    });
+  }
+};
+
+// A cluster whose plain service has only the endpoints of the test.
+struct DeliveryFixture {
+  Cluster cluster;
+  RawEndpoint broken;
+  RawEndpoint sound;
+
+  DeliveryFixture() {
+    for (int i = 0; i < kEndpoints; ++i) {
+      cluster.RemoveFromRegistry(cluster.endpoint(i).id());
+    }
+    cluster.AddToRegistry("broken", broken.server.address());
+    sound.response = SoundResponse();
+    RunFor(kRegistryDelay);
+  }
+
+  void AddSoundEndpoint() {
+    cluster.AddToRegistry("sound", sound.server.address());
+    RunFor(kRegistryDelay);
+  }
+
+  HttpResponse Send(const std::string& path, size_t request_bytes) {
+    std::optional<HttpResponse> response;
+    // Requests that are alike could be taken for one that crashes its endpoints.
+    cluster.SendBody(0, path + std::to_string(++m_sent), std::string(request_bytes, 'u'),
+                     [&response](const HttpResponse& received) { response = received; });
+    while (!response.has_value()) {
+      RunFor(kStep);
+    }
+    return *response;
+  }
+
+  void RunFor(Duration time) {
+    for (Duration ran; ran < time; ran = ran + kStep) {
+      broken.Poll();
+      sound.Poll();
+      cluster.RunFor(kStep);
+    }
+  }
+
+ private:
+  int m_sent = 0;
+};
+
+// The client learns that its request may have run, and gets nothing of the endpoint's bytes.
+void CheckFails(const HttpResponse& response) {
+  CHECK(response.result.outcome == CallOutcome::kWhole);
+  CHECK(response.status == kStatusServerFailed);
+  CHECK(FindHeader(response.headers, kSignatureHeader) == nullptr);
+  CHECK(response.body.find("the whole") == std::string::npos);
+}
+
+void CheckServed(const HttpResponse& response) {
+  CHECK(response.result.outcome == CallOutcome::kWhole);
+  CHECK(response.status == kStatusOk);
+  CHECK(response.body == kSoundBody);
+  CHECK(FindHeader(response.headers, kSignatureHeader) != nullptr);
+}
+
+// Guards against a client that gets a part of a body as the whole one: the endpoint answers a long request at once,
+// without a length, and resets the connection while the request is still being written.
+TEST_CASE("clients do not get a part of a response that is reset during their upload") {
+  DeliveryFixture fixture;
+  fixture.broken.response = std::string("HTTP/1.1 200 OK\r\n") + kSignatureField + "\r\nthe whole";
+  fixture.broken.server.closes_with_reset = true;
+  CheckFails(fixture.Send(kIdempotentPath, kUploadBytes));
+  fixture.broken.requests = 0;
+  CheckFails(fixture.Send(kOncePath, kUploadBytes));
+  CHECK(fixture.broken.requests == 1);
+  fixture.AddSoundEndpoint();
+  fixture.broken.requests = 0;
+  for (int i = 0; i < 20; ++i) {
+    CheckServed(fixture.Send(kIdempotentPath, kUploadBytes));
+  }
+  CHECK(fixture.broken.requests > 0);
+}
+
+// Guards against sound responses that are refused together with the broken ones.
+TEST_CASE("clients get early, unframed and unusual responses as their endpoint sent them") {
+  DeliveryFixture fixture;
+  RawServer& server = fixture.broken.server;
+  // With a length, and the connection is reset.
+  fixture.broken.response = SoundResponse();
+  server.closes_with_reset = true;
+  CheckServed(fixture.Send(kOncePath, kUploadBytes));
+  // Without a length, with and without a reset after the end.
+  fixture.broken.response = std::string("HTTP/1.1 200 OK\r\n") + kSignatureField + "\r\n" + kSoundBody;
+  server.sends_fin_first = true;
+  CheckServed(fixture.Send(kOncePath, kUploadBytes));
+  server.closes_with_reset = false;
+  CheckServed(fixture.Send(kOncePath, kSmallBytes));
+  server.sends_fin_first = false;
+  // After informational responses, with an unusual field name.
+  fixture.broken.response = "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\nHTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~0: 1\r\n" +
+                            SoundResponse().substr(std::string("HTTP/1.1 200 OK\r\n").size());
+  const HttpResponse unusual = fixture.Send(kOncePath, kSmallBytes);
+  CheckServed(unusual);
+  REQUIRE(FindHeader(unusual.headers, "!#$%&'*+-.^_`|~0") != nullptr);
+  CHECK(*FindHeader(unusual.headers, "!#$%&'*+-.^_`|~0") == "1");
+  // With unusual statuses.
+  for (const int status : {226, 299, 399, 418, 451, 499, 599}) {
+    INFO(status);
+    fixture.broken.response = "HTTP/1.1 " + std::to_string(status) + " Status\r\n" +
+                              SoundResponse().substr(std::string("HTTP/1.1 200 OK\r\n").size());
+    const HttpResponse response = fixture.Send(kOncePath, kSmallBytes);
+    CHECK(response.result.outcome == CallOutcome::kWhole);
+    CHECK(response.status == status);
+    CHECK(response.body == kSoundBody);
+  }
+}
+
+}  // namespace
+}  // namespace quetzalridge::platform
--- a/tests/platform/node_cluster.h
+++ b/tests/platform/node_cluster.h
@@ -49,10 +49,14 @@
     stream["Kind"] = "stream";
     stream["TimeoutMs"] = 9000;
     stream["Service"] = soak::kEngineService;
+    nlohmann::json once = route;
+    once["Name"] = "once";
+    once["Prefix"] = "/once/";
+    once["Kind"] = "non_idempotent";
     m_platform.Put(
         "op", "config",
         {{"Version", 1},
-         {"Routes", {route, stream}},
+         {"Routes", {route, stream, once}},
          {"Services",
           {{{"Name", soak::kPlainService}, {"ColdStartS", 8}, {"ColdPerS", kColdPerS}},
            {{"Name", soak::kEngineService}, {"Engine", {{"Slots", 8}, {"Models", {{{"Name", soak::kModel}}}}}}}}},
@@ -77,6 +81,18 @@
   // An engine. Its address is that of its first start.
   const soak::Replica& engine(int i) const { return *m_replicas[static_cast<size_t>(kEndpoints + i)]; }
   void RemoveFromRegistry(const std::string& id) { m_platform.Remove("servers", id); }
+  // Adds an endpoint of the plain service that the test runs itself.
+  void AddToRegistry(const std::string& id, const std::string& address) {
+    m_platform.Put("servers", id,
+                   {{"Service", soak::kPlainService},
+                    {"Addr", address},
+                    {"Zone", "a"},
+                    {"Slots", 8},
+                    {"State", "ready"},
+                    {"Seq", 1},
+                    {"born", 1},
+                    {"Version", "v1"}});
+  }
   // The store answers nothing to any instance, or works again.
   void SetStoreAway(bool away) { m_platform.refuses = away; }
   // Number of requests that an endpoint has begun to run.
@@ -128,6 +144,21 @@
     });
   }
 
+  // Sends a request with this body to one instance.
+  void SendBody(size_t i, const std::string& path, std::string body,
+                std::function<void(const HttpResponse&)> callback) {
+    const std::string id = "request-" + std::to_string(++m_requests);
+    HttpCall call;
+    call.address = m_instances[i]->ip + ":" + std::to_string(kCallerPort);
+    call.method = "POST";
+    call.target = path;
+    call.headers = {{"host", kHost}, {kRequestIdHeader, id}, {kDeadlineHeader, "1500"}, {kApiKeyHeader, "key"}};
+    call.body = std::move(body);
+    call.total_timeout = Duration::Seconds(3);
+    call.fresh_connection = true;
+    m_client.Fetch(std::move(call), std::move(callback));
+  }
+
   // From now on, a request with this path takes each plain endpoint down that runs it, for this time. The test counts
   // them in `crashes`.
   void MakePoison(const std::string& path, Duration down) {
