Reject responses whose status is outside the range of the protocol

A status of 600 and above was passed on as an answer.

Cause: the parser of the HTTP library takes any three digits, and the client skipped each head below 200 as that of an interim response, which has no body.

On a node, "clients do not get responses with broken heads" got 200 with the body of the inner response for 000 and 099, and 600 for 600.

Change: RFC 9110 allows 100 to 599. A head with another status is no HTTP response, as other bytes that are none: the call ends at once without an answer, and the connection is closed. All readers use this client.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -45,7 +45,9 @@
 constexpr size_t kMaxParsedPiece = 16 << 10;
 // A socket's buffer that has grown beyond this is freed once it is empty. h2o would keep it with the connection.
 constexpr size_t kMaxKeptInputCapacity = 64 << 10;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr int kParseError = -1;
@@ -484,6 +486,9 @@
     if (size < 0) {
       return size;
     }
+    if (head->status < kFirstStatus || head->status > kLastStatus) {
+      return kParseError;
+    }
     for (size_t i = 0; i < count; ++i) {
       if (headers[i].name == nullptr) {
         return kParseError;
--- a/tests/platform/broken_response_delivery_test.cc
+++ b/tests/platform/broken_response_delivery_test.cc
@@ -22,6 +22,8 @@
 constexpr Duration kStep = Duration::Milliseconds(5);
 // The instances know a change of the registry after this time.
 constexpr Duration kRegistryDelay = Duration::Seconds(1);
+// An endpoint that has sent no response is not used for half a second.
+constexpr Duration kAvoidance = Duration::Milliseconds(700);
 
 std::string SoundResponse() {
   return std::string("HTTP/1.1 200 OK\r\n") + kSignatureField + "content-length: 14\r\n\r\n" + kSoundBody;
@@ -121,6 +123,43 @@
   CHECK(fixture.broken.requests > 0);
 }
 
+// Guards against clients that get a response with a broken head, its body in place of the response, or nothing until
+// their deadline.
+TEST_CASE("clients do not get responses with broken heads") {
+  const std::string rest = SoundResponse().substr(std::string("HTTP/1.1 200 OK\r\n").size());
+  const std::string heads[] = {
+      std::string("HTTP/1.1 000 Status\r\n") + kSignatureField,
+      std::string("HTTP/1.1 099 Status\r\n") + kSignatureField,
+      std::string("HTTP/1.1 600 Status\r\n") + kSignatureField,
+      "HTTP/1.1 200 OK\r\nx y: 1\r\n",
+      "HTTP/1.1 200 OK\r\nx\x01y: 1\r\n",
+      "HTTP/1.1 200 OK\r\ncontent-length : 9\r\n",
+  };
+  DeliveryFixture fixture;
+  fixture.broken.server.keeps_connection_open = true;
+  for (const std::string& head : heads) {
+    const std::string length = "content-length: " + std::to_string(SoundResponse().size()) + "\r\n\r\n";
+    for (const std::string& response : {head + rest, head + length + SoundResponse()}) {
+      INFO(response);
+      fixture.broken.response = response;
+      fixture.broken.requests = 0;
+      CheckFails(fixture.Send(kOncePath, kSmallBytes));
+      CHECK(fixture.broken.requests == 1);
+      fixture.RunFor(kAvoidance);
+      // Also ends the endpoint's series of failures, each of which doubles the time for which it is not used.
+      fixture.broken.response = SoundResponse();
+      CheckServed(fixture.Send(kOncePath, kSmallBytes));
+    }
+  }
+  fixture.AddSoundEndpoint();
+  fixture.broken.response = heads[0] + rest;
+  fixture.broken.requests = 0;
+  for (int i = 0; i < 20; ++i) {
+    CheckServed(fixture.Send(kIdempotentPath, kSmallBytes));
+  }
+  CHECK(fixture.broken.requests > 0);
+}
+
 // Guards against sound responses that are refused together with the broken ones.
 TEST_CASE("clients get early, unframed and unusual responses as their endpoint sent them") {
   DeliveryFixture fixture;
