Reject responses that switch protocols

A response with status 101 was skipped like other interim responses, and what followed was taken for the answer.

Evidence: "a response that switches protocols is no answer" failed before: outcome "whole" with the status and body that followed the 101. Other interim responses are skipped as before ("informational responses before the answer are skipped").

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -46,6 +46,7 @@
 // A socket's buffer that has grown beyond this is freed once it is empty. h2o would keep it with the connection.
 constexpr size_t kMaxKeptInputCapacity = 64 << 10;
 constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kLastStatus = 599;
 constexpr int kNoContent = 204;
@@ -486,7 +487,8 @@
     if (size < 0) {
       return size;
     }
-    if (head->status < kFirstStatus || head->status > kLastStatus) {
+    // No call asks for another protocol, so the bytes after such a head are no response either.
+    if (head->status < kFirstStatus || head->status > kLastStatus || head->status == kSwitchingProtocols) {
       return kParseError;
     }
     for (size_t i = 0; i < count; ++i) {
--- a/tests/transport/http_client_head_test.cc
+++ b/tests/transport/http_client_head_test.cc
@@ -68,6 +68,11 @@
   }
 }
 
+// Guards against bytes of another protocol that are taken for the response: no call asks for one.
+TEST_CASE("a response that switches protocols is no answer") {
+  CheckRejected(std::string("HTTP/1.1 101 Switching Protocols\r\nupgrade: other\r\n\r\n") + kWholeResponse);
+}
+
 // Guards against responses that are refused although they are valid.
 TEST_CASE("each status of the protocol is passed on with its body") {
   for (const int status :
