Do not count blanks after a field value as part of it

A sound response whose length or transfer coding is followed by blanks was cut, and one whose request id is followed by blanks was skipped as that of another request. The protocol allows blanks around a value; the library's parser removes only those before it.

Evidence: "blanks around a field value are not part of it" failed before: outcome "cut" and an empty body for "content-length: 5 " and "transfer-encoding: chunked ".

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -71,6 +71,11 @@
   return head + "\r\n";
 }
 
+// The parser leaves the blanks after a field value, which are not part of it.
+std::string_view TrimEnd(std::string_view value) {
+  return value.substr(0, value.find_last_not_of(" \t") + 1);
+}
+
 std::string ToLower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
   return text;
@@ -496,7 +501,7 @@
         return kParseError;
       }
       head->headers.push_back({ToLower(std::string(headers[i].name, headers[i].name_len)),
-                               std::string(headers[i].value, headers[i].value_len)});
+                               std::string(TrimEnd({headers[i].value, headers[i].value_len}))});
     }
     SetFraming(m_call.method == "HEAD", head);
     return size;
--- a/tests/transport/http_client_head_test.cc
+++ b/tests/transport/http_client_head_test.cc
@@ -157,5 +157,18 @@
   }
 }
 
+// Guards against answers that are not recognized, or whose length is not: blanks after a value are not part of it.
+TEST_CASE("blanks around a field value are not part of it") {
+  for (const char* framing : {"content-length: 5 \r\n\r\nwhole", "content-length:\t5\t \r\n\r\nwhole",
+                              "transfer-encoding: chunked \r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}) {
+    INFO(framing);
+    const HttpResponse response = Receive(std::string("HTTP/1.1 200 OK\r\nx-padded:  a b \t\r\n") + framing);
+    CHECK(response.result.outcome == CallOutcome::kWhole);
+    CHECK(response.body == "whole");
+    REQUIRE(FindHeader(response.headers, "x-padded") != nullptr);
+    CHECK(*FindHeader(response.headers, "x-padded") == "a b");
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
