Take only a decimal number for the length of a response

A content-length with a sign was taken for a length, and one too large for 64 bits for the largest number: the call waited for the rest of the body until its idle timeout.

Cause: strtoull skips a plus sign and reports an overflow only in errno, which was not read.

Both are cut at once now, as the other malformed lengths were before.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -18,6 +18,7 @@
 
 #include "base/error.h"
 #include "base/ip_port.h"
+#include "base/number.h"
 #include "transport/detail_h2o.h"
 #include "transport/detail_http_parser.h"
 #include "transport/socket_address.h"
@@ -114,15 +115,16 @@
     if (header.name != "content-length") {
       continue;
     }
-    char* end = nullptr;
-    const size_t length = std::strtoull(header.value.c_str(), &end, 10);
-    const bool repeated = head->framing == BodyFraming::kContentLength && length != head->content_length;
-    if (header.value.empty() || *end != '\0' || header.value[0] == '-' || repeated) {
+    const std::optional<int64_t> length = ParseInteger(header.value);
+    const bool valid = length.has_value() && header.value[0] != '-';
+    const bool differs =
+        valid && head->framing == BodyFraming::kContentLength && static_cast<size_t>(*length) != head->content_length;
+    if (!valid || differs) {
       head->framing = BodyFraming::kInvalid;
       return;
     }
     head->framing = BodyFraming::kContentLength;
-    head->content_length = length;
+    head->content_length = static_cast<size_t>(*length);
   }
 }
 
--- a/tests/transport/http_client_head_test.cc
+++ b/tests/transport/http_client_head_test.cc
@@ -170,5 +170,17 @@
   }
 }
 
+// Guards against a body that ends elsewhere than its sender means.
+TEST_CASE("a length that is not a decimal number is no length") {
+  for (const char* length : {"+5", "-5", "-0", "5 5", "0x5", "5,6", "", "five", "99999999999999999999999"}) {
+    INFO(length);
+    const HttpResponse response =
+        Receive(std::string("HTTP/1.1 200 OK\r\ncontent-length: ") + length + "\r\n\r\nwhole");
+    CHECK(response.result.outcome == CallOutcome::kCut);
+    CHECK_FALSE(response.result.timed_out);
+    CHECK(response.body.empty());
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
