Do not act on a cut response to a command to load weights

A response whose body was cut counted like a whole one: a 200 as weights that are loaded, a 409 as a command that a newer one has overtaken. An unframed response that ends in order was cut by definition and counted for the same reason; it is now read as whole, so a sound one stays sound.

Evidence: "clients of engines take sound responses and no broken ones" failed before with 6 responses: 200 and 409, cut in the body by a FIN or a reset, and without a length and reset. The other clients of quetzalridged (table service, object store, list of instances, weight versions, orders, usage, load and KV cache of engines) passed before.

--- a/src/coordination/engine_control.h
+++ b/src/coordination/engine_control.h
@@ -26,7 +26,7 @@
   kFailed,
   // No byte of the command was written.
   kNotSent,
-  // The command was sent, but no response arrived.
+  // The command was sent, but no whole response arrived.
   kUnknown,
 };
 
--- a/src/transport/http_engine_control.cc
+++ b/src/transport/http_engine_control.cc
@@ -14,7 +14,7 @@
   if (response.result.outcome == CallOutcome::kNotSent) {
     return LoadWeightsOutcome::kNotSent;
   }
-  if (response.result.outcome == CallOutcome::kNoAnswer) {
+  if (response.result.outcome != CallOutcome::kWhole) {
     return LoadWeightsOutcome::kUnknown;
   }
   switch (response.status) {
@@ -41,6 +41,7 @@
                              {"holder", order.holder}}
                   .dump();
   call.head_timeout = kSwapTimeout;
+  call.accepts_unframed_body = true;
   call.before_write = std::move(before_write);
   m_client->Fetch(
       std::move(call),
