Check the status and fields of responses that come through another instance

A head that another instance passes on was taken with any status up to 999 and any field names and values, also with line ends, and would have reached the client.

Change: such a head is a malformed message, so the call ends without a response, and the endpoint may have run it. The range of statuses is now in one place, and the HTTP client uses it too.

--- a/src/protocol/relay_codec.cc
+++ b/src/protocol/relay_codec.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <utility>
 
+#include "base/http_status.h"
 #include "protocol/detail_bounded_archive.h"
 
 namespace quetzalridge {
@@ -187,10 +188,13 @@
 }
 
 std::optional<EndpointResponseHead> DecodeResponseHead(const std::string& content) {
-  constexpr uint64_t kMaxStatus = 999;
   return Decode<EndpointResponseHead>(content, [](Input* in, EndpointResponseHead* head) {
-    head->status = static_cast<int>(detail::ReadVarint(in, kMaxStatus));
+    head->status = static_cast<int>(detail::ReadVarint(in, kLastStatus));
     head->headers = ReadHeaders(in);
+    // The head is passed on to a client.
+    if (head->status < kFirstFinalStatus || !std::all_of(head->headers.begin(), head->headers.end(), IsValidHeader)) {
+      throw MalformedMessage();
+    }
     head->not_run = detail::ReadBool(in);
     head->wrong_endpoint = detail::ReadBool(in);
     head->leaving = detail::ReadBool(in);
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/http_status.h"
 #include "base/ip_port.h"
 #include "base/number.h"
 #include "transport/detail_h2o.h"
@@ -46,10 +47,7 @@
 constexpr size_t kMaxParsedPiece = 16 << 10;
 // A socket's buffer that has grown beyond this is freed once it is empty. h2o would keep it with the connection.
 constexpr size_t kMaxKeptInputCapacity = 64 << 10;
-constexpr int kFirstStatus = 100;
 constexpr int kSwitchingProtocols = 101;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 599;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr int kParseError = -1;
--- a/tests/protocol/relay_codec_test.cc
+++ b/tests/protocol/relay_codec_test.cc
@@ -119,6 +119,35 @@
   }
 }
 
+// Guards against a head that no endpoint may send and that reaches a client through another instance.
+TEST_CASE("a head with an invalid status or field is rejected") {
+  const auto is_read = [](int status, const HttpHeader& header) {
+    EndpointResponseHead head;
+    head.status = status;
+    head.headers = {{"a", "1"}, header};
+    return DecodeResponseHead(EncodeResponseHead(head)).has_value();
+  };
+  const HttpHeader sound = {"!#$%&'*+-.^_`|~09az", "\xc3\xa9\t\"b\""};
+  for (const int status : {200, 226, 299, 399, 421, 451, 599}) {
+    CHECK(is_read(status, sound));
+  }
+  for (const int status : {0, 99, 100, 101, 199, 600, 999}) {
+    INFO(status);
+    CHECK_FALSE(is_read(status, sound));
+  }
+  for (const std::string& name :
+       {std::string(), std::string("x y"), std::string("x "), std::string("x\ny"), std::string("x\x01"),
+        std::string("x\0", 2), std::string("x:"), std::string("\xc3")}) {
+    INFO(name);
+    CHECK_FALSE(is_read(200, {name, "1"}));
+  }
+  for (const std::string& value :
+       {std::string("1\r\nx: 2"), std::string("1\n2"), std::string("1\0", 2), std::string("\x7f")}) {
+    INFO(value);
+    CHECK_FALSE(is_read(200, {"x", value}));
+  }
+}
+
 TEST_CASE("frames are found however the bytes are split, and other bytes are no frames") {
   const std::string bytes = EncodeRelayFrame(RelayFrameType::kBody, "abc") +
                             EncodeRelayFrame(RelayFrameType::kKeepAlive, "") +
