--- a/tests/platform/broken_response_delivery_test.cc
+++ b/tests/platform/broken_response_delivery_test.cc
@@ -19,6 +19,8 @@
 // Does not fit the buffers of a connection, so that the instance still writes when the response arrives.
 constexpr size_t kUploadBytes = 16 << 20;
 constexpr size_t kSmallBytes = 16;
+// Larger than what an instance keeps of a response before it passes it on.
+constexpr size_t kForwardedBytes = 1 << 20;
 constexpr Duration kStep = Duration::Milliseconds(5);
 // The instances know a change of the registry after this time.
 constexpr Duration kRegistryDelay = Duration::Seconds(1);
@@ -67,15 +69,21 @@
     RunFor(kRegistryDelay);
   }
 
-  HttpResponse Send(const std::string& path, size_t request_bytes) {
-    std::optional<HttpResponse> response;
+  void Start(const std::string& path, size_t request_bytes) {
+    m_response.reset();
     // Requests that are alike could be taken for one that crashes its endpoints.
     cluster.SendBody(0, path + std::to_string(++m_sent), std::string(request_bytes, 'u'),
-                     [&response](const HttpResponse& received) { response = received; });
-    while (!response.has_value()) {
+                     [this](const HttpResponse& received) { m_response = received; });
+  }
+  HttpResponse Finish() {
+    while (!m_response.has_value()) {
       RunFor(kStep);
     }
-    return *response;
+    return *m_response;
+  }
+  HttpResponse Send(const std::string& path, size_t request_bytes) {
+    Start(path, request_bytes);
+    return Finish();
   }
 
   void RunFor(Duration time) {
@@ -88,6 +96,7 @@
 
  private:
   int m_sent = 0;
+  std::optional<HttpResponse> m_response;
 };
 
 // The client learns that its request may have run, and gets nothing of the endpoint's bytes.
@@ -123,6 +132,25 @@
   CHECK(fixture.broken.requests > 0);
 }
 
+// Guards against a response that looks whole to the client although it was cut after its first part was passed on.
+TEST_CASE("clients see that a response was reset during their upload after a part was passed on") {
+  DeliveryFixture fixture;
+  RawServer& server = fixture.broken.server;
+  fixture.broken.response = std::string("HTTP/1.1 200 OK\r\n") + kSignatureField + "\r\nthe whole";
+  server.keeps_connection_open = true;
+  server.closes_with_reset = true;
+  fixture.Start(kOncePath, kUploadBytes);
+  const std::string piece(64 << 10, 'a');
+  for (size_t sent = 0; sent < kForwardedBytes;) {
+    fixture.RunFor(kStep);
+    sent += fixture.broken.requests > 0 ? server.Send(piece) : 0;
+  }
+  server.Close();
+  const HttpResponse response = fixture.Finish();
+  CHECK(response.status == kStatusOk);
+  CHECK(response.result.outcome == CallOutcome::kCut);
+}
+
 // Guards against clients that get a response with a broken head, its body in place of the response, or nothing until
 // their deadline.
 TEST_CASE("clients do not get responses with broken heads") {
