Test when clients are told that their upload did not run

Only a sound head with the endpoint's own mark may lead to that promise: a head with status 000 or an invalid field name leads to 502, and an early refusal is passed on as one although the connection is reset during the upload, with or without a length.

--- a/tests/platform/broken_response_delivery_test.cc
+++ b/tests/platform/broken_response_delivery_test.cc
@@ -190,6 +190,32 @@
   CHECK(fixture.broken.requests > 0);
 }
 
+// Guards against a false promise that a request did not run, and against one that is not passed on although the
+// endpoint made it early.
+TEST_CASE("clients are told that their upload did not run only if a sound head says so") {
+  const std::string not_run = "x-quetzalridge-not-run: 1\r\n";
+  DeliveryFixture fixture;
+  fixture.broken.server.closes_with_reset = true;
+  for (const std::string& head : {"HTTP/1.1 000 Full\r\n" + not_run, "HTTP/1.1 503 Full\r\nx y: 1\r\n" + not_run,
+                                  "HTTP/1.1 503 Full\r\nx\x01: 1\r\n" + not_run}) {
+    INFO(head);
+    fixture.broken.response = ResponseWith(head);
+    fixture.broken.requests = 0;
+    CheckFails(fixture.Send(kOncePath, kUploadBytes));
+    CHECK(fixture.broken.requests == 1);
+    fixture.RunFor(kAvoidance);
+    fixture.broken.response = SoundResponse();
+    CheckServed(fixture.Send(kOncePath, kSmallBytes));
+  }
+  for (const std::string& body : {std::string("content-length: 4\r\n\r\nfull"), std::string("\r\nfull")}) {
+    INFO(body);
+    fixture.broken.response = "HTTP/1.1 503 Full\r\n" + not_run + body;
+    const HttpResponse refused = fixture.Send(kOncePath, kUploadBytes);
+    CHECK(refused.result.outcome == CallOutcome::kWhole);
+    CHECK(refused.status == kStatusUnavailable);
+  }
+}
+
 // Guards against sound responses that are refused together with the broken ones.
 TEST_CASE("clients get early, unframed and unusual responses as their endpoint sent them") {
   DeliveryFixture fixture;
