Let the tests of readers share an event loop

An event loop keeps its descriptor until the process ends, so a loop for each of some 2,000 responses would need more descriptors than many machines allow. The checks are the same. RawServer also closes its open connection at its end.

--- a/tests/fakes/raw_server.h
+++ b/tests/fakes/raw_server.h
@@ -33,7 +33,10 @@
     getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
     m_port = ntohs(address.sin_port);
   }
-  ~RawServer() { close(m_fd); }
+  ~RawServer() {
+    Disconnect();
+    close(m_fd);
+  }
   RawServer(const RawServer&) = delete;
   RawServer& operator=(const RawServer&) = delete;
 
--- a/tests/fakes/response_reader.h
+++ b/tests/fakes/response_reader.h
@@ -15,11 +15,13 @@
 
 namespace quetzalridge {
 
-// What one call of a reader uses.
+// What one call of a reader uses. An event loop keeps its descriptor until the process ends, so many calls share one.
 struct ReaderFixture {
-  EventLoop loop;
+  explicit ReaderFixture(EventLoop* event_loop) : loop(*event_loop), client(event_loop) {}
+
+  EventLoop& loop;
   RawServer server;
-  HttpClient client{&loop};
+  HttpClient client;
 };
 
 // A part of the product that reads HTTP responses.
@@ -118,8 +120,8 @@
 }
 
 // Whether the reader takes this response for an answer.
-inline bool Takes(const ResponseReader& reader, const RawResponse& response) {
-  ReaderFixture fixture;
+inline bool Takes(EventLoop* loop, const ResponseReader& reader, const RawResponse& response) {
+  ReaderFixture fixture(loop);
   fixture.server.keeps_connection_open = response.end == ConnectionEnd::kOpen;
   // Closing alone would send a reset if the request is not read to its end.
   fixture.server.sends_fin_first = response.end == ConnectionEnd::kFin;
@@ -134,16 +136,18 @@
 }
 
 inline void CheckTakesAll(const ResponseReader& reader, const std::vector<RawResponse>& responses) {
+  EventLoop loop;
   for (const RawResponse& response : responses) {
     INFO(reader.name << ": " << response.name);
-    CHECK(Takes(reader, response));
+    CHECK(Takes(&loop, reader, response));
   }
 }
 
 inline void CheckTakesNone(const ResponseReader& reader, const std::vector<RawResponse>& responses) {
+  EventLoop loop;
   for (const RawResponse& response : responses) {
     INFO(reader.name << ": " << response.name);
-    CHECK_FALSE(Takes(reader, response));
+    CHECK_FALSE(Takes(&loop, reader, response));
   }
 }
 
--- a/tests/platform/broken_responses_test.cc
+++ b/tests/platform/broken_responses_test.cc
@@ -355,10 +355,11 @@
   // The last frame shows the end of the response.
   CheckTakesAll(reader, {UnframedResponseAndReset(reader)});
   // The HTTP response is whole, and what it holds is not.
+  EventLoop loop;
   for (size_t size = 0; size < reader.body.size(); ++size) {
     INFO(size);
     const ResponseReader cut = RelayReader(reader.body.substr(0, size));
-    CHECK_FALSE(Takes(cut, SoundResponses(cut)[0]));
+    CHECK_FALSE(Takes(&loop, cut, SoundResponses(cut)[0]));
   }
 }
 
