--- a/tests/platform/broken_response_delivery_test.cc
+++ b/tests/platform/broken_response_delivery_test.cc
@@ -106,7 +106,7 @@
   std::optional<HttpResponse> m_response;
 };
 
-// The client learns that its request may have run, and gets nothing of the endpoint's bytes.
+// The client gets an error that leaves open whether its request ran, and no byte of the endpoint's response.
 void CheckFails(const HttpResponse& response) {
   CHECK(response.result.outcome == CallOutcome::kWhole);
   CHECK(response.status == kStatusServerFailed);
@@ -121,6 +121,19 @@
   CHECK(FindHeader(response.headers, kSignatureHeader) != nullptr);
 }
 
+// Sends a request that may run once to the broken endpoint, and then a sound response, which also ends the endpoint's
+// series of failures: each of them doubles the time for which it is not used.
+void CheckFailsOnce(DeliveryFixture* fixture, const std::string& response, size_t request_bytes) {
+  INFO(response);
+  fixture->broken.response = response;
+  fixture->broken.requests = 0;
+  CheckFails(fixture->Send(kOncePath, request_bytes));
+  CHECK(fixture->broken.requests == 1);
+  fixture->RunFor(kAvoidance);
+  fixture->broken.response = SoundResponse();
+  CheckServed(fixture->Send(kOncePath, kSmallBytes));
+}
+
 // Guards against a client that gets a part of a body as the whole one: the endpoint answers a long request at once,
 // without a length, and resets the connection while the request is still being written.
 TEST_CASE("clients do not get a part of a response that is reset during their upload") {
@@ -169,17 +182,8 @@
   fixture.broken.server.keeps_connection_open = true;
   for (const std::string& head : heads) {
     const std::string length = "content-length: " + std::to_string(SoundResponse().size()) + "\r\n\r\n";
-    for (const std::string& response : {ResponseWith(head), head + kSignatureField + length + SoundResponse()}) {
-      INFO(response);
-      fixture.broken.response = response;
-      fixture.broken.requests = 0;
-      CheckFails(fixture.Send(kOncePath, kSmallBytes));
-      CHECK(fixture.broken.requests == 1);
-      fixture.RunFor(kAvoidance);
-      // Also ends the endpoint's series of failures, each of which doubles the time for which it is not used.
-      fixture.broken.response = SoundResponse();
-      CheckServed(fixture.Send(kOncePath, kSmallBytes));
-    }
+    CheckFailsOnce(&fixture, ResponseWith(head), kSmallBytes);
+    CheckFailsOnce(&fixture, head + kSignatureField + length + SoundResponse(), kSmallBytes);
   }
   fixture.AddSoundEndpoint();
   fixture.broken.response = ResponseWith(heads[0]);
@@ -198,14 +202,7 @@
   fixture.broken.server.closes_with_reset = true;
   for (const std::string& head : {"HTTP/1.1 000 Full\r\n" + not_run, "HTTP/1.1 503 Full\r\nx y: 1\r\n" + not_run,
                                   "HTTP/1.1 503 Full\r\nx\x01: 1\r\n" + not_run}) {
-    INFO(head);
-    fixture.broken.response = ResponseWith(head);
-    fixture.broken.requests = 0;
-    CheckFails(fixture.Send(kOncePath, kUploadBytes));
-    CHECK(fixture.broken.requests == 1);
-    fixture.RunFor(kAvoidance);
-    fixture.broken.response = SoundResponse();
-    CheckServed(fixture.Send(kOncePath, kSmallBytes));
+    CheckFailsOnce(&fixture, ResponseWith(head), kUploadBytes);
   }
   for (const std::string& body : {std::string("content-length: 4\r\n\r\nfull"), std::string("\r\nfull")}) {
     INFO(body);
--- a/tests/platform/broken_responses_test.cc
+++ b/tests/platform/broken_responses_test.cc
@@ -2,12 +2,13 @@
 // at the HTTP client: http_client_head_test.cc and http_client_early_response_test.cc.
 
 #include <catch2/catch.hpp>
+#include <cstring>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 
-#include "base/base64.h"
 #include "platform/duty_clients.h"
 #include "platform/endpoint_client.h"
 #include "platform/metadata_store.h"
@@ -28,10 +29,17 @@
 // Does not fit the buffers of a connection, so that the client still writes when the response arrives.
 constexpr size_t kUploadBytes = 32 << 20;
 
+constexpr char kBody[] = "the whole body";
+
 bool MayWrite() {
   return true;
 }
 
+// The server in place of another instance.
+std::function<std::string(const std::string&)> AddressOfServer(const ReaderFixture& fixture) {
+  return [address = fixture.server.address()](const std::string&) { return address; };
+}
+
 EndpointCall CallTo(const std::string& address) {
   EndpointCall call;
   call.endpoint_id = "e";
@@ -50,7 +58,7 @@
  public:
   EndpointCallReader(ReaderFixture* fixture, size_t parts, Callback callback)
       : m_client(&fixture->client, &fixture->loop.clock()),
-        m_relay(&fixture->client, [address = fixture->server.address()](const std::string&) { return address; }),
+        m_relay(&fixture->client, AddressOfServer(*fixture)),
         m_parts_left(parts),
         m_callback(std::move(callback)) {}
 
@@ -77,13 +85,12 @@
 };
 
 ResponseReader PlainReader(size_t request_bytes) {
-  const std::string body = "the whole body";
   return {"plain call",
           "200",
           kSignature,
-          body,
-          [body, request_bytes](ReaderFixture* fixture, Callback callback) {
-            auto reader = std::make_shared<EndpointCallReader>(fixture, body.size(), std::move(callback));
+          kBody,
+          [request_bytes](ReaderFixture* fixture, Callback callback) {
+            auto reader = std::make_shared<EndpointCallReader>(fixture, std::strlen(kBody), std::move(callback));
             EndpointCall call = CallTo(fixture->server.address());
             call.body = std::string(request_bytes, 'u');
             reader->Begin(std::move(call));
@@ -261,8 +268,7 @@
 ResponseReader PermitReader(const std::string& status) {
   return {"permit of another instance, " + status, status, "", "120",
           [](ReaderFixture* fixture, const Callback& callback) {
-            auto client = std::make_shared<HttpPermitClient>(
-                &fixture->client, [address = fixture->server.address()](const std::string&) { return address; });
+            auto client = std::make_shared<HttpPermitClient>(&fixture->client, AddressOfServer(*fixture));
             client->Ask("other", {"e", 4.0, Duration()},
                         [callback](const std::optional<PermitReply>& reply) { callback(reply.has_value()); });
             return client;
@@ -272,8 +278,7 @@
 ResponseReader ReachabilityReader() {
   return {"reachability at another instance", "200", "", kReachedText,
           [](ReaderFixture* fixture, const Callback& callback) {
-            auto client = std::make_shared<HttpRelayClient>(
-                &fixture->client, [address = fixture->server.address()](const std::string&) { return address; });
+            auto client = std::make_shared<HttpRelayClient>(&fixture->client, AddressOfServer(*fixture));
             client->AskReachability("other", "e", Duration::Seconds(1), [callback](Reachability reachability) {
               callback(reachability != Reachability::kUnknown);
             });
@@ -281,22 +286,21 @@
           }};
 }
 
-std::string RelayedResponse(int status, const HttpHeader& header) {
+std::string RelayedResponse() {
   EndpointResponseHead head;
-  head.status = status;
-  head.headers = {{"x-quetzalridge-server-stamp", "s"}, header};
+  head.status = kStatusOk;
+  head.headers = {{kSignatureHeader, "s"}, {"!#$%&'*+-.^_`|~0", "1"}};
   EndpointCallResult result;
   result.outcome = EndpointCallOutcome::kComplete;
   return EncodeRelayFrame(RelayFrameType::kKeepAlive, "") +
          EncodeRelayFrame(RelayFrameType::kHead, EncodeResponseHead(head)) +
-         EncodeRelayFrame(RelayFrameType::kBody, "the whole body") +
+         EncodeRelayFrame(RelayFrameType::kBody, kBody) +
          EncodeRelayFrame(RelayFrameType::kEnd, EncodeCallResult(result));
 }
 
 ResponseReader RelayReader(const std::string& body) {
   return {"call through another instance", "200", "", body, [](ReaderFixture* fixture, Callback callback) {
-            auto reader = std::make_shared<EndpointCallReader>(fixture, std::string("the whole body").size(),
-                                                               std::move(callback));
+            auto reader = std::make_shared<EndpointCallReader>(fixture, std::strlen(kBody), std::move(callback));
             reader->BeginThroughInstance(CallTo(fixture->server.address()));
             return reader;
           }};
@@ -347,8 +351,7 @@
 }
 
 TEST_CASE("calls through other instances take sound responses and no broken ones") {
-  const HttpHeader header = {"!#$%&'*+-.^_`|~0", "1"};
-  const ResponseReader reader = RelayReader(RelayedResponse(200, header));
+  const ResponseReader reader = RelayReader(RelayedResponse());
   CheckTakesAll(reader, SoundResponses(reader));
   CheckTakesNone(reader, ResponsesWithBrokenHead(reader));
   CheckTakesNone(reader, CutResponses(reader));
