--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -50,6 +50,12 @@
 constexpr size_t kMaxCallerReads = 2;
 constexpr size_t kMaxWaitingCallerReads = 256;
 
+// Whether callers of the workspace may read and end the job. A job without a workspace was accepted without a key, on a
+// public route by an earlier version or before the configuration had workspaces. To refuse everyone would lose it.
+bool MayAccess(const std::string& workspace, const BatchSpec& job) {
+  return job.workspace.empty() || job.workspace == workspace;
+}
+
 }  // namespace
 
 BatchCoordinator::BatchCoordinator(BatchContext context, FleetCallbacks fleet, Duration retention)
@@ -614,8 +620,8 @@
 
 void BatchCoordinator::Submit(BatchSpec spec, Duration timeout, std::function<void(SubmitOutcome)> callback) {
   if (m_jobs.count(spec.id) > 0) {
-    callback(m_jobs.at(spec.id).rows.head.spec.workspace == spec.workspace ? SubmitOutcome::kAccepted
-                                                                           : SubmitOutcome::kRefused);
+    callback(MayAccess(spec.workspace, m_jobs.at(spec.id).rows.head.spec) ? SubmitOutcome::kAccepted
+                                                                          : SubmitOutcome::kRefused);
     return;
   }
   // The callback runs once: with the outcome, or when the timeout expires.
@@ -720,29 +726,27 @@
                                      const std::function<void(BatchCallStatus, Job*)>& callback) {
   const auto known = m_jobs.find(id);
   if (known != m_jobs.end()) {
-    const bool is_same_workspace = known->second.rows.head.spec.workspace == workspace;
-    callback(is_same_workspace ? BatchCallStatus::kOk : BatchCallStatus::kNotFound,
-             is_same_workspace ? &known->second : nullptr);
+    const bool may_access = MayAccess(workspace, known->second.rows.head.spec);
+    callback(may_access ? BatchCallStatus::kOk : BatchCallStatus::kNotFound, may_access ? &known->second : nullptr);
     return;
   }
-  m_context.store->Scan(BatchPrefix(id), "", kRowsPerScan,
-                        m_guard.Wrap([this, id, workspace, callback, read_at = Now()](const ReadResult& read) {
-                          if (!read.ok) {
-                            callback(BatchCallStatus::kUnavailable, nullptr);
-                            return;
-                          }
-                          OnJobRows(id, read_at, read);
-                          const auto found = m_jobs.find(id);
-                          if (found == m_jobs.end()) {
-                            // Rows that cannot be read are no proof that the job does not exist.
-                            callback(read.rows.empty() ? BatchCallStatus::kNotFound : BatchCallStatus::kUnavailable,
-                                     nullptr);
-                            return;
-                          }
-                          const bool is_same_workspace = found->second.rows.head.spec.workspace == workspace;
-                          callback(is_same_workspace ? BatchCallStatus::kOk : BatchCallStatus::kNotFound,
-                                   is_same_workspace ? &found->second : nullptr);
-                        }));
+  m_context.store->Scan(
+      BatchPrefix(id), "", kRowsPerScan,
+      m_guard.Wrap([this, id, workspace, callback, read_at = Now()](const ReadResult& read) {
+        if (!read.ok) {
+          callback(BatchCallStatus::kUnavailable, nullptr);
+          return;
+        }
+        OnJobRows(id, read_at, read);
+        const auto found = m_jobs.find(id);
+        if (found == m_jobs.end()) {
+          // Rows that cannot be read are no proof that the job does not exist.
+          callback(read.rows.empty() ? BatchCallStatus::kNotFound : BatchCallStatus::kUnavailable, nullptr);
+          return;
+        }
+        const bool may_access = MayAccess(workspace, found->second.rows.head.spec);
+        callback(may_access ? BatchCallStatus::kOk : BatchCallStatus::kNotFound, may_access ? &found->second : nullptr);
+      }));
 }
 
 void BatchCoordinator::ReadResults(const std::string& id, const std::string& workspace, size_t position, Duration wait,
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -77,6 +77,8 @@
   std::map<std::string, size_t> endless_endpoints;
   // The id of all events of these endpoints; none if absent.
   std::optional<int64_t> endless_event_id;
+  // Services of endpoints that do not belong to kBatchService, by endpoint id.
+  std::map<std::string, std::string> services;
   // Software versions of endpoints, by endpoint id.
   std::map<std::string, std::string> software_versions;
   double truncation_chance = 0.0;
@@ -343,24 +345,27 @@
           permits(fixture),
           caller({&process, &engines, &directory, &permits, name, fixture->Fleet(name).live_instances}),
           coordinator(Context(fixture, name, start), fixture->Fleet(name), kBatchRetention) {
+      routes.Apply(MakeConfig(*fixture));
+      ReadRegistry(fixture);
+      caller.AddListener([this] { coordinator.ScheduleStartItems(); });
+      coordinator.Start();
+    }
+    static ServingConfig MakeConfig(const BatchFixture& fixture) {
       ServiceRoute route;
       route.name = "hides";
       route.host = kBatchHost;
       route.prefix = kBatchPath;
       route.kind = RouteKind::kBatch;
-      route.services = {{kBatchService, 1}};
+      route.services = fixture.split;
       route.max_attempts = 3;
       route.max_queue = Duration::Seconds(40);
       ServingConfig config;
       config.version = 1;
       config.routes = {route, ScoreRoute()};
-      if (fixture->engines.home_regions.restricts()) {
-        config.workspaces = {{kBatchWorkspace, {"key"}, fixture->engines.home_regions}};
+      if (fixture.engines.home_regions.restricts()) {
+        config.workspaces = {{kBatchWorkspace, {"key"}, fixture.engines.home_regions}};
       }
-      routes.Apply(config);
-      ReadRegistry(fixture);
-      caller.AddListener([this] { coordinator.ScheduleStartItems(); });
-      coordinator.Start();
+      return config;
     }
     // Reads the endpoints that are not stopped.
     void ReadRegistry(BatchFixture* fixture) {
@@ -368,7 +373,8 @@
       for (int i = 0; i < 4; ++i) {
         EndpointEntry entry;
         entry.id = "engine-" + std::to_string(i);
-        entry.service = kBatchService;
+        const auto service = fixture->engines.services.find(entry.id);
+        entry.service = service == fixture->engines.services.end() ? kBatchService : service->second;
         entry.address = "10.0.0." + std::to_string(i + 1) + ":80";
         entry.zone = "a";
         entry.slots = 4;
@@ -562,6 +568,8 @@
   FakeTable table;
   FakeEngines engines;
   std::map<std::string, std::unique_ptr<Instance>> instances;
+  // The services of the batch route. Read when an instance starts.
+  std::vector<ServiceShare> split = {{kBatchService, 1}};
   // Notices to new owners of jobs are lost.
   bool drop_owner_notices = false;
   // Those of the live instances that may own jobs; all if null.
--- a/tests/platform/node_cluster.h
+++ b/tests/platform/node_cluster.h
@@ -53,14 +53,14 @@
     once["Name"] = "once";
     once["Prefix"] = "/once/";
     once["Kind"] = "non_idempotent";
-    m_platform.Put(
-        "op", "config",
-        {{"Version", 1},
-         {"Routes", {route, stream, once}},
-         {"Services",
-          {{{"Name", soak::kPlainService}, {"ColdStartS", 8}, {"ColdPerS", kColdPerS}},
-           {{"Name", soak::kEngineService}, {"Engine", {{"Slots", 8}, {"Models", {{{"Name", soak::kModel}}}}}}}}},
-         {"Tenants", {{{"Name", soak::kWorkspace}, {"ApiKeys", {"key"}}}}}});
+    m_config = {
+        {"Version", 1},
+        {"Routes", {route, stream, once}},
+        {"Services",
+         {{{"Name", soak::kPlainService}, {"ColdStartS", 8}, {"ColdPerS", kColdPerS}},
+          {{"Name", soak::kEngineService}, {"Engine", {{"Slots", 8}, {"Models", {{{"Name", soak::kModel}}}}}}}}},
+        {"Tenants", {{{"Name", soak::kWorkspace}, {"ApiKeys", {"key"}}}}}};
+    m_platform.Put("op", "config", m_config);
     for (int i = 0; i < kEndpoints; ++i) {
       m_replicas.push_back(std::make_unique<soak::Replica>(&m_loop, &m_log, &m_platform, soak::kPlainService, i, "v1"));
     }
@@ -113,6 +113,14 @@
     m_platform.Put("op", std::string("version/") + soak::kModel, {{"Model", soak::kModel}, {"Version", version}});
   }
 
+  // Writes a changed configuration, and waits until it is in force.
+  void ChangeConfig(const std::function<void(nlohmann::json* config)>& change) {
+    change(&m_config);
+    m_config["Version"] = m_config["Version"].get<int>() + 1;
+    m_platform.Put("op", "config", m_config);
+    RunFor(Duration::Milliseconds(1500));
+  }
+
   void SetPaths(size_t i, history::TcpRelay::Mode mode) {
     for (const auto& path : m_instances[i]->paths) {
       path->SetMode(mode);
@@ -144,6 +152,26 @@
     });
   }
 
+  // Sends a request to one instance and returns the response.
+  HttpResponse Fetch(size_t i, const std::string& method, const std::string& target, HttpHeaders headers,
+                     const std::string& body) {
+    HttpCall call;
+    call.address = m_instances[i]->ip + ":" + std::to_string(kCallerPort);
+    call.method = method;
+    call.target = target;
+    call.headers = std::move(headers);
+    call.headers.push_back({"host", kHost});
+    call.body = body;
+    call.total_timeout = Duration::Seconds(5);
+    call.fresh_connection = true;
+    std::optional<HttpResponse> received;
+    m_client.Fetch(std::move(call), [&received](const HttpResponse& response) { received = response; });
+    while (!received.has_value()) {
+      m_loop.RunOnce(Duration::Milliseconds(5));
+    }
+    return *received;
+  }
+
   // Sends a request with this body to one instance.
   void SendBody(size_t i, const std::string& path, std::string body,
                 std::function<void(const HttpResponse&)> callback) {
@@ -261,6 +289,8 @@
   std::vector<std::unique_ptr<soak::Replica>> m_replicas;
   std::vector<std::unique_ptr<TestInstance>> m_instances;
   HttpClient m_client;
+  // As the operator wrote it last.
+  nlohmann::json m_config;
   int m_requests = 0;
   std::vector<std::unique_ptr<Timer>> m_timers;
 };
