Accept a repeated submission only from callers who may read the job

A caller got 202 for a submission whose id the store already had from another workspace, and then 404 for each read.

Cause: after a conflict on the head of the job, the submission counted as a repetition. Only an instance that knew the job compared its workspace.

Evidence: "a submission under the id of another workspace's job is refused at each instance" failed before at 2 of 3 instances, and passes now.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -620,8 +620,7 @@
 
 void BatchCoordinator::Submit(BatchSpec spec, Duration timeout, std::function<void(SubmitOutcome)> callback) {
   if (m_jobs.count(spec.id) > 0) {
-    callback(MayAccess(spec.workspace, m_jobs.at(spec.id).rows.head.spec) ? SubmitOutcome::kAccepted
-                                                                          : SubmitOutcome::kRefused);
+    OnRepeatedSubmission(spec, callback);
     return;
   }
   // The callback runs once: with the outcome, or when the timeout expires.
@@ -708,9 +707,7 @@
       }
       return;
     case TransactOutcome::kConflict:
-      Log(LogEvent::kBatchAccepted, {{"job", spec->id}, {"repeated", "yes"}});
-      RefreshJob(spec->id);
-      callback(SubmitOutcome::kAccepted);
+      OnRepeatedSubmission(*spec, callback);
       return;
     case TransactOutcome::kUnavailable:
       Log(LogEvent::kBatchRefused, {{"job", spec->id}, {"reason", "the store does not answer"}});
@@ -722,6 +719,25 @@
   }
 }
 
+// An acceptance would be worth nothing to a caller that may not read the job.
+void BatchCoordinator::OnRepeatedSubmission(const BatchSpec& spec, const std::function<void(SubmitOutcome)>& callback) {
+  FindOrReadJob(spec.id, spec.workspace, [id = spec.id, callback](BatchCallStatus status, Job*) {
+    switch (status) {
+      case BatchCallStatus::kOk:
+        Log(LogEvent::kBatchAccepted, {{"job", id}, {"repeated", "yes"}});
+        callback(SubmitOutcome::kAccepted);
+        return;
+      case BatchCallStatus::kNotFound:
+        Log(LogEvent::kBatchRefused, {{"job", id}, {"reason", "another workspace has a job with this id"}});
+        callback(SubmitOutcome::kRefused);
+        return;
+      case BatchCallStatus::kUnavailable:
+        callback(SubmitOutcome::kUnknown);
+        return;
+    }
+  });
+}
+
 void BatchCoordinator::FindOrReadJob(const std::string& id, const std::string& workspace,
                                      const std::function<void(BatchCallStatus, Job*)>& callback) {
   const auto known = m_jobs.find(id);
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -195,6 +195,8 @@
                   const std::function<void(SubmitOutcome)>& callback);
   void OnHeadStored(const std::shared_ptr<BatchSpec>& spec, TimePoint sent_at, const TransactResult& result,
                     const std::function<void(SubmitOutcome)>& callback);
+  // Answers a submission whose id the table already has.
+  void OnRepeatedSubmission(const BatchSpec& spec, const std::function<void(SubmitOutcome)>& callback);
   // Runs the callback with the job, which is read from the table if this instance does not know it. The status is
   // kNotFound if callers of the workspace may not access the job.
   void FindOrReadJob(const std::string& id, const std::string& workspace,
--- a/tests/coordination/batch_access_test.cc
+++ b/tests/coordination/batch_access_test.cc
@@ -7,6 +7,28 @@
 namespace {
 
 constexpr int kItems = 8;
+constexpr char kOtherWorkspace[] = "sellers";
+
+// Guards against an acceptance that is worth nothing: the job under this id belongs to another workspace, whose callers
+// alone can read it.
+TEST_CASE("a submission under the id of another workspace's job is refused at each instance") {
+  BatchFixture fixture(1);
+  for (const char* name : {"one", "two", "three"}) {
+    fixture.StartInstance(name);
+  }
+  const BatchSpec job = BatchFixture::MakeJob("job", kItems);
+  BatchSpec other = job;
+  other.workspace = kOtherWorkspace;
+  REQUIRE(fixture.Submit("one", job) == SubmitOutcome::kAccepted);
+  for (const char* name : {"two", "one", "three"}) {
+    INFO(name);
+    CHECK(fixture.Submit(name, other) == SubmitOutcome::kRefused);
+    CHECK(fixture.Submit(name, job) == SubmitOutcome::kAccepted);
+  }
+  fixture.scheduler.Advance(Duration::Seconds(5));
+  CHECK(fixture.Read("two", "job", 0).results.size() == kItems);
+  CHECK(fixture.engines.runs.size() == kItems);
+}
 
 // Guards against a job that is lost because earlier versions kept the jobs of public routes without a workspace.
 TEST_CASE("a job that was stored without a workspace is read and ended with any key") {
