Run the items of a job only under batch routes

Items of an open job ran on the service of a plain route or a route of streams: one with a longer prefix that was added later, or one with a shorter prefix after the batch route was removed.

A job finds its route again by the path of its submission, among the routes of all kinds. RouteTable::FindBatchRoute looks among batch routes, and items wait while a malformed route has a longer prefix, since it may be the job's own.

Evidence: "the items of a job run only on services of batch routes" failed before with each of its three prefixes.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -220,8 +220,7 @@
 }
 
 const ServiceRoute* BatchRunner::Route() const {
-  const ServiceRoute* route = m_context->routes->FindRoute(m_spec.host, m_spec.path);
-  return route == nullptr || !route->malformed.empty() ? nullptr : route;
+  return m_context->routes->FindBatchRoute(m_spec.host, m_spec.path);
 }
 
 // During an outage of the table no caller can end the job either, and the trainer still waits for the missing results,
--- a/src/state/serving_config.cc
+++ b/src/state/serving_config.cc
@@ -53,17 +53,30 @@
   return true;
 }
 
-const ServiceRoute* RouteTable::FindRoute(const std::string& host, std::string_view path) const {
+template <typename Predicate>
+const ServiceRoute* RouteTable::FindLongestPrefix(const std::string& host, std::string_view path,
+                                                  const Predicate& accepts) const {
   const auto found = m_routes.find(host);
   if (found == m_routes.end()) {
     return nullptr;
   }
-  for (const ServiceRoute* route : found->second) {
-    if (path.substr(0, route->prefix.size()) == route->prefix) {
-      return route;
-    }
-  }
-  return nullptr;
+  const auto route = std::find_if(found->second.begin(), found->second.end(), [&](const ServiceRoute* candidate) {
+    return path.substr(0, candidate->prefix.size()) == candidate->prefix && accepts(*candidate);
+  });
+  return route == found->second.end() ? nullptr : *route;
+}
+
+const ServiceRoute* RouteTable::FindRoute(const std::string& host, std::string_view path) const {
+  return FindLongestPrefix(host, path, [](const ServiceRoute&) { return true; });
+}
+
+// A route of another kind that was added after the submission must not receive the items. A malformed route may be the
+// job's own, of which the operator has written a faulty description: its items wait.
+const ServiceRoute* RouteTable::FindBatchRoute(const std::string& host, std::string_view path) const {
+  const ServiceRoute* route = FindLongestPrefix(host, path, [](const ServiceRoute& candidate) {
+    return candidate.kind == RouteKind::kBatch || !candidate.malformed.empty();
+  });
+  return route == nullptr || !route->malformed.empty() ? nullptr : route;
 }
 
 const ServiceRoute* RouteTable::FindRouteByName(const std::string& name) const {
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -119,6 +119,9 @@
 
   // The route of the host with the longest prefix of the path, or nullptr.
   const ServiceRoute* FindRoute(const std::string& host, std::string_view path) const;
+  // The batch route to which the items of a job belong that was submitted with this path, or nullptr: the one with the
+  // longest prefix of the path, if no malformed route has a longer one.
+  const ServiceRoute* FindBatchRoute(const std::string& host, std::string_view path) const;
   const ServiceRoute* FindRouteByName(const std::string& name) const;
   const BackendService* FindService(const std::string& name) const;
   // The name of the workspace to which the key belongs, or nullptr.
@@ -128,6 +131,10 @@
   bool has_workspaces() const { return !m_config.workspaces.empty(); }
 
  private:
+  // The route with the longest prefix of the path among those of the host that `accepts` selects, or nullptr.
+  template <typename Predicate>
+  const ServiceRoute* FindLongestPrefix(const std::string& host, std::string_view path, const Predicate& accepts) const;
+
   ServingConfig m_config;
   // Routes by host, longest prefix first.
   std::map<std::string, std::vector<const ServiceRoute*>> m_routes;
--- a/tests/coordination/batch_access_test.cc
+++ b/tests/coordination/batch_access_test.cc
@@ -50,5 +50,49 @@
   CHECK(ended == BatchCallStatus::kOk);
 }
 
+// Guards against items that run on the service of a route of another kind, because its prefix begins the path of their
+// job.
+TEST_CASE("the items of a job run only on services of batch routes") {
+  for (const char* prefix : {"/", kBatchPath, "/hides/special/"}) {
+    INFO(prefix);
+    BatchFixture fixture(3);
+    fixture.engines.services["engine-3"] = "streams";
+    fixture.engines.event_gap = Duration::Milliseconds(200);
+    fixture.StartInstance("one");
+    BatchSpec job = BatchFixture::MakeJob("job", 40);
+    job.path = "/hides/special/job";
+    REQUIRE(fixture.Submit("one", job) == SubmitOutcome::kAccepted);
+    auto& instance = *fixture.instances.at("one");
+    ServingConfig config = BatchFixture::Instance::MakeConfig(fixture);
+    ServiceRoute streams = config.routes[0];
+    streams.name = "streams";
+    streams.prefix = prefix;
+    streams.kind = RouteKind::kStream;
+    streams.services = {{"streams", 1}};
+    const ServiceRoute batch = config.routes[0];
+    const bool replaces_batch_route = streams.prefix == batch.prefix;
+    config.version = 2;
+    config.routes = {streams, BatchFixture::ScoreRoute()};
+    if (!replaces_batch_route) {
+      config.routes.push_back(batch);
+    }
+    instance.routes.Apply(config);
+    fixture.scheduler.Advance(Duration::Seconds(10));
+    for (const ItemRunRecord& run : fixture.engines.runs) {
+      CHECK(run.endpoint != "engine-3");
+    }
+    CHECK((replaces_batch_route || fixture.Read("one", "job", 0).results.size() == 40));
+    // The operator removes the batch route, which leaves the other one.
+    config.version = 3;
+    config.routes = {streams, BatchFixture::ScoreRoute()};
+    instance.routes.Apply(config);
+    REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("late", 4)) == SubmitOutcome::kAccepted);
+    fixture.scheduler.Advance(Duration::Seconds(5));
+    for (const ItemRunRecord& run : fixture.engines.runs) {
+      CHECK(run.endpoint != "engine-3");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace quetzalridge
