Keep the service of a text, which alone may continue it

After the operator had moved a batch route to another service, interrupted items continued their texts there, and slow ones were moved there while they ran, if a software version of the new service had the same name. The result was joined from two services.

Cause: a text kept the name of its software version only. It now keeps the service too, in memory and in the table as a further field, which earlier versions do not read; an item of a service that has lost the route starts again.

--- a/src/coordination/batch_records.cc
+++ b/src/coordination/batch_records.cc
@@ -396,7 +396,7 @@
 std::vector<std::string> EncodePartialText(const PartialText& partial, const std::string& transaction_id,
                                            size_t max_bytes) {
   std::vector<std::string> values;
-  const std::string value = EncodeWithFields(partial, partial.complete, partial.software_version);
+  const std::string value = EncodeWithFields(partial, partial.complete, partial.software_version, partial.service);
   for (const std::string& part : SplitValue(value, max_bytes)) {
     values.push_back(EncodeBinary(PartialTextPart{transaction_id, part}));
   }
@@ -422,11 +422,13 @@
     }
     bool text_complete = false;
     std::string software_version;
+    std::string service;
     std::optional<PartialText> partial =
-        complete ? DecodeWithFields<PartialText>(bytes, &text_complete, &software_version) : std::nullopt;
+        complete ? DecodeWithFields<PartialText>(bytes, &text_complete, &software_version, &service) : std::nullopt;
     if (partial.has_value()) {
       partial->complete = text_complete;
       partial->software_version = std::move(software_version);
+      partial->service = std::move(service);
       texts.push_back(std::move(*partial));
     }
     bytes.clear();
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -101,6 +101,7 @@
       : m_runner(runner),
         m_index(index),
         m_endpoint(endpoint.id),
+        m_service(endpoint.service),
         m_software_version(endpoint.software_version),
         m_placed(&runner->m_placer, index, endpoint.id) {}
   ~ItemRun() override = default;
@@ -120,7 +121,7 @@
       m_runner->m_context->endpoints->OnModelVersion(m_endpoint, m_runner->m_spec.model, *head.model_version);
       m_stale = *head.model_version < m_runner->m_spec.oldest_version;
     }
-    m_runner->m_progress.item(m_index).transcript.BeginRun(head.model_version, m_software_version);
+    m_runner->m_progress.item(m_index).transcript.BeginRun(head.model_version, m_service, m_software_version);
   }
 
   void OnBody(std::string_view) override {}
@@ -157,6 +158,8 @@
   }
 
   const std::string& endpoint() const { return m_endpoint; }
+  // The service of the endpoint.
+  const std::string& service() const { return m_service; }
   const std::optional<EndpointResponseHead>& head() const { return m_head; }
   bool stale() const { return m_stale; }
   bool event_missing() const { return m_event_missing; }
@@ -176,6 +179,7 @@
   BatchRunner* m_runner;
   size_t m_index;
   std::string m_endpoint;
+  std::string m_service;
   std::string m_software_version;
   JobPlacer::Run m_placed;
   std::optional<EndpointResponseHead> m_head;
@@ -273,8 +277,13 @@
   const BatchItem& item = m_spec.items[index];
   const std::string& service = ChooseService(route, Hash64(item.id));
   ItemPlacement placement = m_placer.PlacementOf(index);
-  const DirectoryEndpoint* endpoint = ChooseEndpoint(service, index, placement);
-  if (endpoint == nullptr && placement.software_version.has_value() && MayRestart(index, service)) {
+  // Earlier versions have not stored the service with a text.
+  const EventTranscript& transcript = m_progress.item(index).transcript;
+  const bool is_of_other_service =
+      !transcript.empty() && !transcript.service().empty() && transcript.service() != service;
+  const DirectoryEndpoint* endpoint = is_of_other_service ? nullptr : ChooseEndpoint(service, index, placement);
+  if (endpoint == nullptr && placement.software_version.has_value() &&
+      (is_of_other_service || MayRestart(index, service))) {
     placement.software_version.reset();
     endpoint = ChooseEndpoint(service, index, placement);
     if (endpoint != nullptr) {
@@ -341,6 +350,10 @@
   std::map<std::string, std::vector<CostCandidate>> candidates;
   for (const auto& [index, run] : m_runs) {
     const std::string& service = ChooseService(*route, Hash64(m_spec.items[index].id));
+    if (run->service() != service) {
+      // The operator has moved the route.
+      continue;
+    }
     const auto [found, is_new] = candidates.try_emplace(service);
     if (is_new) {
       found->second = m_placer.CandidatesFor(service, Regions());
--- a/src/state/event_transcript.cc
+++ b/src/state/event_transcript.cc
@@ -2,12 +2,14 @@
 
 namespace quetzalridge {
 
-void EventTranscript::BeginRun(std::optional<int64_t> model_version, const std::string& software_version) {
+void EventTranscript::BeginRun(std::optional<int64_t> model_version, const std::string& service,
+                               const std::string& software_version) {
   if (!m_last_id.has_value()) {
     Clear();
   }
   m_current_version = model_version.value_or(0);
   if (empty()) {
+    m_service = service;
     m_software_version = software_version;
   }
 }
@@ -48,6 +50,7 @@
   partial.last_id = *m_last_id;
   partial.model_versions.assign(m_versions.begin(), m_versions.end());
   partial.software_version = m_software_version;
+  partial.service = m_service;
   return partial;
 }
 
@@ -56,6 +59,7 @@
   m_count = partial.event_count;
   m_last_id = partial.last_id;
   m_software_version = partial.software_version;
+  m_service = partial.service;
   m_versions = std::set<int64_t>(partial.model_versions.begin(), partial.model_versions.end());
 }
 
--- a/src/state/event_transcript.h
+++ b/src/state/event_transcript.h
@@ -17,8 +17,10 @@
   // Id of the last event.
   int64_t last_id = 0;
   std::vector<int64_t> model_versions;
-  // The software version of the endpoints that generated the text. Only that version may continue it.
+  // The software version of the endpoints that generated the text, and their service. Only that version may continue
+  // it, and versions of two services may have the same name. Earlier versions have stored no service.
   std::string software_version;
+  std::string service;
   // Unix time at which it was stored.
   int64_t stored_at_ms = 0;
   // The text is the whole output of the item; only its score is missing.
@@ -43,8 +45,9 @@
   static constexpr size_t kMaxVersions = 100;
 
   // Called when a run begins, which continues after the last event of the transcript. If there is one, the run must be
-  // on an endpoint with software_version(). Events without ids are dropped, since the run begins before them.
-  void BeginRun(std::optional<int64_t> model_version, const std::string& software_version);
+  // on an endpoint of service() with software_version(). Events without ids are dropped, since the run begins before
+  // them.
+  void BeginRun(std::optional<int64_t> model_version, const std::string& service, const std::string& software_version);
   AppendResult Append(std::optional<int64_t> id, const std::string& data, std::optional<int64_t> model_version);
   void Clear();
   // Returns nothing for a transcript without events, or whose events have no ids, since no run can continue it.
@@ -55,8 +58,9 @@
   int64_t event_count() const { return m_count; }
   // Id of the event after which another run continues; absent before the first event.
   std::optional<int64_t> last_id() const { return m_last_id; }
-  // The software version that generated the events.
+  // The software version that generated the events, and its service; empty if the service is not known.
   const std::string& software_version() const { return m_software_version; }
+  const std::string& service() const { return m_service; }
   // The data of all events, separated by line feeds.
   const std::string& text() const { return m_text; }
   // The versions of the model that generated the events. An unknown version counts as version 0.
@@ -71,6 +75,7 @@
   std::set<int64_t> m_versions;
   int64_t m_current_version = 0;
   std::string m_software_version;
+  std::string m_service;
 };
 
 }  // namespace quetzalridge
--- a/tests/coordination/batch_access_test.cc
+++ b/tests/coordination/batch_access_test.cc
@@ -72,7 +72,7 @@
     const ServiceRoute batch = config.routes[0];
     const bool replaces_batch_route = streams.prefix == batch.prefix;
     config.version = 2;
-    config.routes = {streams, BatchFixture::ScoreRoute()};
+    config.routes = {streams, fixture.ScoreRoute()};
     if (!replaces_batch_route) {
       config.routes.push_back(batch);
     }
@@ -84,7 +84,7 @@
     CHECK((replaces_batch_route || fixture.Read("one", "job", 0).results.size() == 40));
     // The operator removes the batch route, which leaves the other one.
     config.version = 3;
-    config.routes = {streams, BatchFixture::ScoreRoute()};
+    config.routes = {streams, fixture.ScoreRoute()};
     instance.routes.Apply(config);
     REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("late", 4)) == SubmitOutcome::kAccepted);
     fixture.scheduler.Advance(Duration::Seconds(5));
--- a/tests/coordination/batch_fixture.h
+++ b/tests/coordination/batch_fixture.h
@@ -71,6 +71,8 @@
   // The regions of endpoints, by endpoint id, and the home regions of all jobs.
   std::map<std::string, std::string> regions;
   HomeRegions home_regions;
+  // Availability zones of endpoints that are not in "a", by endpoint id.
+  std::map<std::string, std::string> zones;
   // Endpoints that have left the registry.
   std::set<std::string> stopped;
   // Endpoints that send events of this size without ids and without end, by endpoint id.
@@ -81,6 +83,10 @@
   std::map<std::string, std::string> services;
   // Software versions of endpoints, by endpoint id.
   std::map<std::string, std::string> software_versions;
+  // Endpoints with another model version in the registry than 1, by endpoint id.
+  std::map<std::string, int64_t> registered_model_versions;
+  // Endpoints whose runs end without a response after this time, by endpoint id.
+  std::map<std::string, Duration> unresponsive_endpoints;
   double truncation_chance = 0.0;
   double refusal_chance = 0.0;
   // Status with which each run of an item fails, by item id.
@@ -98,18 +104,27 @@
   // The call runs, and its response does not arrive.
   double lost_score_chance = 0.0;
   double refused_score_chance = 0.0;
+  // Endpoints that do not respond to reward calls.
+  std::set<std::string> unresponsive_scorers;
   // The response is a server error, once.
   double failed_score_chance = 0.0;
   std::vector<RewardCallRecord> reward_calls;
 
-  static std::string EventData(const std::string& item, int event) { return item + " event " + std::to_string(event); }
-  std::string WholeText(const std::string& item) const {
+  // The text that endpoints of a service generate differs, unless this is kBatchService.
+  static std::string EventData(const std::string& item, int event, const std::string& service) {
+    return item + " event " + std::to_string(event) + (service == kBatchService ? "" : " of " + service);
+  }
+  std::string WholeText(const std::string& item, const std::string& service = kBatchService) const {
     std::string text;
     for (int event = 1; event <= EventsOf(item); ++event) {
-      text += (event == 1 ? "" : "\n") + EventData(item, event);
+      text += (event == 1 ? "" : "\n") + EventData(item, event, service);
     }
     return text;
   }
+  std::string ServiceOf(const std::string& endpoint) const {
+    const auto found = services.find(endpoint);
+    return found == services.end() ? kBatchService : found->second;
+  }
   int EventsOf(const std::string& item) const {
     const auto found = long_items.find(item);
     return found == long_items.end() ? events_per_item : found->second;
@@ -165,7 +180,8 @@
       }
       m_record = m_engines->reward_calls.size();
       m_engines->reward_calls.push_back({m_process->clock().Now(), m_instance, m_call.request_id, ""});
-      if (m_engines->random()->Chance(m_engines->lost_score_chance)) {
+      if (m_engines->unresponsive_scorers.count(m_call.endpoint_id) > 0 ||
+          m_engines->random()->Chance(m_engines->lost_score_chance)) {
         m_timer = m_process->After(m_call.head_timeout, [this] {
           EndpointCallResult result;
           result.outcome = EndpointCallOutcome::kNoResponse;
@@ -213,6 +229,11 @@
 
    private:
     void Begin() {
+      const auto unresponsive = m_engines->unresponsive_endpoints.find(m_call.endpoint_id);
+      if (unresponsive != m_engines->unresponsive_endpoints.end()) {
+        m_timer = m_process->After(unresponsive->second, [this] { End(EndpointCallOutcome::kNoResponse); });
+        return;
+      }
       int& crashing_runs = m_engines->crashing_runs[m_call.request_id];
       if (crashing_runs > 0) {
         --crashing_runs;
@@ -265,7 +286,7 @@
       }
       StreamEvent event;
       event.id = m_next;
-      event.data = FakeEngines::EventData(m_call.request_id, m_next);
+      event.data = FakeEngines::EventData(m_call.request_id, m_next, m_engines->ServiceOf(m_call.endpoint_id));
       if (m_next == m_engines->EventsOf(m_call.request_id)) {
         m_engines->generated_at.emplace(m_call.request_id, m_process->clock().Now());
       }
@@ -361,7 +382,7 @@
       route.max_queue = Duration::Seconds(40);
       ServingConfig config;
       config.version = 1;
-      config.routes = {route, ScoreRoute()};
+      config.routes = {route, fixture.ScoreRoute()};
       if (fixture.engines.home_regions.restricts()) {
         config.workspaces = {{kBatchWorkspace, {"key"}, fixture.engines.home_regions}};
       }
@@ -373,12 +394,14 @@
       for (int i = 0; i < 4; ++i) {
         EndpointEntry entry;
         entry.id = "engine-" + std::to_string(i);
-        const auto service = fixture->engines.services.find(entry.id);
-        entry.service = service == fixture->engines.services.end() ? kBatchService : service->second;
+        entry.service = fixture->engines.ServiceOf(entry.id);
         entry.address = "10.0.0." + std::to_string(i + 1) + ":80";
-        entry.zone = "a";
+        const auto zone = fixture->engines.zones.find(entry.id);
+        entry.zone = zone == fixture->engines.zones.end() ? "a" : zone->second;
         entry.slots = 4;
-        entry.model_versions[kBatchModel] = 1;
+        const auto version = fixture->engines.registered_model_versions.find(entry.id);
+        entry.model_versions[kBatchModel] =
+            version == fixture->engines.registered_model_versions.end() ? 1 : version->second;
         entry.software_version = fixture->engines.software_versions[entry.id];
         const auto cold = fixture->engines.cold_times.find(entry.id);
         entry.cold_remaining = cold == fixture->engines.cold_times.end() ? Duration() : cold->second;
@@ -433,13 +456,13 @@
     BatchCoordinator coordinator;
   };
 
-  static ServiceRoute ScoreRoute() {
+  ServiceRoute ScoreRoute() const {
     ServiceRoute route;
     route.name = "score";
     route.host = kScoreHost;
     route.prefix = kScorePath;
     route.kind = RouteKind::kIdempotent;
-    route.services = {{kScoreService, 1}};
+    route.services = score_split;
     route.max_attempts = 4;
     route.target_latency = Duration::Milliseconds(150);
     return route;
@@ -570,6 +593,8 @@
   std::map<std::string, std::unique_ptr<Instance>> instances;
   // The services of the batch route. Read when an instance starts.
   std::vector<ServiceShare> split = {{kBatchService, 1}};
+  // The services of the route of reward calls. Read when an instance starts.
+  std::vector<ServiceShare> score_split = {{kScoreService, 1}};
   // Notices to new owners of jobs are lost.
   bool drop_owner_notices = false;
   // Those of the live instances that may own jobs; all if null.
--- a/tests/placement/placement_load_test.cc
+++ b/tests/placement/placement_load_test.cc
@@ -272,7 +272,7 @@
     job->progress.SetPhase(item, ItemPhase::kRunning);
     auto run = std::make_unique<Run>(&job->placer, item, id, &engine);
     job->instance->weights[id] += WeightOf(*job, item);
-    job->progress.item(item).transcript.BeginRun(1, "");
+    job->progress.item(item).transcript.BeginRun(1, "", "");
     const std::string prompt = job->spec.id + job->spec.items[item].group;
     const Duration prefill = Duration::Milliseconds(engine.prompts.insert(prompt).second ? 120 : 20);
     run->timer = m_scheduler.After(kHeadTime, [this, job, item, prefill] {
--- a/tests/state/event_transcript_test.cc
+++ b/tests/state/event_transcript_test.cc
@@ -8,9 +8,9 @@
 // Guards against texts that are joined from two runs: without an id, the next run begins anew.
 TEST_CASE("the text of a run whose events have no ids is dropped when the next run begins") {
   EventTranscript transcript;
-  transcript.BeginRun(1, "v1");
+  transcript.BeginRun(1, "service", "v1");
   transcript.Append(std::nullopt, "nan", std::nullopt);
-  transcript.BeginRun(2, "v2");
+  transcript.BeginRun(2, "service", "v2");
   transcript.Append(1, "a", std::nullopt);
   transcript.Append(2, "b", std::nullopt);
   CHECK(transcript.text() == "a\nb");
@@ -21,9 +21,9 @@
 
 TEST_CASE("the text of a run whose events have ids is continued by the next run") {
   EventTranscript transcript;
-  transcript.BeginRun(1, "v1");
+  transcript.BeginRun(1, "service", "v1");
   transcript.Append(1, "a", std::nullopt);
-  transcript.BeginRun(1, "v1");
+  transcript.BeginRun(1, "service", "v1");
   CHECK(transcript.Append(2, "b", std::nullopt) == EventTranscript::AppendResult::kAdded);
   CHECK(transcript.text() == "a\nb");
 }
