Run items on another service of a split when their own cannot take them

Cause: BatchProgress offered only the first waiting item without a text, so one item without an endpoint kept all later ones of its job from starting; and an item waited for the service that the hash of its id had given it, whatever had become of it. A lost endpoint is one of many causes: evacuated, full, limited, cold, silent, too far, an old model version.

Waiting items are now in one queue for each service, and the first of each queue is offered; sets of the waiting items replace the walk over all items for each free slot.

--- a/src/base/log_event.cc
+++ b/src/base/log_event.cc
@@ -105,7 +105,7 @@
       {LogEvent::kBatchAppended, LogSeverity::kInfo, "batch_appended", "Results of a batch job were stored."},
       {LogEvent::kBatchEnded, LogSeverity::kInfo, "batch_ended", "A caller ended a batch job."},
       {LogEvent::kBatchItemSent, LogSeverity::kInfo, "batch_item_sent",
-       "An item was sent to an endpoint, whose software version is in `software`."},
+       "An item was sent to an endpoint; `service` and `software` name its service and software version."},
       {LogEvent::kBatchItemInterrupted, LogSeverity::kInfo, "batch_item_interrupted",
        "The run of an item ended before its last event; it is sent again."},
       {LogEvent::kBatchItemDone, LogSeverity::kInfo, "batch_item_done",
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -9,6 +9,7 @@
 #include "base/hash.h"
 #include "base/log_event.h"
 #include "coordination/avoid_endpoint.h"
+#include "state/split_choice.h"
 
 namespace quetzalridge {
 
@@ -208,6 +209,7 @@
       m_progress(&m_spec),
       m_placer(&m_spec, &m_progress, context->placement.get(), context->endpoints, &context->scheduler->clock(),
                Route() == nullptr ? "" : Route()->name, context->zone),
+      m_started_at(Now()),
       m_confirmed_at(confirmed_at),
       m_ended(m_rows.ended) {
   m_item_memory.SetProtected(true);
@@ -265,44 +267,82 @@
   if (route == nullptr) {
     return false;
   }
-  for (const size_t index : m_progress.NextItems(Now())) {
-    if (StartItem(index, *route)) {
-      return true;
+  UpdateQueues(*route);
+  const std::vector<size_t> next = m_progress.NextItems(Now());
+  UnmetNeeds unmet;
+  // An item that has waited for its own service for long takes a slot of another one only if none of that one's items
+  // can use it, so its time counts only once all items were tried without it.
+  for (const bool time_counts : {false, true}) {
+    for (const size_t index : next) {
+      const TimePoint waits_since = std::max(m_started_at, m_progress.item(index).interrupted_at);
+      if (StartItem(index, *route, time_counts ? Now() - waits_since : Duration(), &unmet)) {
+        return true;
+      }
     }
   }
   return false;
 }
 
-bool BatchRunner::StartItem(size_t index, const ServiceRoute& route) {
-  const BatchItem& item = m_spec.items[index];
-  const std::string& service = ChooseService(route, Hash64(item.id));
-  ItemPlacement placement = m_placer.PlacementOf(index);
-  // Earlier versions have not stored the service with a text.
+void BatchRunner::UpdateQueues(const ServiceRoute& route) {
+  if (route.services == m_queued_services) {
+    return;
+  }
+  m_queued_services = route.services;
+  std::map<std::string, size_t> queue_by_service;
+  std::vector<size_t> queues;
+  for (const BatchItem& item : m_spec.items) {
+    const std::string& service = ChooseService(route, Hash64(item.id));
+    queues.push_back(queue_by_service.try_emplace(service, queue_by_service.size()).first->second);
+  }
+  m_progress.SetQueues(std::move(queues));
+}
+
+bool BatchRunner::StartItem(size_t index, const ServiceRoute& route, Duration waited, UnmetNeeds* unmet) {
+  const uint64_t hash = Hash64(m_spec.items[index].id);
   const EventTranscript& transcript = m_progress.item(index).transcript;
-  const bool is_of_other_service =
-      !transcript.empty() && !transcript.service().empty() && transcript.service() != service;
-  const DirectoryEndpoint* endpoint = is_of_other_service ? nullptr : ChooseEndpoint(service, index, placement);
-  if (endpoint == nullptr && placement.software_version.has_value() &&
-      (is_of_other_service || MayRestart(index, service))) {
-    placement.software_version.reset();
-    endpoint = ChooseEndpoint(service, index, placement);
+  ItemPlacement placement = m_placer.PlacementOf(index);
+  if (!transcript.empty()) {
+    // Earlier versions ran each item on its own service, and did not store it with the text.
+    const std::string& service = transcript.service().empty() ? ChooseService(route, hash) : transcript.service();
+    const bool may_continue = HasShare(route, service);
+    const DirectoryEndpoint* endpoint = may_continue ? ChooseEndpoint(service, index, placement, unmet) : nullptr;
     if (endpoint != nullptr) {
-      DiscardText(index, "no endpoint with its software version");
+      StartItemAt(index, *endpoint);
+      return true;
+    }
+    if (may_continue && !MayRestart(index, service)) {
+      return false;
     }
+    placement.software_version.reset();
   }
-  if (endpoint == nullptr) {
-    return false;
+  for (const std::string& service : ChooseServices(route, hash, *m_context->endpoints, Regions(), waited)) {
+    const DirectoryEndpoint* endpoint = ChooseEndpoint(service, index, placement, unmet);
+    if (endpoint != nullptr) {
+      if (!transcript.empty()) {
+        DiscardText(index, "no endpoint with its software version");
+      }
+      StartItemAt(index, *endpoint);
+      return true;
+    }
   }
-  StartItemAt(index, *endpoint);
-  return true;
+  return false;
 }
 
 const DirectoryEndpoint* BatchRunner::ChooseEndpoint(const std::string& service, size_t index,
-                                                     const ItemPlacement& placement) const {
-  return ChooseWithPermit(m_context->permits, m_placer.CandidatesFor(service, Regions()),
-                          [this, index, &placement](const std::vector<CostCandidate>& candidates) {
-                            return m_placer.Choose(candidates, index, placement);
-                          });
+                                                     const ItemPlacement& placement, UnmetNeeds* unmet) const {
+  const auto [need, is_new] = unmet->emplace(service, placement.software_version);
+  if (!is_new) {
+    return nullptr;
+  }
+  const DirectoryEndpoint* endpoint =
+      ChooseWithPermit(m_context->permits, m_placer.CandidatesFor(service, Regions()),
+                       [this, index, &placement](const std::vector<CostCandidate>& candidates) {
+                         return m_placer.Choose(candidates, index, placement);
+                       });
+  if (endpoint != nullptr) {
+    unmet->erase(need);
+  }
+  return endpoint;
 }
 
 bool BatchRunner::MayRestart(size_t index, const std::string& service) const {
@@ -329,6 +369,7 @@
 
 void BatchRunner::ClearText(size_t index) {
   m_progress.item(index).transcript.Clear();
+  m_progress.OnTextChanged(index);
   m_text_memory.erase(index);
 }
 
@@ -349,14 +390,10 @@
   }
   std::map<std::string, std::vector<CostCandidate>> candidates;
   for (const auto& [index, run] : m_runs) {
-    const std::string& service = ChooseService(*route, Hash64(m_spec.items[index].id));
-    if (run->service() != service) {
-      // The operator has moved the route.
-      continue;
-    }
-    const auto [found, is_new] = candidates.try_emplace(service);
-    if (is_new) {
-      found->second = m_placer.CandidatesFor(service, Regions());
+    // Only endpoints of this service can continue the text. The operator may have moved the route away from it.
+    const auto [found, is_new] = candidates.try_emplace(run->service());
+    if (is_new && HasShare(*route, run->service())) {
+      found->second = m_placer.CandidatesFor(run->service(), Regions());
     }
     const DirectoryEndpoint* target = m_placer.ChooseForMove(found->second, index, run->endpoint());
     if (target != nullptr) {
@@ -403,6 +440,7 @@
       {{"job", m_spec.id},
        {"item", item.id},
        {"endpoint", endpoint->entry.id},
+       {"service", endpoint->entry.service},
        {"software", endpoint->entry.software_version},
        {"endpoint_in_flight", std::to_string(endpoint->in_flight)},
        {"expected_events", std::to_string(std::lround(m_placer.PredictedRest(index)))},
@@ -851,6 +889,7 @@
 
 bool BatchRunner::TakeText(size_t index, EventTranscript transcript) {
   m_progress.item(index).transcript = std::move(transcript);
+  m_progress.OnTextChanged(index);
   if (!RecordTextMemory(index)) {
     ClearText(index);
     return false;
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -5,7 +5,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordination/batch_records.h"
@@ -145,9 +147,16 @@
   bool MayStartItems() const;
   void FailExpiredItems();
   HomeRegions Regions() const;
-  bool StartItem(size_t index, const ServiceRoute& route);
-  const DirectoryEndpoint* ChooseEndpoint(const std::string& service, size_t index,
-                                          const ItemPlacement& placement) const;
+  // The services, with a software version if one is needed, that have no endpoint for an item at the moment.
+  using UnmetNeeds = std::set<std::pair<std::string, std::optional<std::string>>>;
+
+  // Puts the items into queues by the service that the weights of the route give them.
+  void UpdateQueues(const ServiceRoute& route);
+  // `waited` is how long the item has waited for its own service, as far as that counts.
+  bool StartItem(size_t index, const ServiceRoute& route, Duration waited, UnmetNeeds* unmet);
+  // Returns the endpoint of the service for the item, or nullptr, which it adds to `unmet`.
+  const DirectoryEndpoint* ChooseEndpoint(const std::string& service, size_t index, const ItemPlacement& placement,
+                                          UnmetNeeds* unmet) const;
   // Only endpoints with the software version of the item's text may continue it. Whether the item may start again from
   // the beginning on another endpoint, because none of them serves or has taken it for a while.
   bool MayRestart(size_t index, const std::string& service) const;
@@ -190,6 +199,9 @@
   MemoryBudget::ReclaimableShare m_item_memory;
   BatchProgress m_progress;
   JobPlacer m_placer;
+  // The services by which the items are in queues.
+  std::vector<ServiceShare> m_queued_services;
+  TimePoint m_started_at;
   // When the latest read or write that showed this process as the owner began.
   TimePoint m_confirmed_at;
   // When the latest failed read of the rows began.
--- a/src/state/batch_progress.h
+++ b/src/state/batch_progress.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,8 +52,14 @@
   const ItemProgress& item(size_t index) const { return m_items[index]; }
   std::optional<size_t> FindItem(const std::string& id) const;
 
-  // The waiting items that may start next, the first choice first: the interrupted items, then one without a text.
+  // Assigns the items to queues, by item index. Items of one queue wait for the same endpoints, and do not keep those
+  // of other queues from starting. At first, all items are in one queue.
+  void SetQueues(std::vector<size_t> queues);
+  // The waiting items that may start next, the first choice first: the interrupted items, then one without a text from
+  // each queue.
   std::vector<size_t> NextItems(TimePoint now) const;
+  // Must be called when a waiting item gets a text or loses it.
+  void OnTextChanged(size_t index);
   // Replaces the token estimates by expected lengths, by item index, for the order in which items start.
   void SetExpectedLengths(const std::vector<double>& lengths);
   void SetPhase(size_t index, ItemPhase phase);
@@ -66,9 +73,19 @@
  private:
   static constexpr size_t kPhaseCount = 5;
 
+  void OrderWaiting();
+  void AddWaiting(size_t index);
+  void RemoveWaiting(size_t index);
+
   std::vector<ItemProgress> m_items;
   // Indices of the items in the order in which they start, highest token estimate first.
   std::vector<size_t> m_order;
+  // The position of each item in that order.
+  std::vector<size_t> m_position;
+  std::vector<size_t> m_queue_of;
+  // The positions of the waiting items: those with a text, and the others by queue.
+  std::set<size_t> m_waiting_with_text;
+  std::vector<std::set<size_t>> m_waiting;
   std::map<std::string, size_t> m_index_by_id;
   int m_counts[kPhaseCount] = {};
   int m_desired_groups = 0;
--- a/src/state/endpoint_directory.cc
+++ b/src/state/endpoint_directory.cc
@@ -138,6 +138,15 @@
   return usable;
 }
 
+bool EndpointDirectory::HasWorking(const std::string& service, const HomeRegions& regions) const {
+  const TimePoint soon = m_clock->Now() + kAvoidanceWhenFull;
+  return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
+    const DirectoryEndpoint& endpoint = entry.second;
+    return endpoint.entry.service == service && endpoint.takes_work() && endpoint.avoid_until <= soon &&
+           regions.Allows(endpoint.entry.region);
+  });
+}
+
 bool EndpointDirectory::HasSoftwareVersion(const std::string& service, const std::string& version) const {
   return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto& entry) {
     const DirectoryEndpoint& endpoint = entry.second;
--- a/src/state/endpoint_directory.h
+++ b/src/state/endpoint_directory.h
@@ -118,6 +118,10 @@
   // Returns the usable endpoints of one service, in any region or in those that are allowed.
   std::vector<const DirectoryEndpoint*> Usable(const std::string& service, const HomeRegions& regions = {}) const;
 
+  // Whether the service has an endpoint in the regions that takes work and is not avoided for more than a moment. An
+  // endpoint that is only full counts.
+  bool HasWorking(const std::string& service, const HomeRegions& regions = {}) const;
+
   // Whether a ready endpoint of the service has the software version, also one that is avoided now.
   bool HasSoftwareVersion(const std::string& service, const std::string& version) const;
   // Whether all endpoints of the service have the software version, also those that are draining or missing.
--- a/src/state/serving_config.h
+++ b/src/state/serving_config.h
@@ -26,6 +26,8 @@
 struct ServiceShare {
   std::string service;
   int weight = 1;
+
+  bool operator==(const ServiceShare& other) const { return service == other.service && weight == other.weight; }
 };
 
 // A route: how the requests for one host whose path begins with `prefix` are served.
