Send reward calls to another service of a split when their own cannot take them

Now ChooseServices decides, with the time since the text was complete.

Evidence: "reward calls of a service without endpoints, or whose endpoints do not respond, run on the other one" failed before in both of its cases, and passes now.

--- a/src/coordination/reward_call_dispatcher.cc
+++ b/src/coordination/reward_call_dispatcher.cc
@@ -9,6 +9,7 @@
 #include "base/log_event.h"
 #include "coordination/avoid_endpoint.h"
 #include "state/endpoint_choice.h"
+#include "state/split_choice.h"
 
 namespace quetzalridge {
 
@@ -144,14 +145,23 @@
     Retry(key, pending, kSlowRetryDelay, "no route for " + call.host + PathOf(call.target));
     return;
   }
-  const std::string& service = ChooseService(*route, Hash64(call.id));
-  ServiceLoad& load = (*loads)[service];
-  const bool is_retry = pending->attempts > 0;
   const HomeRegions regions = m_context.routes->HomeRegionsOf(*route, key.first->workspace());
+  const Duration waited = Now() - pending->ready_at;
+  for (const std::string& service : ChooseServices(*route, Hash64(call.id), *m_context.endpoints, regions, waited)) {
+    if (TryStartAt(service, *route, regions, key, pending, &(*loads)[service])) {
+      return;
+    }
+  }
+}
+
+bool RewardCallDispatcher::TryStartAt(const std::string& service, const ServiceRoute& route, const HomeRegions& regions,
+                                      const Key& key, PendingCall* pending, ServiceLoad* load) {
+  const RewardCall& call = *pending->call;
+  const bool is_retry = pending->attempts > 0;
   std::vector<const DirectoryEndpoint*> usable = m_context.endpoints->Usable(service, regions);
   const RewardCallLimits limits = m_context.policy->Limits(usable, m_context.instances());
-  if (load.in_flight >= limits.in_flight || (is_retry && load.retries >= limits.retries)) {
-    return;
+  if (load->in_flight >= limits.in_flight || (is_retry && load->retries >= limits.retries)) {
+    return false;
   }
   usable.erase(
       std::remove_if(usable.begin(), usable.end(),
@@ -162,10 +172,10 @@
         return ChooseForRequest(candidates, m_context.zone, pending->tried, &m_random);
       });
   if (endpoint == nullptr) {
-    return;
+    return false;
   }
   const Duration first_timeout =
-      route->target_latency > Duration() ? route->target_latency * kTimeoutPerTargetLatency : kDefaultTimeout;
+      route.target_latency > Duration() ? route.target_latency * kTimeoutPerTargetLatency : kDefaultTimeout;
   EndpointCall request;
   request.endpoint_id = endpoint->entry.id;
   request.address = endpoint->entry.address;
@@ -183,13 +193,14 @@
                                   {"endpoint", endpoint->entry.id},
                                   {"waited_ms", std::to_string((Now() - pending->ready_at).ms())},
                                   {"timeout_ms", std::to_string(request.time_left.ms())}});
-  ++load.in_flight;
-  load.retries += is_retry ? 1 : 0;
+  ++load->in_flight;
+  load->retries += is_retry ? 1 : 0;
   ++pending->attempts;
   pending->tried.insert(endpoint->entry.id);
   pending->service = service;
   pending->attempt = std::make_unique<Attempt>(this, key, endpoint->entry.id);
   pending->attempt->Begin(std::move(request));
+  return true;
 }
 
 void RewardCallDispatcher::OnAttemptEnded(const Key& key, const EndpointCallResult& result) {
--- a/src/coordination/reward_call_dispatcher.h
+++ b/src/coordination/reward_call_dispatcher.h
@@ -99,8 +99,11 @@
 
   TimePoint Now() const { return m_context.scheduler->clock().Now(); }
   std::map<std::string, ServiceLoad> LoadByService() const;
-  // Sends the call if its service has room for it, and adds it to `loads`.
+  // Sends the call if a service of its route that may run it has room for it, and adds it to `loads`.
   void TryStart(const Key& key, PendingCall* pending, std::map<std::string, ServiceLoad>* loads);
+  // Sends the call if the service has room for it. Returns whether it was sent.
+  bool TryStartAt(const std::string& service, const ServiceRoute& route, const HomeRegions& regions, const Key& key,
+                  PendingCall* pending, ServiceLoad* load);
   void OnAttemptEnded(const Key& key, const EndpointCallResult& result);
   void Retry(const Key& key, PendingCall* pending, Duration delay, const std::string& reason);
   const ServiceRoute* RouteOf(const RewardCall& call) const;
--- a/tests/coordination/reward_call_test.cc
+++ b/tests/coordination/reward_call_test.cc
@@ -254,6 +254,25 @@
   CHECK(CompletedWithScore(fixture, fixture.Read("one", "job", 0)) == kItems);
 }
 
+// Guards against complete texts that wait for their score while endpoints of another service of the scoring route's
+// split are free.
+TEST_CASE("reward calls of a service without endpoints, or whose endpoints do not respond, run on the other one") {
+  for (const bool is_lost : {true, false}) {
+    INFO("lost: " << is_lost);
+    BatchFixture fixture(7);
+    fixture.score_split = {{"lost", 50}, {kScoreService, 50}};
+    if (!is_lost) {
+      fixture.engines.services["engine-3"] = "lost";
+      fixture.engines.unresponsive_scorers = {"engine-3"};
+    }
+    fixture.StartInstance("one");
+    REQUIRE(fixture.Submit("one", BatchFixture::WithRewardCalls(BatchFixture::MakeJob("job", 2 * kItems))) ==
+            SubmitOutcome::kAccepted);
+    fixture.scheduler.Advance(Duration::Seconds(5));
+    CHECK(CompletedWithScore(fixture, fixture.Read("one", "job", 0)) == 2 * kItems);
+  }
+}
+
 // Guards against stored results that are read without the score that their last part holds, and against rows of earlier
 // versions of the program that can no longer be read.
 TEST_CASE("scores and reward calls are stored, and rows without them are still read") {
