Send requests to another service of a split when their own cannot take them

ChooseServices now decides for each attempt, and a request that its own service would have to refuse goes to the next one first, within the attempts of its route. A stream that begins on another service than its own gets a row in the table, since one without a row counts as begun by its own service; if it cannot be written, the stream is not passed on.

Evidence: on the code before, 6 cases of request_forwarder_test fail, among them "a request goes to another service of its split while its own has no working endpoint, and back again"; all pass now.

--- a/src/coordination/stream_origins.cc
+++ b/src/coordination/stream_origins.cc
@@ -79,8 +79,13 @@
   return found == m_common_versions.end() ? std::nullopt : std::optional<std::string>(found->second.version);
 }
 
-void StreamOrigins::Record(const std::string& stream, const StreamOrigin& origin,
+void StreamOrigins::Record(const std::string& stream, const StreamOrigin& origin, const std::string& default_service,
                            std::function<void(StreamRecordOutcome)> callback) {
+  StartOnce();
+  if (origin.service != default_service) {
+    RecordRow(stream, origin, callback);
+    return;
+  }
   WithCommonVersion(origin.service, [this, stream, origin,
                                      callback = std::move(callback)](const std::optional<std::string>& common_version) {
     if (!common_version.has_value()) {
@@ -91,15 +96,20 @@
       callback(StreamRecordOutcome::kRecorded);
       return;
     }
-    WriteOrigin(StreamKey(stream), origin, [callback](const TransactResult& result) {
-      if (result.outcome == TransactOutcome::kCommitted) {
-        callback(StreamRecordOutcome::kRecorded);
-        return;
-      }
-      // A row that exists already has another origin, so this stream must not continue from here either.
-      callback(result.outcome == TransactOutcome::kUnavailable ? StreamRecordOutcome::kNotRecorded
-                                                               : StreamRecordOutcome::kUnknown);
-    });
+    RecordRow(stream, origin, callback);
+  });
+}
+
+void StreamOrigins::RecordRow(const std::string& stream, const StreamOrigin& origin,
+                              const std::function<void(StreamRecordOutcome)>& callback) {
+  WriteOrigin(StreamKey(stream), origin, [callback](const TransactResult& result) {
+    if (result.outcome == TransactOutcome::kCommitted) {
+      callback(StreamRecordOutcome::kRecorded);
+      return;
+    }
+    // A row that exists already has another origin, so this stream must not continue from here either.
+    callback(result.outcome == TransactOutcome::kUnavailable ? StreamRecordOutcome::kNotRecorded
+                                                             : StreamRecordOutcome::kUnknown);
   });
 }
 
--- a/src/coordination/stream_origins.h
+++ b/src/coordination/stream_origins.h
@@ -33,7 +33,7 @@
 
 // Finds the software version that began a stream when its caller takes it up again, at any instance and also after a
 // restart of all instances. Each service has a common version, whose streams need no row; a stream that begins on
-// another version has a row in the table.
+// another version, or on another service of a split than its own, has a row in the table.
 class StreamOrigins {
  public:
   // `wall_ms` returns Unix time in milliseconds.
@@ -41,9 +41,10 @@
                 std::function<int64_t()> wall_ms)
       : m_store(store), m_scheduler(scheduler), m_endpoints(endpoints), m_wall_ms(std::move(wall_ms)) {}
 
-  // Records where a stream began. Must have succeeded before the caller gets any part of the stream. The callback may
-  // run within the call.
-  void Record(const std::string& stream, const StreamOrigin& origin, std::function<void(StreamRecordOutcome)> callback);
+  // Records where a stream began. Must have succeeded before the caller gets any part of the stream. `default_service`
+  // is the service with which Find will be called. The callback may run within the call.
+  void Record(const std::string& stream, const StreamOrigin& origin, const std::string& default_service,
+              std::function<void(StreamRecordOutcome)> callback);
   // Finds where a stream began. `service` is that of streams without a row. The callback receives nothing if the table
   // does not answer, and for a stream without a name unless all endpoints of the service have one software version and
   // the table has no stream that began on another one.
@@ -72,6 +73,9 @@
   // services from then on.
   void StartOnce();
   TimePoint Now() const { return m_scheduler->clock().Now(); }
+  // Writes the row of a stream that has none, and passes the outcome on.
+  void RecordRow(const std::string& stream, const StreamOrigin& origin,
+                 const std::function<void(StreamRecordOutcome)>& callback);
   // Writes the row of a stream unless it exists, and notes it for its removal.
   void WriteOrigin(const std::string& key, const StreamOrigin& origin,
                    std::function<void(const TransactResult&)> callback);
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -14,6 +14,7 @@
 #include "protocol/error_body.h"
 #include "state/endpoint_choice.h"
 #include "state/request_fingerprint.h"
+#include "state/split_choice.h"
 
 namespace quetzalridge {
 
@@ -97,11 +98,10 @@
     m_deadline_timer = m_forwarder->m_context.scheduler->After(limit - kResponseMargin, [this] { OnDeadline(); });
     m_responder->SetCloseCallback([this] { OnCallerDisconnected(); });
     if (ContinuesStream()) {
-      m_service = ChooseService(m_route, Hash64(m_request.stream_id));
+      m_service = OwnService(m_request.stream_id);
       FindOrigin();
       return;
     }
-    m_service = ChooseService(m_route, Hash64(m_request.id));
     StartAttempt();
   }
 
@@ -230,6 +230,8 @@
   }
 
   bool ContinuesStream() const { return IsResumableStream() && m_request.continues_stream; }
+  // The service that the weights of the route give to a request; that of streams without a row in StreamOrigins.
+  const std::string& OwnService(const std::string& id) const { return ChooseService(m_route, Hash64(id)); }
   // The name of a stream in StreamOrigins, from the id of the attempt that began it. Workspaces do not share streams.
   std::string StreamName(const std::string& id) const { return m_workspace + "/" + id; }
 
@@ -259,7 +261,7 @@
   void RecordOrigin() {
     const StreamOrigin origin{m_service, m_attempt_software_version};
     m_recording = true;
-    m_forwarder->m_context.stream_origins->Record(StreamName(m_request.id), origin,
+    m_forwarder->m_context.stream_origins->Record(StreamName(m_request.id), origin, OwnService(m_request.id),
                                                   m_guard.Wrap([this, origin](StreamRecordOutcome outcome) {
                                                     if (!m_finished) {
                                                       OnOriginRecorded(origin, outcome);
@@ -272,10 +274,13 @@
     const StreamOrigins* origins = m_forwarder->m_context.stream_origins;
     const std::string common = origins->CommonVersion(origin.service).value_or("");
     // Without a row and a common version, another instance would continue the stream on the version that becomes the
-    // common one later. That can only be this version if the service has no other.
+    // common one later. That can only be this version if the service has no other. Without a row, it would also
+    // continue the stream on the request's own service.
+    const bool is_own_service = origin.service == OwnService(m_request.id);
+    const bool will_be_common = common.empty() && m_forwarder->m_context.endpoints->HasOnlySoftwareVersion(
+                                                      origin.service, origin.software_version);
     const bool cannot_be_found =
-        outcome == StreamRecordOutcome::kNotRecorded && common.empty() &&
-        !m_forwarder->m_context.endpoints->HasOnlySoftwareVersion(origin.service, origin.software_version);
+        outcome == StreamRecordOutcome::kNotRecorded && (!is_own_service || (common.empty() && !will_be_common));
     if (outcome == StreamRecordOutcome::kUnknown || cannot_be_found) {
       // A row of this stream may exist or not, so no instance may continue it.
       m_exchange.reset();
@@ -302,7 +307,7 @@
       }
       return;
     }
-    if (common != origin.software_version) {
+    if (common != origin.software_version || !is_own_service) {
       m_software_version = origin.software_version;
     }
     if (!m_end_while_recording.has_value()) {
@@ -324,6 +329,27 @@
     result.detail = "the refusal was cut off: " + reason;
     OnEnd(result);
   }
+  // Selects the service of the next attempt. Returns false if no service of the route is left that may run it. The
+  // request would be refused if it did not leave its own service, so it does not wait there for long. A stream that may
+  // be continued leaves only a service without working endpoints: each one needs a row in the table, whose rate of
+  // writes is too low for all streams under overload.
+  bool SelectService() {
+    const bool has_begun = m_software_version.has_value();
+    const bool leaves_full_service = !m_exhausted_services.empty() && !IsResumableStream();
+    const std::vector<std::string> services =
+        has_begun ? std::vector<std::string>{m_service}
+                  : ChooseServices(m_route, Hash64(m_request.id), *m_forwarder->m_context.endpoints, Regions(),
+                                   leaves_full_service ? kMaxServiceWait : Duration());
+    const auto next = std::find_if(services.begin(), services.end(), [this](const std::string& service) {
+      return m_exhausted_services.count(service) == 0;
+    });
+    if (next == services.end()) {
+      return false;
+    }
+    m_service = *next;
+    return true;
+  }
+
   // A change of the configuration applies to the next attempt.
   HomeRegions Regions() const { return m_forwarder->m_context.routes->HomeRegionsOf(m_route, m_workspace); }
   bool HasTimeLeft() const { return m_deadline - Now() > kMinTimeLeft + kResponseMargin; }
@@ -619,8 +645,10 @@
   std::unique_ptr<EndpointExchange> m_exchange;
   std::unique_ptr<Timer> m_refusal_timer;
   size_t m_refusal_bytes = 0;
-  // The service that runs the request.
+  // The service of the latest attempt.
   std::string m_service;
+  // Services that have no endpoint for the request.
+  std::set<std::string> m_exhausted_services;
   // Only endpoints with this software version may run the request; any if absent.
   std::optional<std::string> m_software_version;
   // The origin of the stream is being recorded; arriving parts of the response are buffered.
@@ -670,6 +698,10 @@
 
 void RequestForwarder::Request::StartAttempt() {
   StopWaiting();
+  if (!SelectService()) {
+    SendFailure(false);
+    return;
+  }
   std::vector<const DirectoryEndpoint*> usable = m_forwarder->m_context.endpoints->Usable(m_service, Regions());
   if (m_software_version.has_value()) {
     usable.erase(std::remove_if(usable.begin(), usable.end(),
@@ -700,7 +732,8 @@
   const bool refusals_exhausted =
       endpoint != nullptr && m_tried.count(endpoint->entry.id) > 0 && m_refusals >= kMaxRefusals;
   if (endpoint == nullptr || refusals_exhausted) {
-    SendFailure(false);
+    m_exhausted_services.insert(m_service);
+    StartAttempt();
     return;
   }
   m_head.reset();
--- a/tests/coordination/stream_origins_test.cc
+++ b/tests/coordination/stream_origins_test.cc
@@ -24,7 +24,8 @@
   }
   StreamRecordOutcome Record(const std::string& stream, const std::string& version) {
     std::optional<StreamRecordOutcome> outcome;
-    origins->Record(stream, {kService, version}, [&outcome](StreamRecordOutcome received) { outcome = received; });
+    origins->Record(stream, {kService, version}, kService,
+                    [&outcome](StreamRecordOutcome received) { outcome = received; });
     scheduler.Advance(Duration::Seconds(10));
     REQUIRE(outcome.has_value());
     return *outcome;
@@ -123,7 +124,7 @@
   // Another instance knows of the new endpoints and begins a stream there.
   StreamOrigins other(&fixture.store, &fixture.scheduler, &fixture.directory,
                       [&] { return fixture.scheduler.Now().ms(); });
-  other.Record("b", {kService, "v2"}, [](StreamRecordOutcome) {});
+  other.Record("b", {kService, "v2"}, kService, [](StreamRecordOutcome) {});
   fixture.scheduler.Advance(Duration::Seconds(1));
   CHECK(fixture.Find("").empty());
   // Nobody continues it any more.
--- a/tests/gateway/request_forwarder_test.cc
+++ b/tests/gateway/request_forwarder_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "coordination/rate_limiter.h"
 #include "state/request_fingerprint.h"
 #include "tests/fakes/fake_table_store.h"
@@ -117,7 +118,7 @@
     route.name = "stream";
     route.kind = RouteKind::kStream;
     route.resumable = true;
-    route.services = {{kService, 1}};
+    route.services = services;
     route.max_attempts = 2;
     route.timeout = Duration::Seconds(5);
     IncomingRequest request;
@@ -143,15 +144,30 @@
     directory.Update(entries, false);
   }
 
-  void Send(RouteKind kind) {
+  // Lets only these endpoints serve, by id, each for a service.
+  void ServeServices(const std::map<std::string, std::string>& served) {
+    std::vector<EndpointEntry> entries;
+    for (const auto& [id, service] : served) {
+      EndpointEntry entry;
+      entry.id = id;
+      entry.service = service;
+      entry.slots = 6;
+      entry.software_version = "v1";
+      entries.push_back(entry);
+    }
+    directory.Update(entries, false);
+  }
+
+  void Send(RouteKind kind, const std::string& id = "r") {
+    view = CallerView();
     ServiceRoute route;
     route.name = "route";
     route.kind = kind;
-    route.services = {{kService, 1}};
+    route.services = services;
     route.max_attempts = 2;
     route.timeout = Duration::Seconds(5);
     IncomingRequest request;
-    request.id = "r";
+    request.id = id;
     request.method = "POST";
     forwarder.Forward(std::move(request), route, "w", std::make_shared<FakeResponder>(&view));
   }
@@ -183,6 +199,8 @@
       {&scheduler, &routes, &directory, &endpoints, &permits, &usage, &metrics, &origins, "a", nullptr, &quarantine},
       1};
   CallerView view;
+  // The services of the routes.
+  std::vector<ServiceShare> services = {{kService, 1}};
 };
 
 // Guards against callers that wait until their deadline, and against memory without bound, while an endpoint does not
@@ -684,5 +702,144 @@
   CHECK(FindHeader(fixture.view.headers, "retry-after") != nullptr);
 }
 
+constexpr char kOtherService[] = "other";
+
+// The id of a request that the weights of two equal shares give to a service.
+std::string IdFor(const std::string& service, const std::string& name) {
+  ServiceRoute route;
+  route.services = {{kService, 50}, {kOtherService, 50}};
+  int number = 0;
+  while (ChooseService(route, Hash64(name + std::to_string(number))) != service) {
+    ++number;
+  }
+  return name + std::to_string(number);
+}
+
+// Guards against errors for a share of the callers while the endpoints of another service of the split are free.
+TEST_CASE("a request goes to another service of its split while its own has no working endpoint, and back again") {
+  for (const RouteKind kind : {RouteKind::kIdempotent, RouteKind::kNonIdempotent, RouteKind::kStream}) {
+    ForwarderFixture fixture;
+    fixture.services = {{kService, 50}, {kOtherService, 50}};
+    fixture.ServeServices({{"b0", kOtherService}});
+    fixture.Send(kind, IdFor(kService, "lost"));
+    REQUIRE(fixture.endpoints.attempts.size() == 1);
+    CHECK(fixture.endpoints.attempts[0]->call.endpoint_id == "b0");
+    fixture.ServeServices({{"a0", kService}, {"b0", kOtherService}});
+    fixture.Send(kind, IdFor(kService, "back"));
+    CHECK(fixture.endpoints.attempts.back()->call.endpoint_id == "a0");
+    fixture.ServeServices({});
+    fixture.Send(kind, IdFor(kService, "none"));
+    CHECK(fixture.view.status == 503);
+    CHECK(fixture.endpoints.attempts.size() == 2);
+  }
+}
+
+TEST_CASE("a retry goes to another service of the split when the endpoints of the own one do not respond") {
+  for (const RouteKind kind : {RouteKind::kIdempotent, RouteKind::kNonIdempotent}) {
+    for (const EndpointCallOutcome outcome : {EndpointCallOutcome::kNotSent, EndpointCallOutcome::kNoResponse}) {
+      ForwarderFixture fixture;
+      fixture.services = {{kService, 50}, {kOtherService, 50}};
+      fixture.ServeServices({{"a0", kService}, {"b0", kOtherService}});
+      fixture.Send(kind, IdFor(kService, "r"));
+      REQUIRE(fixture.endpoints.attempts[0]->call.endpoint_id == "a0");
+      fixture.Observer(0)->OnEnd(ForwarderFixture::Result(outcome));
+      // Only a request that has certainly not run, or that may run twice, is sent again.
+      const bool may_retry = kind == RouteKind::kIdempotent || outcome == EndpointCallOutcome::kNotSent;
+      REQUIRE(fixture.endpoints.attempts.size() == (may_retry ? 2 : 1));
+      CHECK((!may_retry || fixture.endpoints.attempts[1]->call.endpoint_id == "b0"));
+    }
+  }
+}
+
+// Guards against refusals while endpoints of another service of the split are free, and against a service that loses
+// requests because one of its endpoints is full.
+TEST_CASE("a request leaves its service when all endpoints there have refused it, and not before") {
+  for (const RouteKind kind : {RouteKind::kIdempotent, RouteKind::kNonIdempotent}) {
+    ForwarderFixture fixture;
+    fixture.services = {{kService, 50}, {kOtherService, 50}};
+    fixture.ServeServices({{"a0", kService}, {"a1", kService}, {"b0", kOtherService}});
+    fixture.Send(kind, IdFor(kService, "r"));
+    for (size_t attempt = 0; fixture.view.status == 0 && attempt < 20; ++attempt) {
+      REQUIRE(attempt < fixture.endpoints.attempts.size());
+      const bool is_own = fixture.endpoints.attempts[attempt]->call.endpoint_id != "b0";
+      CHECK(is_own == (attempt < 2));
+      fixture.Observer(attempt)->OnHead(ForwarderFixture::Head(is_own ? 503 : 200, is_own));
+      fixture.Observer(attempt)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+    }
+    CHECK(fixture.view.status == 200);
+    CHECK(fixture.endpoints.attempts.size() == 3);
+  }
+}
+
+TEST_CASE("a request goes to another service of its split when the endpoints of its own are not permitted to take it") {
+  ForwarderFixture fixture;
+  fixture.services = {{kService, 50}, {kOtherService, 50}};
+  fixture.ServeServices({{"a0", kService}, {"b0", kOtherService}});
+  fixture.permits.limited = {"a0"};
+  fixture.permits.wait = Duration::Seconds(2);
+  fixture.Send(RouteKind::kNonIdempotent, IdFor(kService, "r"));
+  REQUIRE(fixture.endpoints.attempts.size() == 1);
+  CHECK(fixture.endpoints.attempts[0]->call.endpoint_id == "b0");
+}
+
+TEST_CASE("a request that all services of its split refuse is refused as not run") {
+  ForwarderFixture fixture;
+  fixture.services = {{kService, 50}, {kOtherService, 50}};
+  fixture.ServeServices({{"a0", kService}, {"b0", kOtherService}});
+  fixture.Send(RouteKind::kNonIdempotent, IdFor(kService, "r"));
+  for (size_t attempt = 0; fixture.view.status == 0 && attempt < 20; ++attempt) {
+    REQUIRE(attempt < fixture.endpoints.attempts.size());
+    fixture.Observer(attempt)->OnHead(ForwarderFixture::Head(503, true));
+    fixture.Observer(attempt)->OnEnd(ForwarderFixture::Result(EndpointCallOutcome::kComplete));
+  }
+  CHECK(fixture.view.status == 503);
+}
+
+// Guards against a stream that is joined from two services: without a row, it counts as begun by its own service, whose
+// software version may have the same name.
+TEST_CASE("a stream that began on another service of its split is continued there, also when its own is back") {
+  ForwarderFixture fixture;
+  fixture.services = {{kService, 50}, {kOtherService, 50}};
+  // The common version of both services is known.
+  fixture.ServeServices({{"a0", kService}, {"b0", kOtherService}});
+  for (const char* service : {kService, kOtherService}) {
+    fixture.SendStream(IdFor(service, "first"));
+    fixture.endpoints.attempts.back()->observer->OnHead(ForwarderFixture::Head(200, false));
+    fixture.scheduler.Advance(Duration::Milliseconds(10));
+  }
+  fixture.ServeServices({{"b0", kOtherService}});
+  const std::string id = IdFor(kService, "r");
+  fixture.SendStream(id);
+  fixture.endpoints.attempts.back()->observer->OnHead(ForwarderFixture::Head(200, false));
+  fixture.endpoints.attempts.back()->observer->OnBody("id: 1\ndata: a\n\n");
+  fixture.scheduler.Advance(Duration::Milliseconds(10));
+  REQUIRE(fixture.view.body == "id: 1\ndata: a\n\n");
+  fixture.ServeServices({{"a0", kService}, {"b0", kOtherService}});
+  for (const char* service : {kService, kOtherService}) {
+    fixture.SendStream(IdFor(service, "continued"), id);
+    CHECK(fixture.endpoints.attempts.back()->call.endpoint_id == "b0");
+  }
+  // Its own service does not get it either when the other one is lost.
+  fixture.ServeServices({{"a0", kService}});
+  const size_t before = fixture.endpoints.attempts.size();
+  fixture.SendStream("late", id);
+  CHECK(fixture.view.status == 503);
+  CHECK(fixture.endpoints.attempts.size() == before);
+}
+
+// Guards against a part of a stream that its own service would continue.
+TEST_CASE("a stream on another service of its split is not passed on when its origin cannot be recorded") {
+  ForwarderFixture fixture;
+  fixture.services = {{kService, 50}, {kOtherService, 50}};
+  fixture.ServeServices({{"b0", kOtherService}});
+  fixture.table.unavailable = true;
+  fixture.SendStream(IdFor(kService, "r"));
+  fixture.endpoints.attempts.back()->observer->OnHead(ForwarderFixture::Head(200, false));
+  fixture.endpoints.attempts.back()->observer->OnBody("id: 1\ndata: a\n\n");
+  fixture.scheduler.Advance(Duration::Seconds(4));
+  CHECK(fixture.view.body.find("data: a") == std::string::npos);
+  CHECK(fixture.view.status == 502);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/platform/node_cluster.h
+++ b/tests/platform/node_cluster.h
@@ -81,10 +81,11 @@
   // An engine. Its address is that of its first start.
   const soak::Replica& engine(int i) const { return *m_replicas[static_cast<size_t>(kEndpoints + i)]; }
   void RemoveFromRegistry(const std::string& id) { m_platform.Remove("servers", id); }
-  // Adds an endpoint of the plain service that the test runs itself.
-  void AddToRegistry(const std::string& id, const std::string& address) {
+  // Adds an endpoint that the test runs itself.
+  void AddToRegistry(const std::string& id, const std::string& address,
+                     const std::string& service = soak::kPlainService) {
     m_platform.Put("servers", id,
-                   {{"Service", soak::kPlainService},
+                   {{"Service", service},
                     {"Addr", address},
                     {"Zone", "a"},
                     {"Slots", 8},
