--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -50,8 +50,9 @@
 constexpr size_t kMaxCallerReads = 2;
 constexpr size_t kMaxWaitingCallerReads = 256;
 
-// Whether callers of the workspace may read and end the job. A job without a workspace was accepted without a key, on a
-// public route by an earlier version or before the configuration had workspaces. To refuse everyone would lose it.
+// Whether callers of the workspace may read and end the job. A job without a workspace is from a public route of an
+// earlier version, or from before the configuration had workspaces. Whose it is is not known, and to refuse everyone
+// would lose it.
 bool MayAccess(const std::string& workspace, const BatchSpec& job) {
   return job.workspace.empty() || job.workspace == workspace;
 }
