Try waiting items once where a route is not split, and check access to a job in one place

On a route with one service, StartNextItem tried all items a second time whenever none could start, and that pass could not start any: it runs now only for routes with several services. FindOrReadJob compared the workspace in two places, and the condition for a stream whose origin cannot be found tested the common version twice. No behaviour changes.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -741,29 +741,31 @@
 
 void BatchCoordinator::FindOrReadJob(const std::string& id, const std::string& workspace,
                                      const std::function<void(BatchCallStatus, Job*)>& callback) {
+  const auto respond = [workspace, callback](Job* job) {
+    const bool may_access = MayAccess(workspace, job->rows.head.spec);
+    callback(may_access ? BatchCallStatus::kOk : BatchCallStatus::kNotFound, may_access ? job : nullptr);
+  };
   const auto known = m_jobs.find(id);
   if (known != m_jobs.end()) {
-    const bool may_access = MayAccess(workspace, known->second.rows.head.spec);
-    callback(may_access ? BatchCallStatus::kOk : BatchCallStatus::kNotFound, may_access ? &known->second : nullptr);
+    respond(&known->second);
     return;
   }
-  m_context.store->Scan(
-      BatchPrefix(id), "", kRowsPerScan,
-      m_guard.Wrap([this, id, workspace, callback, read_at = Now()](const ReadResult& read) {
-        if (!read.ok) {
-          callback(BatchCallStatus::kUnavailable, nullptr);
-          return;
-        }
-        OnJobRows(id, read_at, read);
-        const auto found = m_jobs.find(id);
-        if (found == m_jobs.end()) {
-          // Rows that cannot be read are no proof that the job does not exist.
-          callback(read.rows.empty() ? BatchCallStatus::kNotFound : BatchCallStatus::kUnavailable, nullptr);
-          return;
-        }
-        const bool may_access = MayAccess(workspace, found->second.rows.head.spec);
-        callback(may_access ? BatchCallStatus::kOk : BatchCallStatus::kNotFound, may_access ? &found->second : nullptr);
-      }));
+  m_context.store->Scan(BatchPrefix(id), "", kRowsPerScan,
+                        m_guard.Wrap([this, id, callback, respond, read_at = Now()](const ReadResult& read) {
+                          if (!read.ok) {
+                            callback(BatchCallStatus::kUnavailable, nullptr);
+                            return;
+                          }
+                          OnJobRows(id, read_at, read);
+                          const auto found = m_jobs.find(id);
+                          if (found == m_jobs.end()) {
+                            // Rows that cannot be read are no proof that the job does not exist.
+                            callback(read.rows.empty() ? BatchCallStatus::kNotFound : BatchCallStatus::kUnavailable,
+                                     nullptr);
+                            return;
+                          }
+                          respond(&found->second);
+                        }));
 }
 
 void BatchCoordinator::ReadResults(const std::string& id, const std::string& workspace, size_t position, Duration wait,
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -270,17 +270,15 @@
   UpdateQueues(*route);
   const std::vector<size_t> next = m_progress.NextItems(Now());
   UnmetNeeds unmet;
+  const auto start_without_wait = [&](size_t index) { return StartItem(index, *route, Duration(), &unmet); };
+  const auto start_by_wait = [&](size_t index) {
+    const TimePoint waits_since = std::max(m_started_at, m_progress.item(index).interrupted_at);
+    return StartItem(index, *route, Now() - waits_since, &unmet);
+  };
   // An item that has waited for its own service for long takes a slot of another one only if none of that one's items
-  // can use it, so its time counts only once all items were tried without it.
-  for (const bool time_counts : {false, true}) {
-    for (const size_t index : next) {
-      const TimePoint waits_since = std::max(m_started_at, m_progress.item(index).interrupted_at);
-      if (StartItem(index, *route, time_counts ? Now() - waits_since : Duration(), &unmet)) {
-        return true;
-      }
-    }
-  }
-  return false;
+  // can use it, so its wait counts only once all items were tried without it.
+  return std::any_of(next.begin(), next.end(), start_without_wait) ||
+         (route->services.size() > 1 && std::any_of(next.begin(), next.end(), start_by_wait));
 }
 
 void BatchRunner::UpdateQueues(const ServiceRoute& route) {
--- a/src/gateway/request_forwarder.cc
+++ b/src/gateway/request_forwarder.cc
@@ -277,10 +277,10 @@
     // common one later. That can only be this version if the service has no other. Without a row, it would also
     // continue the stream on the request's own service.
     const bool is_own_service = origin.service == OwnService(m_request.id);
-    const bool will_be_common = common.empty() && m_forwarder->m_context.endpoints->HasOnlySoftwareVersion(
-                                                      origin.service, origin.software_version);
+    const bool other_may_become_common = common.empty() && !m_forwarder->m_context.endpoints->HasOnlySoftwareVersion(
+                                                               origin.service, origin.software_version);
     const bool cannot_be_found =
-        outcome == StreamRecordOutcome::kNotRecorded && (!is_own_service || (common.empty() && !will_be_common));
+        outcome == StreamRecordOutcome::kNotRecorded && (!is_own_service || other_may_become_common);
     if (outcome == StreamRecordOutcome::kUnknown || cannot_be_found) {
       // A row of this stream may exist or not, so no instance may continue it.
       m_exchange.reset();
