Test a split batch route with 12,000 items, and texts that earlier versions stored

The test of stored texts named those of earlier versions and did not check them: it now reads a row without the service. The first test of many items starts each of 12,000 once while the service of a tenth of them has no endpoint.

--- a/tests/coordination/batch_split_test.cc
+++ b/tests/coordination/batch_split_test.cc
@@ -268,6 +268,37 @@
   EventTranscript transcript;
   transcript.Restore(read[0]);
   CHECK(transcript.service() == kOther);
+  // Earlier versions end the value before the service, of which only the eight bytes of an empty length are cut here.
+  // The low byte of the length of the value follows the byte order, the length of the transaction id and its two bytes.
+  constexpr size_t kLengthBytes = 8;
+  constexpr size_t kValueLengthAt = 1 + kLengthBytes + 2;
+  text.service.clear();
+  std::string earlier = EncodePartialText(text, "tx", 10'000).front();
+  earlier.resize(earlier.size() - kLengthBytes);
+  earlier[kValueLengthAt] = static_cast<char>(earlier[kValueLengthAt] - static_cast<char>(kLengthBytes));
+  const std::vector<PartialText> read_earlier =
+      DecodePartialTextRows({{PartialTextKey("m", "item", 0), 1, earlier, ""}});
+  REQUIRE(read_earlier.size() == 1);
+  CHECK(read_earlier[0].service.empty());
+  CHECK(read_earlier[0].software_version == "v2");
+}
+
+// Guards against items of a large job that are left out, or run twice, when the share of their service is moved.
+TEST_CASE("a job of 12,000 items is done though a service of its route's split has no endpoints") {
+  constexpr int kManyItems = 12'000;
+  SplitFixture fixture({{kBatchService, 90}, {kOther, 10}});
+  fixture.engines.stopped = {"engine-2", "engine-3"};
+  fixture.engines.events_per_item = 1;
+  fixture.engines.event_gap = Duration::Milliseconds(1);
+  fixture.StartInstance("one");
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kManyItems)) == SubmitOutcome::kAccepted);
+  fixture.scheduler.Advance(Duration::Seconds(30));
+  std::set<std::string> items;
+  for (const ItemRunRecord& run : fixture.engines.runs) {
+    items.insert(run.item);
+  }
+  CHECK(items.size() == kManyItems);
+  CHECK(fixture.engines.runs.size() == kManyItems);
 }
 
 }  // namespace
