--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -29,10 +29,11 @@
 constexpr size_t kBodyBytes = 300;
 // Servers of one service differ in speed.
 constexpr int64_t kEventGapsMs[] = {20, 30, 45, 25, 35, 50};
-// The longest freeze of the site file.
+// A freeze goes on for this time after another machine has taken the job over.
 constexpr Duration kAfterTakeover = Duration::Milliseconds(30);
 // A client waits so long for the answer to its submission before it tries another machine.
 constexpr Duration kSubmitTimeout = Duration::Seconds(2);
+// The longest freeze of the site file.
 constexpr Duration kFreeze = Duration::Seconds(4);
 constexpr Duration kDeadline = Duration::Seconds(12);
 
@@ -156,7 +157,8 @@
     return false;
   }
   if (frozen) {
-    deployment->WaitFor([&taken_over] { return taken_over; }, kFreeze - (deployment->Now() - began_at));
+    deployment->WaitFor([&taken_over] { return taken_over; },
+                        kFreeze - kAfterTakeover - (deployment->Now() - began_at));
     deployment->Wait(kAfterTakeover);
     deployment->Signal(first, SIGCONT, "SIGCONT");
   }
