Run a batch job only under the owner row that proved the ownership

A process that froze while its submission was stored, or while it took a job over, ran the job beside its successor and appended results under the successor's right.

Cause: the last step of a load made the runner from the rows that were known by then. A periodic read that ended between two steps had put the rows of the new owner there, so that the runner's checks held. A load is now a value that has the rows by which this process knows that it is the owner; every step passes it on and drops it when a later owner row, another load or the end of the job is known. The response to a write no longer replaces rows that are newer.

Ruled out: a check in StartRunner alone. It mends the case, but leaves two loads of one job at once, and the rows that the response to the submission overwrites.

The write of partial texts that a job has used up checks the versions that were read, so that a late removal keeps newer texts.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -38,6 +38,8 @@
 // Partial texts are kept this long, since a trainer submits unfinished items again in one of its next steps.
 constexpr Duration kPartialTextLifetime = Duration::Seconds(120);
 constexpr int kMaxRowsPerRemoval = 90;
+// Each row takes an entry for its check and one for its removal.
+constexpr size_t kMaxCheckedRemovals = kMaxRowsPerRemoval / 2;
 constexpr size_t kMaxPageBytes = 700'000;
 // Interval at which an instance that does not own a job polls the table for a waiting reader. It is short because a
 // training step ends only when the trainer has read the last result.
@@ -316,6 +318,8 @@
     if (is_new || rows->owner_version > job.rows.owner_version) {
       job.orphaned_at.reset();
       job.owner_seen_at = Now();
+      // A load in progress relies on an earlier owner row.
+      job.load_number = 0;
     }
     job.rows = std::move(*rows);
     job.rows.ended = ended;
@@ -329,7 +333,7 @@
 }
 
 void BatchCoordinator::CheckOwner(const std::string& id, Job* job) {
-  if (m_draining || job->runner != nullptr || job->loading || !job->IsOpen()) {
+  if (m_draining || job->runner != nullptr || job->load_number != 0 || !job->IsOpen()) {
     job->orphaned_at.reset();
     return;
   }
@@ -403,7 +407,7 @@
       return;
     }
     // A read of the rows may have returned the new owner before the response to this write arrived.
-    if (claimed.runner == nullptr && !claimed.loading && claimed.rows.owner_version <= result.revision) {
+    if (claimed.runner == nullptr && claimed.load_number == 0 && claimed.rows.owner_version <= result.revision) {
       claimed.rows.owner = owner;
       claimed.rows.owner_version = result.revision;
       LoadAndRun(id, &claimed);
@@ -411,52 +415,89 @@
   });
 }
 
+std::shared_ptr<BatchCoordinator::Load> BatchCoordinator::BeginLoad(const std::string& id, Job* job) {
+  auto load = std::make_shared<Load>();
+  load->id = id;
+  load->number = ++m_last_load_number;
+  load->rows = job->rows;
+  job->load_number = load->number;
+  return load;
+}
+
+BatchCoordinator::Job* BatchCoordinator::FindLoadedJob(const Load& load) {
+  const auto found = m_jobs.find(load.id);
+  Job* job = found == m_jobs.end() ? nullptr : &found->second;
+  const bool is_current = job != nullptr && job->load_number == load.number &&
+                          job->rows.owner_version == load.rows.owner_version && !job->rows.ended && !m_draining;
+  if (is_current) {
+    return job;
+  }
+  Log(LogEvent::kBatchOwned, {{"job", load.id},
+                              {"step", "load dropped"},
+                              {"epoch", std::to_string(load.rows.owner.epoch)},
+                              {"known_epoch", job == nullptr ? "-" : std::to_string(job->rows.owner.epoch)}});
+  AbortLoad(load);
+  return nullptr;
+}
+
+// If this process still owns the job, the next tick loads it again.
+void BatchCoordinator::AbortLoad(const Load& load) {
+  const auto found = m_jobs.find(load.id);
+  if (found != m_jobs.end() && found->second.load_number == load.number) {
+    found->second.load_number = 0;
+  }
+}
+
 // Reads the rows after this process became the owner, so that no write of the previous owner is missed.
 void BatchCoordinator::LoadAndRun(const std::string& id, Job* job) {
-  job->loading = true;
-  const auto on_rows = [this, id, read_at = Now()](const ReadResult& read) {
-    bool malformed = false;
-    std::optional<BatchRows> rows = read.ok ? ReadBatchRows(read.rows, &malformed) : std::nullopt;
-    const auto found = m_jobs.find(id);
-    if (found == m_jobs.end()) {
+  const std::shared_ptr<Load> load = BeginLoad(id, job);
+  m_context.store->Scan(
+      BatchPrefix(id), "", kRowsPerScan,
+      m_guard.Wrap([this, load, read_at = Now()](const ReadResult& read) { OnLoadRows(load, read_at, read); }));
+}
+
+void BatchCoordinator::OnLoadRows(const std::shared_ptr<Load>& load, TimePoint read_at, const ReadResult& read) {
+  Job* job = FindLoadedJob(*load);
+  if (job == nullptr) {
+    return;
+  }
+  bool malformed = false;
+  std::optional<BatchRows> rows = read.ok ? ReadBatchRows(read.rows, &malformed) : std::nullopt;
+  if (!rows.has_value() || rows->owner_version != load->rows.owner_version || rows->ended) {
+    AbortLoad(*load);
+    RefreshJob(load->id);
+    return;
+  }
+  job->rows = *rows;
+  load->rows = std::move(*rows);
+  load->confirmed_at = read_at;
+  LoadItems(load->id, load->rows.head.submission, [this, load](const std::shared_ptr<std::vector<BatchItem>>& items) {
+    if (FindLoadedJob(*load) == nullptr) {
       return;
     }
-    if (!rows.has_value() || !IsThisProcess(rows->owner) || rows->ended) {
-      // If this process is the owner nevertheless, the next tick detects it.
-      found->second.loading = false;
-      RefreshJob(id);
+    if (items == nullptr) {
+      AbortLoad(*load);
       return;
     }
-    found->second.rows = std::move(*rows);
-    LoadItems(id, [this, id, read_at](const std::shared_ptr<std::vector<BatchItem>>& items) {
-      const auto loaded = m_jobs.find(id);
-      if (loaded == m_jobs.end()) {
-        return;
-      }
-      if (items == nullptr) {
-        loaded->second.loading = false;
-        return;
-      }
-      ScanAll(BatchTextsPrefix(id), "", std::make_shared<std::vector<TableRow>>(),
-              [this, id, read_at, items](const std::shared_ptr<std::vector<TableRow>>& text_rows) {
-                const auto owned = m_jobs.find(id);
-                if (owned == m_jobs.end()) {
-                  return;
-                }
-                owned->second.loading = false;
-                if (text_rows != nullptr && IsThisProcess(owned->second.rows.owner)) {
-                  LoadPartialTextsAndRun(id, *items, read_at, DecodePartialTextRows(*text_rows));
-                }
-              });
-    });
-  };
-  m_context.store->Scan(BatchPrefix(id), "", kRowsPerScan, m_guard.Wrap(on_rows));
+    load->items = std::move(*items);
+    ScanAll(BatchTextsPrefix(load->id), "", std::make_shared<std::vector<TableRow>>(),
+            [this, load](const std::shared_ptr<std::vector<TableRow>>& text_rows) {
+              if (FindLoadedJob(*load) == nullptr) {
+                return;
+              }
+              if (text_rows == nullptr) {
+                AbortLoad(*load);
+                return;
+              }
+              load->complete_texts = DecodePartialTextRows(*text_rows);
+              LoadPartialTextsAndRun(load);
+            });
+  });
 }
 
-void BatchCoordinator::LoadItems(const std::string& id,
+void BatchCoordinator::LoadItems(const std::string& id, const std::string& submission,
                                  const std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>& callback) {
-  const std::string prefix = BatchItemsPrefix(id, m_jobs.at(id).rows.head.submission);
-  LoadItemsAfter(id, prefix, "", std::make_shared<std::string>(), callback);
+  LoadItemsAfter(id, BatchItemsPrefix(id, submission), "", std::make_shared<std::string>(), callback);
 }
 
 void BatchCoordinator::LoadItemsAfter(
@@ -504,27 +545,17 @@
                         }));
 }
 
-void BatchCoordinator::LoadPartialTextsAndRun(const std::string& id, std::vector<BatchItem> items,
-                                              TimePoint confirmed_at, std::vector<PartialText> complete_texts) {
-  const std::string prefix = PartialTextPrefix(m_jobs.at(id).rows.head.spec.model);
-  auto kept_items = std::make_shared<std::vector<BatchItem>>(std::move(items));
-  m_jobs.at(id).loading = true;
-  m_context.store->Scan(
-      prefix, "", kRowsPerScan,
-      m_guard.Wrap(
-          [this, id, kept_items, confirmed_at, complete_texts = std::move(complete_texts)](const ReadResult& read) {
-            const auto job = m_jobs.find(id);
-            if (job == m_jobs.end()) {
-              return;
-            }
-            job->second.loading = false;
-            if (m_draining || job->second.runner != nullptr) {
-              return;
-            }
-            // If the read failed, there are no rows, and all items are generated from the beginning.
-            RemovePartialTexts(read.rows, *kept_items);
-            StartRunner(id, std::move(*kept_items), confirmed_at, DecodePartialTextRows(read.rows), complete_texts);
-          }));
+void BatchCoordinator::LoadPartialTextsAndRun(const std::shared_ptr<Load>& load) {
+  const std::string prefix = PartialTextPrefix(load->rows.head.spec.model);
+  m_context.store->Scan(prefix, "", kRowsPerScan, m_guard.Wrap([this, load](const ReadResult& read) {
+    Job* job = FindLoadedJob(*load);
+    if (job == nullptr) {
+      return;
+    }
+    // If the read failed, there are no rows, and all items are generated from the beginning.
+    RemovePartialTexts(read.rows, load->items);
+    StartRunner(load.get(), job, DecodePartialTextRows(read.rows));
+  }));
 }
 
 // Removes the partial texts that this job uses, and those that expired because no job used them.
@@ -540,12 +571,14 @@
       done.insert(partial.item);
     }
   }
+  // The checks keep texts that another process has stored meanwhile: the owner row is in another partition, so this
+  // transaction cannot check the ownership of the job.
   TableTransaction transaction;
   transaction.id = RandomHex(kRandomIdBytes);
   for (const TableRow& row : rows) {
     const std::string name = SplitTableKey(row.key).name;
-    if (done.count(name.substr(0, name.find('.'))) > 0 &&
-        transaction.writes.size() < static_cast<size_t>(kMaxRowsPerRemoval)) {
+    if (done.count(name.substr(0, name.find('.'))) > 0 && transaction.writes.size() < kMaxCheckedRemovals) {
+      transaction.checks.push_back({row.key, row.version});
       transaction.writes.push_back({row.key, std::nullopt});
     }
   }
@@ -555,28 +588,27 @@
   }
 }
 
-void BatchCoordinator::StartRunner(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
-                                   const std::vector<PartialText>& texts,
-                                   const std::vector<PartialText>& complete_texts) {
-  Job& job = m_jobs.at(id);
-  Log(LogEvent::kBatchOwned, {{"job", id},
+void BatchCoordinator::StartRunner(Load* load, Job* job, const std::vector<PartialText>& texts) {
+  Log(LogEvent::kBatchOwned, {{"job", load->id},
                               {"step", "running"},
-                              {"epoch", std::to_string(job.rows.owner.epoch)},
-                              {"items", std::to_string(items.size())},
-                              {"listed", std::to_string(job.rows.result_list.item_indices.size())},
-                              {"model", job.rows.head.spec.model},
-                              {"oldest_version", std::to_string(job.rows.head.spec.oldest_version)}});
-  job.items.reset();
-  job.runner = std::make_unique<BatchRunner>(&m_context, job.rows, std::move(items), confirmed_at);
+                              {"epoch", std::to_string(load->rows.owner.epoch)},
+                              {"items", std::to_string(load->items.size())},
+                              {"listed", std::to_string(load->rows.result_list.item_indices.size())},
+                              {"model", load->rows.head.spec.model},
+                              {"oldest_version", std::to_string(load->rows.head.spec.oldest_version)}});
+  job->load_number = 0;
+  job->items.reset();
+  job->runner =
+      std::make_unique<BatchRunner>(&m_context, std::move(load->rows), std::move(load->items), load->confirmed_at);
   // A caller may have ended the job while its rows were read.
-  if (job.end_requested) {
-    job.runner->End();
+  if (job->end_requested) {
+    job->runner->End();
   }
-  if (!complete_texts.empty()) {
-    job.runner->RestoreCompleteTexts(complete_texts);
+  if (!load->complete_texts.empty()) {
+    job->runner->RestoreCompleteTexts(load->complete_texts);
   }
-  job.runner->RestorePartialTexts(texts);
-  job.runner->SetItemsReadyCallback([this] { ScheduleStartItems(); });
+  job->runner->RestorePartialTexts(texts);
+  job->runner->SetItemsReadyCallback([this] { ScheduleStartItems(); });
   StartWaitingItems();
 }
 
@@ -678,35 +710,29 @@
   transaction.writes.push_back({BatchHeadKey(spec->id), EncodeBatchHead(head)});
   transaction.writes.push_back({BatchOwnerKey(spec->id), EncodeBatchOwner(owner)});
   transaction.writes.push_back({BatchResultListKey(spec->id), EncodeBatchResultList({})});
+  BatchRows rows;
+  rows.head = std::move(head);
+  rows.owner = owner;
   m_resolving_store.Transact(std::move(transaction), BatchHeadKey(spec->id),
-                             [this, spec, head, owner, callback, sent_at = Now()](const TransactResult& result) {
-                               if (result.outcome == TransactOutcome::kCommitted) {
-                                 Job& job = m_jobs[spec->id];
-                                 job.rows.head = head;
-                                 job.rows.owner = owner;
-                                 job.rows.owner_version = result.revision;
-                                 job.rows.result_list_version = result.revision;
-                                 job.read_at = sent_at;
-                                 RecordVersionLag(head.spec);
-                               }
-                               OnHeadStored(spec, sent_at, result, callback);
+                             [this, spec, rows, callback, sent_at = Now()](const TransactResult& result) {
+                               OnHeadStored(spec, rows, sent_at, result, callback);
                              });
 }
 
-void BatchCoordinator::OnHeadStored(const std::shared_ptr<BatchSpec>& spec, TimePoint sent_at,
+void BatchCoordinator::OnHeadStored(const std::shared_ptr<BatchSpec>& spec, const BatchRows& rows, TimePoint sent_at,
                                     const TransactResult& result, const std::function<void(SubmitOutcome)>& callback) {
   switch (result.outcome) {
-    case TransactOutcome::kCommitted:
+    case TransactOutcome::kCommitted: {
       Log(LogEvent::kBatchAccepted, {{"job", spec->id},
                                      {"items", std::to_string(spec->items.size())},
                                      {"stored_ms", std::to_string((Now() - sent_at).ms())}});
+      BatchRows stored = rows;
+      stored.owner_version = result.revision;
+      stored.result_list_version = result.revision;
+      AddStoredJob(spec, stored, sent_at);
       callback(SubmitOutcome::kAccepted);
-      if (!IsThisProcess(m_jobs.at(spec->id).rows.owner)) {
-        m_fleet.notify_owner(m_jobs.at(spec->id).rows.owner.instance, spec->id);
-      } else if (!m_draining) {
-        LoadPartialTextsAndRun(spec->id, std::move(spec->items), sent_at, {});
-      }
       return;
+    }
     case TransactOutcome::kConflict:
       OnRepeatedSubmission(*spec, callback);
       return;
@@ -720,6 +746,30 @@
   }
 }
 
+void BatchCoordinator::AddStoredJob(const std::shared_ptr<BatchSpec>& spec, const BatchRows& rows, TimePoint sent_at) {
+  const auto [entry, is_new] = m_jobs.try_emplace(spec->id);
+  Job& job = entry->second;
+  if (is_new) {
+    RecordVersionLag(rows.head.spec);
+  }
+  // A read may have returned these rows, or those of a later owner, before the response to the write arrived.
+  if (job.rows.owner_version < rows.owner_version) {
+    job.rows = rows;
+  }
+  job.read_at = std::max(job.read_at, sent_at);
+  if (!IsThisProcess(rows.owner)) {
+    m_fleet.notify_owner(rows.owner.instance, spec->id);
+    return;
+  }
+  if (m_draining || job.runner != nullptr || job.rows.owner_version != rows.owner_version || !job.IsOpen()) {
+    return;
+  }
+  const std::shared_ptr<Load> load = BeginLoad(spec->id, &job);
+  load->confirmed_at = sent_at;
+  load->items = std::move(spec->items);
+  LoadPartialTextsAndRun(load);
+}
+
 // An acceptance would be worth nothing to a caller that may not read the job.
 void BatchCoordinator::OnRepeatedSubmission(const BatchSpec& spec, const std::function<void(SubmitOutcome)>& callback) {
   FindOrReadJob(spec.id, spec.workspace, [id = spec.id, callback](BatchCallStatus status, Job*) {
@@ -904,7 +954,8 @@
         return;
       }
       LoadItems(
-          id, [this, id, find, callback, done = std::move(done)](const std::shared_ptr<std::vector<BatchItem>>& items) {
+          id, known->second.rows.head.submission,
+          [this, id, find, callback, done = std::move(done)](const std::shared_ptr<std::vector<BatchItem>>& items) {
             if (items == nullptr) {
               callback(BatchCallStatus::kUnavailable, "");
               done();
@@ -1035,7 +1086,7 @@
 // Stores the partial texts first, so that the next owner can read them. If the write of the next owner fails, another
 // instance takes the job over as it would from a lost instance.
 void BatchCoordinator::HandOver(const std::string& id, Job* job) {
-  const BatchOwner next = NextOwner(job->rows.head.spec, job->rows.owner.epoch + 1);
+  const BatchOwner next = NextOwner(job->rows.head.spec, job->runner->owner().epoch + 1);
   const std::string key = BatchOwnerKey(id);
   TableTransaction transaction;
   transaction.id = RandomHex(kRandomIdBytes);
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -131,8 +131,8 @@
     bool reading = false;
     // A write that makes this process the owner is in flight.
     bool claiming = false;
-    // This process is the owner and reads the job's rows and items before it runs them.
-    bool loading = false;
+    // The number of the load in progress, by which this process gets what it needs to run the job; 0 if there is none.
+    uint64_t load_number = 0;
     // The rows are being removed from the table.
     bool removing = false;
     // A caller has asked this instance to end the job. The end is stored once `rows.ended` is set; only then may it be
@@ -146,6 +146,21 @@
     std::shared_ptr<const std::vector<BatchItem>> items;
   };
 
+  // A job on its way from the proof that this process owns it to the start of its runner. All steps pass on the same
+  // load, so that the runner starts with the owner row that proved the ownership, and not with a later one that another
+  // process may have written meanwhile.
+  struct Load {
+    std::string id;
+    uint64_t number = 0;
+    // The rows that this process wrote, or that a read returned with this process as the owner.
+    BatchRows rows;
+    // When that write or read began.
+    TimePoint confirmed_at;
+    std::vector<BatchItem> items;
+    // Those that the job's previous owner has stored.
+    std::vector<PartialText> complete_texts;
+  };
+
   TimePoint Now() const { return m_context.scheduler->clock().Now(); }
   void Tick();
   void OnPartitions(const PartitionsResult& result);
@@ -168,24 +183,27 @@
   BatchOwner NextOwner(const BatchSpec& spec, int64_t epoch) const;
   void HandOver(const std::string& id, Job* job);
   void TakeOver(const std::string& id, Job* job);
+  std::shared_ptr<Load> BeginLoad(const std::string& id, Job* job);
+  // Returns the job of a load, or nullptr if the load must not go on: another load or owner has taken its place, or the
+  // job has ended or is gone.
+  Job* FindLoadedJob(const Load& load);
+  void AbortLoad(const Load& load);
   // Reads a job whose owner row names this process, and runs it.
   void LoadAndRun(const std::string& id, Job* job);
-  void LoadItems(const std::string& id,
+  void OnLoadRows(const std::shared_ptr<Load>& load, TimePoint read_at, const ReadResult& read);
+  void LoadItems(const std::string& id, const std::string& submission,
                  const std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>& callback);
   void LoadItemsAfter(const std::string& id, const std::string& prefix, const std::string& after,
                       const std::shared_ptr<std::string>& bytes,
                       const std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>& callback);
   // Reads the stored partial texts of the job's items, then runs the job. They come from earlier jobs of the same model
   // or from the previous owner.
-  // `complete_texts` are those that the job's previous owner has stored.
-  void LoadPartialTextsAndRun(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
-                              std::vector<PartialText> complete_texts);
+  void LoadPartialTextsAndRun(const std::shared_ptr<Load>& load);
   // Runs the callback with all rows whose keys begin with `prefix`, or with nothing if a read failed.
   void ScanAll(const std::string& prefix, const std::string& after, const std::shared_ptr<std::vector<TableRow>>& rows,
                const std::function<void(const std::shared_ptr<std::vector<TableRow>>&)>& callback);
   void RemovePartialTexts(const std::vector<TableRow>& rows, const std::vector<BatchItem>& items);
-  void StartRunner(const std::string& id, std::vector<BatchItem> items, TimePoint confirmed_at,
-                   const std::vector<PartialText>& texts, const std::vector<PartialText>& complete_texts);
+  void StartRunner(Load* load, Job* job, const std::vector<PartialText>& texts);
   // Number of instances that own open jobs.
   int CountOwners() const;
   RewardCallContext MakeRewardCallContext();
@@ -193,8 +211,10 @@
   void StoreItems(const std::shared_ptr<BatchSpec>& spec, const std::string& submission,
                   const std::shared_ptr<std::vector<std::string>>& chunks, size_t begin,
                   const std::function<void(SubmitOutcome)>& callback);
-  void OnHeadStored(const std::shared_ptr<BatchSpec>& spec, TimePoint sent_at, const TransactResult& result,
-                    const std::function<void(SubmitOutcome)>& callback);
+  void OnHeadStored(const std::shared_ptr<BatchSpec>& spec, const BatchRows& rows, TimePoint sent_at,
+                    const TransactResult& result, const std::function<void(SubmitOutcome)>& callback);
+  // Takes a job over from the submission that stored it, and runs it if this process is the owner.
+  void AddStoredJob(const std::shared_ptr<BatchSpec>& spec, const BatchRows& rows, TimePoint sent_at);
   // Answers a submission whose id the table already has.
   void OnRepeatedSubmission(const BatchSpec& spec, const std::function<void(SubmitOutcome)>& callback);
   // Runs the callback with the job, which is read from the table if this instance does not know it. The status is
@@ -217,6 +237,7 @@
   StepFirstRewardCallPolicy m_default_reward_call_policy;
   RewardCallDispatcher m_reward_calls;
   std::map<std::string, Job> m_jobs;
+  uint64_t m_last_load_number = 0;
   // Version lags of the latest jobs, by model, oldest job first. See VersionLag.
   std::map<std::string, std::deque<int64_t>> m_version_lags;
   std::unique_ptr<Timer> m_tick_timer;
--- a/tests/fakes/fake_table_store.h
+++ b/tests/fakes/fake_table_store.h
@@ -25,6 +25,8 @@
   Duration latency = Duration::Milliseconds(1);
   // A read takes up to this much longer, by a random amount.
   Duration max_read_delay;
+  // How much longer the response to a scan of keys with this prefix takes. May be null.
+  std::function<Duration(const std::string& prefix)> scan_delay;
   double lost_response_probability = 0.0;
   // The responses to this many of the next transactions are lost.
   int responses_to_lose = 0;
@@ -192,9 +194,10 @@
   }
 
   void Scan(std::string prefix, std::string after, int limit, ReadCallback callback) override {
+    const Duration delay = m_table->scan_delay ? m_table->scan_delay(prefix) : Duration();
     ReadWith<ReadResult>([prefix = std::move(prefix), after = std::move(after),
                           limit](FakeTable* table) { return table->ScanRows(prefix, after, limit); },
-                         std::move(callback));
+                         std::move(callback), delay);
   }
 
   void ListPartitions(std::string table_name, PartitionsCallback callback) override {
@@ -211,16 +214,17 @@
   bool IsUnreachable() const { return partitioned || m_table->unavailable; }
 
   template <typename Result>
-  void ReadWith(std::function<Result(FakeTable*)> read, std::function<void(const Result&)> callback) {
+  void ReadWith(std::function<Result(FakeTable*)> read, std::function<void(const Result&)> callback,
+                Duration delay = Duration()) {
     if (IsUnreachable()) {
       Respond<Result>(m_table->latency, {}, std::move(callback));
       return;
     }
-    m_table->scheduler()->Post(m_table->latency, [this, state = std::weak_ptr<State>(m_state), table = m_table,
+    m_table->scheduler()->Post(m_table->latency, [this, state = std::weak_ptr<State>(m_state), table = m_table, delay,
                                                   read = std::move(read), callback = std::move(callback)]() mutable {
       const Result result = read(table);
       if (!state.expired()) {
-        Respond<Result>(table->latency + table->DrawReadDelay(), result, std::move(callback));
+        Respond<Result>(table->latency + delay + table->DrawReadDelay(), result, std::move(callback));
       }
     });
   }
