Serve results of a batch job from memory only if this process has stored them

Callers could see the result of another run at a position than the table holds there. After a conflict, the items in the stored list counted as stored, and reads served what this process had in memory for them.

Only the results of a committed write stay in memory now. Those that another write has listed, or one whose outcome was unknown, are read from the table, whichever way the write turned out.

Before, on: "a position that another write has listed*" failed; it passes now.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -739,12 +739,10 @@
   if (result.outcome == TransactOutcome::kCommitted) {
     BatchResultList result_list = m_rows.result_list;
     result_list.item_indices.insert(result_list.item_indices.end(), appended.begin(), appended.end());
-    ApplyResultList(result_list, result.revision);
+    ApplyResultList(result_list, result.revision, std::set<size_t>(appended.begin(), appended.end()));
     ScheduleAppend(kAppendWindow);
     return;
   }
-  // The result list of another owner refers to results of that owner's runs, so it must not be combined with the
-  // results in the memory of this process.
   for (const TableRow& row : result.rows) {
     if (row.key == BatchOwnerKey(m_spec.id) && row.version > m_rows.owner_version) {
       m_ownership_lost = true;
@@ -758,13 +756,16 @@
     }
     const std::optional<BatchResultList> result_list = DecodeBatchResultList(row.value);
     if (result_list.has_value()) {
-      ApplyResultList(*result_list, row.version);
+      ApplyResultList(*result_list, row.version, {});
     }
   }
   ScheduleAppend(kAppendRetry);
 }
 
-void BatchRunner::ApplyResultList(const BatchResultList& result_list, int64_t version) {
+// A position holds what the table has there. An item that another write has listed may have another result there than
+// in this process, where it ran as well, so only results of committed writes of this runner stay in memory.
+void BatchRunner::ApplyResultList(const BatchResultList& result_list, int64_t version,
+                                  const std::set<size_t>& written) {
   m_rows.result_list = result_list;
   m_rows.result_list_version = version;
   for (const size_t index : result_list.item_indices) {
@@ -772,7 +773,7 @@
       m_runs.erase(index);
       m_context->reward_calls->Cancel(this, index);
       m_progress.SetPhase(index, ItemPhase::kStored);
-      if (!MayCacheResult(index)) {
+      if (written.count(index) == 0 || !MayCacheResult(index)) {
         m_progress.item(index).result.reset();
         m_text_memory.erase(index);
       }
@@ -802,7 +803,7 @@
     m_confirmed_at = read_at;
   }
   if (rows.result_list_version > m_rows.result_list_version && !m_appending) {
-    ApplyResultList(rows.result_list, rows.result_list_version);
+    ApplyResultList(rows.result_list, rows.result_list_version, {});
   }
 }
 
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -113,7 +113,7 @@
   const BatchOwner& owner() const { return m_rows.owner; }
   const BatchResultList& result_list() const { return m_rows.result_list; }
   size_t stored_count() const { return m_rows.result_list.item_indices.size(); }
-  // The stored result at a position, or nullptr if it is not in memory.
+  // The stored result at a position, or nullptr if it is not in memory. Only results that this runner has stored are.
   const BatchResult* StoredResultAt(size_t position) const;
   // The callback runs once, when the result at `position` is stored, or IsDone() becomes true.
   void WaitForResult(size_t position, std::function<void()> callback);
@@ -187,7 +187,8 @@
   void ScheduleAppend(Duration delay);
   void Append();
   void OnAppended(const std::vector<size_t>& appended, const TransactResult& result);
-  void ApplyResultList(const BatchResultList& result_list, int64_t version);
+  // `written` has the items whose results are known to be stored by a write of this runner.
+  void ApplyResultList(const BatchResultList& result_list, int64_t version, const std::set<size_t>& written);
   // Whether a result that the table has stays in memory, too.
   bool MayCacheResult(size_t index) const;
   void NotifyWaiters();
--- a/tests/coordination/batch_ownership_test.cc
+++ b/tests/coordination/batch_ownership_test.cc
@@ -91,6 +91,33 @@
   CHECK(fixture.Read(successor, "job", 0).results.size() == kItems);
 }
 
+// Guards against a position that shows the result of another run than the table has there: the item was listed by a
+// write that is not this runner's, under the same owner row.
+TEST_CASE("a position that another write has listed shows what the table holds there") {
+  BatchFixture fixture(3);
+  fixture.StartInstance("one");
+  // Keeps the job open.
+  fixture.engines.long_items["job-item-2"] = 1000;
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", 3)) == SubmitOutcome::kAccepted);
+  // The first write of results is lost.
+  fixture.table.responses_to_lose = 1;
+  fixture.table.never_apply_probability = 1.0;
+  fixture.scheduler.Advance(Duration::Milliseconds(400));
+  BatchResult listed;
+  listed.item = "job-item-0";
+  listed.state = BatchResultState::kCompleted;
+  listed.text = "the text of another run";
+  TableTransaction other;
+  other.id = "other";
+  other.writes = {{BatchResultKey("job", 0, 0), EncodeBatchResult(listed)}, {BatchResultListKey("job"), "[0]"}};
+  REQUIRE(fixture.table.Apply(other).outcome == TransactOutcome::kCommitted);
+  fixture.scheduler.Advance(Duration::Seconds(3));
+  const BatchPage page = fixture.Read("one", "job", 0);
+  REQUIRE(!page.results.empty());
+  CHECK(page.results[0].text == listed.text);
+  CHECK(fixture.Read("one", "job", 1).results.size() == 1);
+}
+
 // Plays freezes at random steps of submissions, takeovers and runs, with responses of the table in random order, and
 // compares everything that readers get at any instance.
 class FreezeSimulation {
