Take each failed check of the owner row for the loss of a batch job

Reward calls were sent for items of a job that this process no longer owned: the write of their texts failed its only check, that of the owner row, but the conflict named no newer row, and the texts counted as not stored.

Before, on: "no score is requested for a text that was not stored*" failed; it passes now.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -609,12 +609,10 @@
 // trainer would otherwise have to wait for both.
 void BatchRunner::OnCompleteTextsStored(const std::vector<size_t>& indices, const TransactResult& result) {
   m_storing_complete_texts = false;
-  for (const TableRow& row : result.rows) {
-    if (row.key == BatchOwnerKey(m_spec.id) && row.version > m_rows.owner_version) {
-      m_ownership_lost = true;
-      CancelRuns();
-      return;
-    }
+  // The only check is that of the owner row.
+  if (result.outcome == TransactOutcome::kConflict) {
+    OnOwnershipLost();
+    return;
   }
   for (const size_t index : indices) {
     RequestScore(index);
@@ -744,9 +742,8 @@
     return;
   }
   for (const TableRow& row : result.rows) {
-    if (row.key == BatchOwnerKey(m_spec.id) && row.version > m_rows.owner_version) {
-      m_ownership_lost = true;
-      CancelRuns();
+    if (row.key == BatchOwnerKey(m_spec.id) && row.version != m_rows.owner_version) {
+      OnOwnershipLost();
       return;
     }
   }
@@ -762,6 +759,11 @@
   ScheduleAppend(kAppendRetry);
 }
 
+void BatchRunner::OnOwnershipLost() {
+  m_ownership_lost = true;
+  CancelRuns();
+}
+
 // A position holds what the table has there. An item that another write has listed may have another result there than
 // in this process, where it ran as well, so only results of committed writes of this runner stay in memory.
 void BatchRunner::ApplyResultList(const BatchResultList& result_list, int64_t version,
@@ -791,8 +793,7 @@
 
 void BatchRunner::OnRows(const BatchRows& rows, TimePoint read_at) {
   if (rows.owner_version > m_rows.owner_version) {
-    m_ownership_lost = true;
-    CancelRuns();
+    OnOwnershipLost();
     return;
   }
   if (rows.ended) {
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -192,6 +192,7 @@
   // Whether a result that the table has stays in memory, too.
   bool MayCacheResult(size_t index) const;
   void NotifyWaiters();
+  void OnOwnershipLost();
 
   const BatchContext* m_context;
   BatchRows m_rows;
--- a/tests/coordination/batch_ownership_test.cc
+++ b/tests/coordination/batch_ownership_test.cc
@@ -118,6 +118,20 @@
   CHECK(fixture.Read("one", "job", 1).results.size() == 1);
 }
 
+// Guards against reward calls of a process whose job is gone: its conflict names no newer owner.
+TEST_CASE("no score is requested for a text that was not stored because the job has no owner row") {
+  BatchFixture fixture(4);
+  fixture.StartInstance("one");
+  REQUIRE(fixture.Submit("one", BatchFixture::WithRewardCalls(BatchFixture::MakeJob("job", 1))) ==
+          SubmitOutcome::kAccepted);
+  TableTransaction removal;
+  removal.id = "removal";
+  removal.writes = {{BatchOwnerKey("job"), std::nullopt}};
+  REQUIRE(fixture.table.Apply(removal).outcome == TransactOutcome::kCommitted);
+  fixture.scheduler.Advance(Duration::Milliseconds(500));
+  CHECK(fixture.engines.reward_calls.empty());
+}
+
 // Plays freezes at random steps of submissions, takeovers and runs, with responses of the table in random order, and
 // compares everything that readers get at any instance.
 class FreezeSimulation {
