Let a frozen owner of a batch job answer and store only once its ownership is confirmed

A former owner that had been frozen answered that a position has no result, though its successor had stored one and callers had read it. When it was stopped before its next read of the rows, it replaced stored texts by older ones.

Cause: until that read it counts as the owner. Results that this process has stored itself are still served from memory, since a stored result never changes.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -853,7 +853,8 @@
   });
 }
 
-// Results that this process stored are served from memory; the others are read from the table.
+// Results that this process stored are served from memory; the others are read from the table. An owner that has not
+// been confirmed lately, such as one that was frozen, cannot know that there is no result yet.
 void BatchCoordinator::ReadStoredResults(const std::string& id, size_t position, size_t total, TimePoint deadline,
                                          const std::function<void(const BatchPage&)>& callback) {
   const auto known = m_jobs.find(id);
@@ -871,7 +872,8 @@
       bytes += result->text.size();
       page.results.push_back(*result);
     }
-    if (!page.results.empty() || position >= runner.stored_count()) {
+    const bool nothing_stored = position >= runner.stored_count() && runner.IsOwnershipConfirmed();
+    if (!page.results.empty() || nothing_stored) {
       callback(page);
       return;
     }
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -233,7 +233,11 @@
 // so items keep starting. This requires a read that failed recently: an instance whose process was paused must read the
 // rows before it starts items.
 bool BatchRunner::MayStartItems() const {
-  if (m_ended || m_ownership_lost || m_stopped) {
+  return !m_ended && !m_stopped && IsOwnershipConfirmed();
+}
+
+bool BatchRunner::IsOwnershipConfirmed() const {
+  if (m_ownership_lost) {
     return false;
   }
   const TimePoint now = Now();
@@ -775,7 +779,7 @@
       m_runs.erase(index);
       m_context->reward_calls->Cancel(this, index);
       m_progress.SetPhase(index, ItemPhase::kStored);
-      if (written.count(index) == 0 || !MayCacheResult(index)) {
+      if (written.count(index) == 0 || !HasRoomForResult(index)) {
         m_progress.item(index).result.reset();
         m_text_memory.erase(index);
       }
@@ -784,7 +788,7 @@
   NotifyWaiters();
 }
 
-bool BatchRunner::MayCacheResult(size_t index) const {
+bool BatchRunner::HasRoomForResult(size_t index) const {
   const std::optional<BatchResult>& result = m_progress.item(index).result;
   const MemoryBudget* memory = m_context->response_memory;
   return result.has_value() &&
@@ -826,8 +830,13 @@
 }
 
 // The outcome of the write is ignored: a text that was not stored is generated again. Also removes the stored texts of
-// items whose result is stored.
+// items whose result is stored. The owner row is in another partition, so the write cannot check it; a process that may
+// have lost the job leaves the texts to the new owner.
 void BatchRunner::StoreTexts(int64_t min_new_events, std::function<void()> callback) {
+  if (!IsOwnershipConfirmed()) {
+    callback();
+    return;
+  }
   std::vector<std::pair<size_t, PartialText>> texts;
   TableTransaction transaction;
   transaction.id = RandomHex(kTransactionIdBytes);
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -105,6 +105,8 @@
   bool ended() const { return m_ended; }
   // Another process has taken the job over.
   bool ownership_lost() const { return m_ownership_lost; }
+  // A recent read or write has shown that this process is the owner, or the table has been down since one did.
+  bool IsOwnershipConfirmed() const;
   // This process has nothing left to run or to store for the job.
   bool IsDone() const { return m_ended || m_ownership_lost || m_progress.AllStored(); }
   // No write of results or complete texts is in flight, and none is scheduled.
@@ -189,10 +191,10 @@
   void OnAppended(const std::vector<size_t>& appended, const TransactResult& result);
   // `written` has the items whose results are known to be stored by a write of this runner.
   void ApplyResultList(const BatchResultList& result_list, int64_t version, const std::set<size_t>& written);
-  // Whether a result that the table has stays in memory, too.
-  bool MayCacheResult(size_t index) const;
-  void NotifyWaiters();
+  // Whether a result that the table has may stay in memory, too.
+  bool HasRoomForResult(size_t index) const;
   void OnOwnershipLost();
+  void NotifyWaiters();
 
   const BatchContext* m_context;
   BatchRows m_rows;
--- a/tests/coordination/batch_ownership_test.cc
+++ b/tests/coordination/batch_ownership_test.cc
@@ -132,6 +132,43 @@
   CHECK(fixture.engines.reward_calls.empty());
 }
 
+// Guards against an owner that was frozen and answers that a position, which was read at its successor, has no result.
+TEST_CASE("an owner that was frozen does not answer from memory that a position has no result") {
+  BatchFixture fixture(5);
+  fixture.engines.event_gap = Duration::Milliseconds(100);
+  fixture.StartInstance("one");
+  fixture.StartInstance("two");
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kItems)) == SubmitOutcome::kAccepted);
+  fixture.PauseInstance("one");
+  fixture.scheduler.Advance(Duration::Seconds(8));
+  REQUIRE(!fixture.Read("two", "job", 0).results.empty());
+  fixture.instances.at("one")->process.Resume();
+  CHECK(!fixture.Read("one", "job", 0).results.empty());
+}
+
+// Guards against a former owner that replaces stored texts by the older ones in its memory when it wakes and stops.
+TEST_CASE("an owner that was frozen stores no texts before its ownership is confirmed") {
+  BatchFixture fixture(6);
+  fixture.engines.event_gap = Duration::Milliseconds(100);
+  fixture.engines.events_per_item = 100;
+  fixture.StartInstance("one");
+  fixture.StartInstance("two");
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kItems)) == SubmitOutcome::kAccepted);
+  fixture.scheduler.Advance(Duration::Seconds(2));
+  fixture.PauseInstance("one");
+  fixture.scheduler.Advance(Duration::Seconds(7));
+  REQUIRE(RunsBy(fixture, "two") > 0);
+  const std::string key = PartialTextKey(kBatchModel, "job-item-0", 0);
+  const int64_t stored = fixture.table.Row(key).version;
+  REQUIRE(stored != 0);
+  fixture.PauseInstance("two");
+  auto& former = *fixture.instances.at("one");
+  former.coordinator.Drain([] {});
+  former.process.Resume();
+  fixture.scheduler.Advance(Duration::Seconds(2));
+  CHECK(fixture.table.Row(key).version == stored);
+}
+
 // Plays freezes at random steps of submissions, takeovers and runs, with responses of the table in random order, and
 // compares everything that readers get at any instance.
 class FreezeSimulation {
