Leave nothing of the end of a batch job that was refused

Cause: the request was remembered and the items stopped before the outcome of the write was known, and a refused write was repeated at each tick. Now the end takes effect only once it is stored. A refused write leaves nothing, neither here nor at another instance.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -155,7 +155,6 @@
   const Duration refresh_interval = std::max(
       kRemoteJobRefreshInterval, kRemoteJobRefreshPerInstance * static_cast<int64_t>(m_fleet.live_instances().size()));
   std::vector<std::string> jobs_to_refresh;
-  std::vector<std::string> ends_to_store;
   std::vector<std::string> expired;
   for (auto& [id, job] : m_jobs) {
     if (IsExpired(job) && !job.removing && TakeoverRank(id, m_fleet.live_instances(), "") == 0) {
@@ -164,9 +163,6 @@
     if (job.runner != nullptr && job.runner->IsDone() && job.runner->HasNoPendingAppend()) {
       RemoveRunner(&job, job.runner->ownership_lost() ? "taken over" : "done");
     }
-    if (job.end_requested && !job.rows.ended && !job.storing_end) {
-      ends_to_store.push_back(id);
-    }
     const int rank = job.IsOpen() ? TakeoverRank(id, job) : -1;
     const bool is_watcher = rank >= 0 && rank < kWatchersPerJob;
     if (job.runner != nullptr || is_watcher || (job.IsOpen() && Now() - job.read_at >= refresh_interval)) {
@@ -176,9 +172,6 @@
   for (const std::string& id : jobs_to_refresh) {
     RefreshJob(id);
   }
-  for (const std::string& id : ends_to_store) {
-    StoreEnd(id, [](BatchCallStatus) {});
-  }
   for (const std::string& id : expired) {
     RemoveExpired(id);
   }
@@ -600,10 +593,6 @@
   job->items.reset();
   job->runner =
       std::make_unique<BatchRunner>(&m_context, std::move(load->rows), std::move(load->items), load->confirmed_at);
-  // A caller may have ended the job while its rows were read.
-  if (job->end_requested) {
-    job->runner->End();
-  }
   if (!load->complete_texts.empty()) {
     job->runner->RestoreCompleteTexts(load->complete_texts);
   }
@@ -624,7 +613,7 @@
                                   {"reason", reason},
                                   {"listed", std::to_string(job->runner->stored_count())},
                                   {"of", std::to_string(job->runner->progress().size())}});
-  job->end_requested = job->end_requested || job->runner->ended();
+  job->rows.ended = job->rows.ended || job->runner->ended();
   if (!job->runner->ownership_lost()) {
     job->rows.result_list = job->runner->result_list();
   }
@@ -984,17 +973,13 @@
       callback(status);
       return;
     }
-    // The items stop running now, whatever the outcome of the write. Tick repeats a write that fails.
-    job->end_requested = true;
-    if (job->runner != nullptr) {
-      job->runner->End();
-    }
     StoreEnd(id, callback);
   });
 }
 
+// The items stop only once the end is stored. An end that the table has refused for sure leaves no trace, since the
+// caller is told that it never takes effect; one whose outcome is unknown is resolved by m_resolving_store.
 void BatchCoordinator::StoreEnd(const std::string& id, const std::function<void(BatchCallStatus)>& callback) {
-  m_jobs.at(id).storing_end = true;
   const std::string key = BatchEndKey(id);
   TableTransaction transaction;
   transaction.id = RandomHex(kRandomIdBytes);
@@ -1003,11 +988,11 @@
   m_resolving_store.Transact(std::move(transaction), key, [this, id, callback](const TransactResult& result) {
     const bool stored = result.outcome == TransactOutcome::kCommitted || result.outcome == TransactOutcome::kConflict;
     const auto found = m_jobs.find(id);
-    if (found != m_jobs.end()) {
-      found->second.storing_end = false;
-    }
     if (stored && found != m_jobs.end()) {
       found->second.rows.ended = true;
+      if (found->second.runner != nullptr) {
+        found->second.runner->End();
+      }
       const std::string& owner = found->second.rows.owner.instance;
       if (m_fleet.notify_end && !owner.empty() && owner != m_context.instance) {
         m_fleet.notify_end(owner, id);
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -85,7 +85,9 @@
                    const std::function<void(const BatchPage&)>& callback);
   void ReadItemBody(const std::string& job, const std::string& workspace, const std::string& item,
                     const std::function<void(BatchCallStatus, const std::string&)>& callback);
-  // Ends a job for its caller: no further item runs. The job's stored results stay readable.
+  // Ends a job for its caller: no further item runs. The job's stored results stay readable. With kUnavailable, the end
+  // has had no effect and never will have one. While it is not known whether the table has stored the end, the job goes
+  // on, and the callback does not run.
   void End(const std::string& job, const std::string& workspace, const std::function<void(BatchCallStatus)>& callback);
 
   // Called when another instance reports that a caller has ended a job.
@@ -116,9 +118,7 @@
   // What this instance knows about a job.
   struct Job {
     // Some items have no stored result yet, and no caller has ended the job.
-    bool IsOpen() const {
-      return !rows.ended && !end_requested && rows.result_list.item_indices.size() < rows.head.item_count;
-    }
+    bool IsOpen() const { return !rows.ended && rows.result_list.item_indices.size() < rows.head.item_count; }
 
     BatchRows rows;
     // When the latest read of the rows began.
@@ -135,11 +135,6 @@
     uint64_t load_number = 0;
     // The rows are being removed from the table.
     bool removing = false;
-    // A caller has asked this instance to end the job. The end is stored once `rows.ended` is set; only then may it be
-    // acknowledged, since another process would otherwise run the job again.
-    bool end_requested = false;
-    // A write of the end is in flight.
-    bool storing_end = false;
     // Set while this process runs the job.
     std::unique_ptr<BatchRunner> runner;
     // Items kept for callers that read item bodies from an instance that does not own the job.
