Store long lists of results of a batch job in several rows

A batch job with more than about 10,000 items stood still: the list of its results is one row, which then exceeds the largest row of the store, so that no further result was stored.

Earlier parts of a long list are in rows of their own now, 6,000 results each, written once. The row that each write of results checks has the rest. The layout of shorter lists is unchanged; that of longer ones is rejected by earlier versions, which do not take such jobs over.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -698,7 +698,9 @@
   transaction.checks = {{BatchHeadKey(spec->id), 0}};
   transaction.writes.push_back({BatchHeadKey(spec->id), EncodeBatchHead(head)});
   transaction.writes.push_back({BatchOwnerKey(spec->id), EncodeBatchOwner(owner)});
-  transaction.writes.push_back({BatchResultListKey(spec->id), EncodeBatchResultList({})});
+  for (TableWrite& write : BatchResultListWrites(spec->id, {}, 0)) {
+    transaction.writes.push_back(std::move(write));
+  }
   BatchRows rows;
   rows.head = std::move(head);
   rows.owner = owner;
--- a/src/coordination/batch_records.cc
+++ b/src/coordination/batch_records.cc
@@ -52,6 +52,8 @@
 using Json = nlohmann::json;
 
 constexpr int kKeyBytes = 32;
+// A part of a list of results with indices of six digits fits into a row of 48,000 bytes.
+constexpr size_t kResultsPerListPart = 6000;
 
 // Escapes an id that comes from a caller, since a slash or an at sign would be taken for a separator of the key.
 std::string EscapeKeyPart(const std::string& job) {
@@ -148,6 +150,7 @@
 }  // namespace
 
 const char kBatchTable[] = "batch";
+const char kResultListPartPrefix[] = "list.";
 
 std::string BatchPrefix(const std::string& job) {
   return PartitionPrefix(kBatchTable, job);
@@ -165,6 +168,12 @@
   return BatchPrefix(job) + "tail";
 }
 
+std::string BatchResultListPartKey(const std::string& job, size_t number) {
+  char text[kKeyBytes];
+  std::snprintf(text, sizeof(text), "%s%03zu", kResultListPartPrefix, number);
+  return BatchPrefix(job) + text;
+}
+
 std::string BatchEndKey(const std::string& job) {
   return BatchPrefix(job) + "end";
 }
@@ -276,13 +285,50 @@
   }
 }
 
-std::string EncodeBatchResultList(const BatchResultList& result_list) {
-  return Json(result_list.item_indices).dump();
+// A list without earlier parts is stored as a JSON array, as earlier versions of the program store all lists. One with
+// earlier parts is an object, which they reject, so that they do not take the job over.
+std::vector<TableWrite> BatchResultListWrites(const std::string& job, const BatchResultList& result_list,
+                                              size_t stored_before) {
+  const std::vector<size_t>& indices = result_list.item_indices;
+  const auto entries = [&indices](size_t begin, size_t end) {
+    return Json(std::vector<size_t>(indices.begin() + static_cast<std::ptrdiff_t>(begin),
+                                    indices.begin() + static_cast<std::ptrdiff_t>(end)));
+  };
+  std::vector<TableWrite> writes;
+  const size_t parts = indices.size() / kResultsPerListPart;
+  for (size_t part = stored_before / kResultsPerListPart; part < parts; ++part) {
+    const size_t begin = part * kResultsPerListPart;
+    writes.push_back({BatchResultListPartKey(job, part), entries(begin, begin + kResultsPerListPart).dump()});
+  }
+  const Json latest = entries(parts * kResultsPerListPart, indices.size());
+  writes.push_back(
+      {BatchResultListKey(job), parts == 0 ? latest.dump() : Json{{"parts", parts}, {"latest", latest}}.dump()});
+  return writes;
+}
+
+std::optional<BatchResultList> DecodeBatchResultList(const std::string& tail, const BatchResultList& known) {
+  try {
+    const Json json = Json::parse(tail);
+    const bool has_parts = json.is_object();
+    const size_t in_parts = has_parts ? json.at("parts").get<size_t>() * kResultsPerListPart : 0;
+    if (in_parts > known.item_indices.size()) {
+      return std::nullopt;
+    }
+    BatchResultList list;
+    list.item_indices.assign(known.item_indices.begin(),
+                             known.item_indices.begin() + static_cast<std::ptrdiff_t>(in_parts));
+    const auto latest = (has_parts ? json.at("latest") : json).get<std::vector<size_t>>();
+    list.item_indices.insert(list.item_indices.end(), latest.begin(), latest.end());
+    return list;
+  } catch (const Json::exception&) {
+    // The caller logs the malformed row.
+    return std::nullopt;
+  }
 }
 
-std::optional<BatchResultList> DecodeBatchResultList(const std::string& value) {
+std::optional<std::vector<size_t>> DecodeBatchResultListPart(const std::string& value) {
   try {
-    return BatchResultList{Json::parse(value).get<std::vector<size_t>>()};
+    return Json::parse(value).get<std::vector<size_t>>();
   } catch (const Json::exception&) {
     // The caller logs the malformed row.
     return std::nullopt;
--- a/src/coordination/batch_records.h
+++ b/src/coordination/batch_records.h
@@ -22,7 +22,8 @@
   std::string released_by;
 };
 
-// The items that have a stored result, stored in the job's `tail` row.
+// The items that have a stored result. The job's `tail` row has the latest of them, and of a long list the part before
+// them is in rows of its own, which never change.
 struct BatchResultList {
   // Indices into the items of the job, in the order of the positions of their results.
   std::vector<size_t> item_indices;
@@ -41,12 +42,16 @@
 
 // Name of the table with the rows `head`, `owner`, `tail` and `end` of each job. A partition holds one job.
 extern const char kBatchTable[];
+// The names of the rows with earlier parts of a BatchResultList begin with it.
+extern const char kResultListPartPrefix[];
 
 std::string BatchPrefix(const std::string& job);
 std::string BatchHeadKey(const std::string& job);
 std::string BatchOwnerKey(const std::string& job);
-// Key of the `tail` row, which holds the BatchResultList.
+// Key of the `tail` row, which every change of the BatchResultList writes.
 std::string BatchResultListKey(const std::string& job);
+// Key of a row with an earlier part of the BatchResultList.
+std::string BatchResultListPartKey(const std::string& job, size_t number);
 // Key of a row that exists once a caller has ended the job.
 std::string BatchEndKey(const std::string& job);
 std::string BatchItemsPrefix(const std::string& job, const std::string& submission);
@@ -66,8 +71,13 @@
 std::optional<BatchHead> DecodeBatchHead(const std::string& value);
 std::string EncodeBatchOwner(const BatchOwner& owner);
 std::optional<BatchOwner> DecodeBatchOwner(const std::string& value);
-std::string EncodeBatchResultList(const BatchResultList& result_list);
-std::optional<BatchResultList> DecodeBatchResultList(const std::string& value);
+// The writes that store a list of which the first `stored_before` entries are stored.
+std::vector<TableWrite> BatchResultListWrites(const std::string& job, const BatchResultList& result_list,
+                                              size_t stored_before);
+// Returns the list from the value of its `tail` row and the list of its earlier parts; `known` may have more entries
+// than those. Returns nothing if the value is malformed or a part is missing.
+std::optional<BatchResultList> DecodeBatchResultList(const std::string& tail, const BatchResultList& known);
+std::optional<std::vector<size_t>> DecodeBatchResultListPart(const std::string& value);
 
 // Splits an encoded value into row values of at most `max_bytes` each.
 std::vector<std::string> SplitValue(const std::string& value, size_t max_bytes);
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstring>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <utility>
@@ -64,6 +66,8 @@
 std::optional<BatchRows> ReadBatchRows(const std::vector<TableRow>& rows, bool* malformed) {
   *malformed = false;
   BatchRows result;
+  BatchResultList parts;
+  std::optional<std::string> tail;
   bool has_head = false;
   for (const TableRow& row : rows) {
     const std::string name = SplitTableKey(row.key).name;
@@ -79,10 +83,15 @@
       result.owner = owner.value_or(BatchOwner());
       result.owner_version = row.version;
     } else if (name == "tail") {
-      const std::optional<BatchResultList> result_list = DecodeBatchResultList(row.value);
-      readable = result_list.has_value();
-      result.result_list = result_list.value_or(BatchResultList());
+      tail = row.value;
       result.result_list_version = row.version;
+    } else if (name.compare(0, std::strlen(kResultListPartPrefix), kResultListPartPrefix) == 0) {
+      // The rows are in key order, so the parts are in the order of the list.
+      const std::optional<std::vector<size_t>> part = DecodeBatchResultListPart(row.value);
+      readable = part.has_value();
+      if (readable) {
+        parts.item_indices.insert(parts.item_indices.end(), part->begin(), part->end());
+      }
     } else if (name == "end") {
       result.ended = true;
     }
@@ -92,6 +101,16 @@
       return std::nullopt;
     }
   }
+  if (tail.has_value()) {
+    std::optional<BatchResultList> result_list = DecodeBatchResultList(*tail, parts);
+    if (!result_list.has_value()) {
+      Log(LogEvent::kBatchRowMalformed, {{"row", BatchResultListKey(result.head.spec.id)},
+                                         {"row_version", std::to_string(result.result_list_version)}});
+      *malformed = true;
+      return std::nullopt;
+    }
+    result.result_list = std::move(*result_list);
+  }
   return has_head ? std::optional<BatchRows>(std::move(result)) : std::nullopt;
 }
 
@@ -723,7 +742,8 @@
     result_list.item_indices.push_back(i);
     appended.push_back(i);
   }
-  transaction.writes.push_back({BatchResultListKey(m_spec.id), EncodeBatchResultList(result_list)});
+  std::vector<TableWrite> list_writes = BatchResultListWrites(m_spec.id, result_list, stored_count());
+  std::move(list_writes.begin(), list_writes.end(), std::back_inserter(transaction.writes));
   transaction.id = RandomHex(kTransactionIdBytes);
   m_appending = true;
   m_context->store->Transact(std::move(transaction), m_guard.Wrap([this, appended](const TransactResult& result) {
@@ -755,7 +775,7 @@
     if (row.key != BatchResultListKey(m_spec.id) || row.version <= m_rows.result_list_version) {
       continue;
     }
-    const std::optional<BatchResultList> result_list = DecodeBatchResultList(row.value);
+    const std::optional<BatchResultList> result_list = DecodeBatchResultList(row.value, m_rows.result_list);
     if (result_list.has_value()) {
       ApplyResultList(*result_list, row.version, {});
     }
--- /dev/null
+++ b/tests/coordination/batch_large_job_test.cc
@@ -0,0 +1,86 @@
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/coordination/batch_fixture.h"
+
+namespace quetzalridge {
+namespace {
+
+// Limits of the table service for the value of a row, and for the entries and the bytes of a transaction, in base64.
+constexpr size_t kMaxRowBytes = 65'536;
+constexpr size_t kMaxTransactionBytes = 1'000'000;
+constexpr size_t kMaxEntries = 100;
+
+size_t Base64Bytes(size_t bytes) {
+  return (bytes + 2) / 3 * 4;
+}
+
+// Records the transactions that the table service would not take.
+void CheckLimits(BatchFixture* fixture, std::vector<std::string>* violations) {
+  fixture->table.on_commit = [violations](const TableTransaction& transaction, int64_t) {
+    size_t bytes = 0;
+    for (const TableWrite& write : transaction.writes) {
+      const size_t row = write.value.has_value() ? Base64Bytes(transaction.id.size() + 1 + write.value->size()) : 0;
+      bytes += row;
+      if (row > kMaxRowBytes) {
+        violations->push_back(write.key + " has " + std::to_string(row) + " bytes");
+      }
+    }
+    const size_t entries = transaction.writes.size() + transaction.checks.size();
+    if (bytes > kMaxTransactionBytes || entries > kMaxEntries) {
+      violations->push_back(std::to_string(entries) + " entries with " + std::to_string(bytes) + " bytes");
+    }
+  };
+}
+
+// The items in the results that a reader gets page by page.
+std::set<std::string> ReadToTheEnd(BatchFixture* fixture, const std::string& reader, size_t items) {
+  std::set<std::string> found;
+  for (size_t position = 0; position < items;) {
+    const BatchPage page = fixture->Read(reader, "job", position);
+    if (page.results.empty()) {
+      break;
+    }
+    for (const BatchResult& result : page.results) {
+      found.insert(result.item);
+    }
+    position += page.results.size();
+  }
+  return found;
+}
+
+// Guards against a job that stands still once the list of its results no longer fits into a row.
+TEST_CASE("a job of many items is read to its last position, also after a takeover") {
+  constexpr int kItems = 13'000;
+  BatchFixture fixture(1);
+  fixture.engines.events_per_item = 1;
+  fixture.engines.event_gap = Duration::Milliseconds(1);
+  for (const char* name : {"one", "two", "three"}) {
+    fixture.StartInstance(name);
+  }
+  std::vector<std::string> violations;
+  CheckLimits(&fixture, &violations);
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kItems)) == SubmitOutcome::kAccepted);
+  const auto listed = [&fixture] {
+    bool malformed = false;
+    const auto rows = ReadBatchRows(fixture.table.ScanRows(BatchPrefix("job"), "", 400).rows, &malformed);
+    return rows.has_value() ? rows->result_list.item_indices.size() : 0;
+  };
+  for (int second = 0; second < 60 && listed() < kItems / 2; ++second) {
+    fixture.scheduler.Advance(Duration::Milliseconds(500));
+  }
+  REQUIRE(listed() >= kItems / 2);
+  REQUIRE(listed() < kItems);
+  fixture.KillInstance("one");
+  fixture.scheduler.Advance(Duration::Seconds(30));
+  CHECK(listed() == kItems);
+  CHECK(violations == std::vector<std::string>{});
+  for (const char* reader : {"two", "three"}) {
+    CHECK(ReadToTheEnd(&fixture, reader, kItems).size() == kItems);
+  }
+}
+
+}  // namespace
+}  // namespace quetzalridge
