Free the memory of results and texts that a batch job no longer needs

A large batch job did not end: results with short texts stayed in memory as long as the job ran, though the table has them, until the texts of the remaining items were rejected for lack of memory, again and again. A text that was cleared kept its memory, too, since a string keeps its buffer when it is assigned an empty one.

Results stay in memory only while at most half of the budget for texts is used.

--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -51,8 +51,6 @@
 constexpr Duration kMaxRetryDelay = Duration::Seconds(1);
 constexpr int kMaxRetryDoublings = 5;
 constexpr int kTransactionIdBytes = 8;
-// Stored results with a longer text stay in memory only while that is plentiful; the table has them too.
-constexpr size_t kSmallTextBytes = 16 << 10;
 // Partial texts are stored at this interval if enough new events have arrived. Only items that take several seconds
 // reach that number, and the loss of the text of such an item would delay a whole training step.
 constexpr Duration kCheckpointInterval = Duration::Milliseconds(1200);
@@ -811,8 +809,7 @@
 bool BatchRunner::HasRoomForResult(size_t index) const {
   const std::optional<BatchResult>& result = m_progress.item(index).result;
   const MemoryBudget* memory = m_context->response_memory;
-  return result.has_value() &&
-         (result->text.size() <= kSmallTextBytes || memory == nullptr || memory->used() <= memory->limit() / 2);
+  return result.has_value() && (memory == nullptr || memory->used() <= memory->limit() / 2);
 }
 
 void BatchRunner::OnRows(const BatchRows& rows, TimePoint read_at) {
--- a/src/state/event_transcript.cc
+++ b/src/state/event_transcript.cc
@@ -1,5 +1,7 @@
 #include "state/event_transcript.h"
 
+#include <utility>
+
 namespace quetzalridge {
 
 void EventTranscript::BeginRun(std::optional<int64_t> model_version, const std::string& service,
@@ -63,8 +65,10 @@
   m_versions = std::set<int64_t>(partial.model_versions.begin(), partial.model_versions.end());
 }
 
+// Frees the text: a string that is assigned an empty one keeps its memory.
 void EventTranscript::Clear() {
-  *this = EventTranscript();
+  EventTranscript empty;
+  std::swap(*this, empty);
 }
 
 }  // namespace quetzalridge
--- a/tests/coordination/batch_large_job_test.cc
+++ b/tests/coordination/batch_large_job_test.cc
@@ -82,5 +82,20 @@
   }
 }
 
+// Guards against results that stay in memory, although the table has them, until the texts of further items are
+// rejected for lack of memory.
+TEST_CASE("results of earlier items leave memory for the texts of later ones") {
+  constexpr int kItems = 400;
+  BatchFixture fixture(2);
+  // 400 texts of 10 KB, twice the memory for texts.
+  fixture.engines.events_per_item = 500;
+  fixture.engines.event_gap = Duration::Milliseconds(1);
+  fixture.StartInstance("one");
+  REQUIRE(fixture.Submit("one", BatchFixture::MakeJob("job", kItems)) == SubmitOutcome::kAccepted);
+  fixture.scheduler.Advance(Duration::Seconds(35));
+  CHECK(ReadToTheEnd(&fixture, "one", kItems).size() == kItems);
+  CHECK(fixture.instances.at("one")->response_memory.rejections() == 0);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/state/event_transcript_test.cc
+++ b/tests/state/event_transcript_test.cc
@@ -19,6 +19,15 @@
   CHECK(transcript.software_version() == "v2");
 }
 
+// Guards against tens of thousands of finished items that each keep the memory of their text.
+TEST_CASE("a text that is cleared frees its memory") {
+  EventTranscript transcript;
+  transcript.BeginRun(1, "service", "v1");
+  transcript.Append(1, std::string(1000, 'a'), std::nullopt);
+  transcript.Clear();
+  CHECK(transcript.text().capacity() < 100);
+}
+
 TEST_CASE("the text of a run whose events have ids is continued by the next run") {
   EventTranscript transcript;
   transcript.BeginRun(1, "service", "v1");
