Read, store and load batch jobs in pieces, and charge them with what they take

Cause: the body was parsed into a tree of JSON values, several times its size, and the items, their encoded text and its rows were held at once. Room was asked for the size of the body, and the job was charged with the bodies of its items, which are the smaller part of many small items.

A submission is now read item by item into what the job keeps, a piece in each turn of the event loop, is charged with it as it goes on, and is refused at the first value that no job has or once there is no room. A job that is alone may take the whole budget, so that one of this size is served. A job that comes again while it is being stored joins the first submission. Work that grew with the square of the number of items is bounded.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -35,6 +35,8 @@
 // See the constants of the same meaning in batch_runner.cc for the limits of a row and of a transaction.
 constexpr size_t kMaxRowBytes = 48'000;
 constexpr size_t kMaxChunksPerTransaction = 12;
+// The items of a job of another instance are kept for readers of bodies if they are in at most this many rows.
+constexpr size_t kMaxKeptItemRows = 40;
 // Partial texts are kept this long, since a trainer submits unfinished items again in one of its next steps.
 constexpr Duration kPartialTextLifetime = Duration::Seconds(120);
 constexpr int kMaxRowsPerRemoval = 90;
@@ -409,7 +411,7 @@
 }
 
 std::shared_ptr<BatchCoordinator::Load> BatchCoordinator::BeginLoad(const std::string& id, Job* job) {
-  auto load = std::make_shared<Load>();
+  auto load = std::make_shared<Load>(m_context.client_memory);
   load->id = id;
   load->number = ++m_last_load_number;
   load->rows = job->rows;
@@ -464,7 +466,7 @@
   job->rows = *rows;
   load->rows = std::move(*rows);
   load->confirmed_at = read_at;
-  LoadItems(load->id, load->rows.head.submission, [this, load](const std::shared_ptr<std::vector<BatchItem>>& items) {
+  LoadItems(load->rows.head, std::nullopt, [this, load](const std::shared_ptr<std::vector<BatchItem>>& items) {
     if (FindLoadedJob(*load) == nullptr) {
       return;
     }
@@ -473,6 +475,7 @@
       return;
     }
     load->items = std::move(*items);
+    load->memory.Record(JobMemoryBytes(load->items));
     ScanAll(BatchTextsPrefix(load->id), "", std::make_shared<std::vector<TableRow>>(),
             [this, load](const std::shared_ptr<std::vector<TableRow>>& text_rows) {
               if (FindLoadedJob(*load) == nullptr) {
@@ -488,31 +491,31 @@
   });
 }
 
-void BatchCoordinator::LoadItems(const std::string& id, const std::string& submission,
-                                 const std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>& callback) {
-  LoadItemsAfter(id, BatchItemsPrefix(id, submission), "", std::make_shared<std::string>(), callback);
+void BatchCoordinator::LoadItems(const BatchHead& head, std::optional<std::string> only_item,
+                                 const ItemsCallback& callback) {
+  LoadItemsAfter(BatchItemsPrefix(head.spec.id, head.submission), "",
+                 std::make_shared<BatchItemsDecoder>(std::move(only_item)), callback);
 }
 
-void BatchCoordinator::LoadItemsAfter(
-    const std::string& id, const std::string& prefix, const std::string& after,
-    const std::shared_ptr<std::string>& bytes,
-    const std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>& callback) {
+void BatchCoordinator::LoadItemsAfter(const std::string& prefix, const std::string& after,
+                                      const std::shared_ptr<BatchItemsDecoder>& decoder,
+                                      const ItemsCallback& callback) {
   m_context.store->Scan(prefix, after, kRowsPerScan,
-                        m_guard.Wrap([this, id, prefix, bytes, callback](const ReadResult& read) {
+                        m_guard.Wrap([this, prefix, decoder, callback](const ReadResult& read) {
                           if (!read.ok) {
                             callback(nullptr);
                             return;
                           }
                           for (const TableRow& row : read.rows) {
-                            *bytes += row.value;
+                            decoder->Add(row.value);
                           }
                           if (read.has_more && !read.rows.empty()) {
-                            LoadItemsAfter(id, prefix, read.rows.back().key, bytes, callback);
+                            LoadItemsAfter(prefix, read.rows.back().key, decoder, callback);
                             return;
                           }
-                          std::optional<std::vector<BatchItem>> items = DecodeBatchItems(*bytes);
+                          std::optional<std::vector<BatchItem>> items = decoder->Finish();
                           if (!items.has_value()) {
-                            Log(LogEvent::kBatchRowMalformed, {{"job", id}, {"rows", prefix}});
+                            Log(LogEvent::kBatchRowMalformed, {{"rows", prefix}});
                             callback(nullptr);
                             return;
                           }
@@ -640,9 +643,18 @@
   m_reward_calls.StartWaiting();
 }
 
+BatchCoordinator::Submission::Submission(BatchSpec submitted, MemoryBudget* budget)
+    : spec(std::move(submitted)),
+      id(RandomHex(kRandomIdBytes)),
+      encoder(&spec.items),
+      memory(budget, HolderKind::kJob, nullptr) {
+  memory.SetProtected(true);
+  memory.Record(JobMemoryBytes(spec.items));
+}
+
 void BatchCoordinator::Submit(BatchSpec spec, Duration timeout, std::function<void(SubmitOutcome)> callback) {
   if (m_jobs.count(spec.id) > 0) {
-    OnRepeatedSubmission(spec, callback);
+    OnRepeatedSubmission(spec.id, spec.workspace, callback);
     return;
   }
   // The callback runs once: with the outcome, or when the timeout expires.
@@ -658,87 +670,104 @@
     }
   };
   m_timers[timer] = m_context.scheduler->After(timeout, [respond_once] { respond_once(SubmitOutcome::kUnknown); });
-  const std::string submission = RandomHex(kRandomIdBytes);
-  auto chunks = std::make_shared<std::vector<std::string>>(SplitValue(EncodeBatchItems(spec.items), kMaxRowBytes));
-  StoreItems(std::make_shared<BatchSpec>(std::move(spec)), submission, chunks, 0, respond_once);
+  const std::pair<std::string, std::string> key(spec.id, spec.workspace);
+  const auto in_progress = m_submissions.find(key);
+  if (in_progress != m_submissions.end()) {
+    in_progress->second->callbacks.push_back(respond_once);
+    return;
+  }
+  const auto submission = std::make_shared<Submission>(std::move(spec), m_context.client_memory);
+  submission->callbacks.push_back(respond_once);
+  m_submissions[key] = submission;
+  StoreItems(submission);
 }
 
 // The last transaction also writes the head, which accepts the job. A job that fits into one transaction is stored by
 // that transaction alone.
-void BatchCoordinator::StoreItems(const std::shared_ptr<BatchSpec>& spec, const std::string& submission,
-                                  const std::shared_ptr<std::vector<std::string>>& chunks, size_t begin,
-                                  const std::function<void(SubmitOutcome)>& callback) {
-  const size_t end = std::min(begin + kMaxChunksPerTransaction, chunks->size());
+void BatchCoordinator::StoreItems(const std::shared_ptr<Submission>& submission) {
   TableTransaction transaction;
   transaction.id = RandomHex(kRandomIdBytes);
-  for (size_t number = begin; number < end; ++number) {
-    transaction.writes.push_back({BatchItemsKey(spec->id, submission, number), (*chunks)[number]});
-  }
-  if (end < chunks->size()) {
-    const std::string first_chunk_key = BatchItemsKey(spec->id, submission, begin);
-    transaction.checks = {{first_chunk_key, 0}};
-    m_resolving_store.Transact(std::move(transaction), first_chunk_key,
-                               [this, spec, submission, chunks, end, callback](const TransactResult& result) {
-                                 if (result.outcome != TransactOutcome::kCommitted) {
-                                   callback(SubmitOutcome::kRefused);
-                                   return;
-                                 }
-                                 StoreItems(spec, submission, chunks, end, callback);
-                               });
+  const std::string& job = submission->spec.id;
+  const std::string first_key = BatchItemsKey(job, submission->id, submission->item_rows);
+  while (!submission->encoder.done() && transaction.writes.size() < kMaxChunksPerTransaction) {
+    transaction.writes.push_back(
+        {BatchItemsKey(job, submission->id, submission->item_rows++), submission->encoder.Next(kMaxRowBytes)});
+  }
+  if (submission->encoder.done()) {
+    StoreHead(submission, std::move(transaction));
     return;
   }
-  BatchHead head;
-  head.spec = *spec;
-  head.spec.items.clear();
-  head.item_count = spec->items.size();
-  head.item_rows = chunks->size();
-  head.submission = submission;
-  const BatchOwner owner =
-      m_draining ? NextOwner(*spec, 1) : BatchOwner{m_context.instance, m_context.incarnation, 1, ""};
-  transaction.checks = {{BatchHeadKey(spec->id), 0}};
-  transaction.writes.push_back({BatchHeadKey(spec->id), EncodeBatchHead(head)});
-  transaction.writes.push_back({BatchOwnerKey(spec->id), EncodeBatchOwner(owner)});
-  for (TableWrite& write : BatchResultListWrites(spec->id, {}, 0)) {
+  transaction.checks = {{first_key, 0}};
+  m_resolving_store.Transact(std::move(transaction), first_key, [this, submission](const TransactResult& result) {
+    if (result.outcome != TransactOutcome::kCommitted) {
+      FinishSubmission(submission, SubmitOutcome::kRefused);
+      return;
+    }
+    StoreItems(submission);
+  });
+}
+
+void BatchCoordinator::StoreHead(const std::shared_ptr<Submission>& submission, TableTransaction transaction) {
+  BatchRows rows;
+  std::vector<BatchItem> items = std::move(submission->spec.items);
+  rows.head.spec = submission->spec;
+  submission->spec.items = std::move(items);
+  rows.head.item_count = submission->spec.items.size();
+  rows.head.item_rows = submission->item_rows;
+  rows.head.submission = submission->id;
+  rows.owner = m_draining ? NextOwner(rows.head.spec, 1) : BatchOwner{m_context.instance, m_context.incarnation, 1, ""};
+  const std::string& job = submission->spec.id;
+  transaction.checks = {{BatchHeadKey(job), 0}};
+  transaction.writes.push_back({BatchHeadKey(job), EncodeBatchHead(rows.head)});
+  transaction.writes.push_back({BatchOwnerKey(job), EncodeBatchOwner(rows.owner)});
+  for (TableWrite& write : BatchResultListWrites(job, {}, 0)) {
     transaction.writes.push_back(std::move(write));
   }
-  BatchRows rows;
-  rows.head = std::move(head);
-  rows.owner = owner;
-  m_resolving_store.Transact(std::move(transaction), BatchHeadKey(spec->id),
-                             [this, spec, rows, callback, sent_at = Now()](const TransactResult& result) {
-                               OnHeadStored(spec, rows, sent_at, result, callback);
+  m_resolving_store.Transact(std::move(transaction), BatchHeadKey(job),
+                             [this, submission, rows, sent_at = Now()](const TransactResult& result) {
+                               OnHeadStored(submission, rows, sent_at, result);
                              });
 }
 
-void BatchCoordinator::OnHeadStored(const std::shared_ptr<BatchSpec>& spec, const BatchRows& rows, TimePoint sent_at,
-                                    const TransactResult& result, const std::function<void(SubmitOutcome)>& callback) {
+void BatchCoordinator::OnHeadStored(const std::shared_ptr<Submission>& submission, const BatchRows& rows,
+                                    TimePoint sent_at, const TransactResult& result) {
+  const std::string& job = submission->spec.id;
   switch (result.outcome) {
     case TransactOutcome::kCommitted: {
-      Log(LogEvent::kBatchAccepted, {{"job", spec->id},
-                                     {"items", std::to_string(spec->items.size())},
+      Log(LogEvent::kBatchAccepted, {{"job", job},
+                                     {"items", std::to_string(submission->spec.items.size())},
                                      {"stored_ms", std::to_string((Now() - sent_at).ms())}});
       BatchRows stored = rows;
       stored.owner_version = result.revision;
       stored.result_list_version = result.revision;
-      AddStoredJob(spec, stored, sent_at);
-      callback(SubmitOutcome::kAccepted);
+      AddStoredJob(submission.get(), stored, sent_at);
+      FinishSubmission(submission, SubmitOutcome::kAccepted);
       return;
     }
     case TransactOutcome::kConflict:
-      OnRepeatedSubmission(*spec, callback);
+      OnRepeatedSubmission(job, submission->spec.workspace,
+                           [this, submission](SubmitOutcome outcome) { FinishSubmission(submission, outcome); });
       return;
     case TransactOutcome::kUnavailable:
-      Log(LogEvent::kBatchRefused, {{"job", spec->id}, {"reason", "the store does not answer"}});
-      callback(SubmitOutcome::kRefused);
+      Log(LogEvent::kBatchRefused, {{"job", job}, {"reason", "the store does not answer"}});
+      FinishSubmission(submission, SubmitOutcome::kRefused);
       return;
     case TransactOutcome::kUnknown:
-      callback(SubmitOutcome::kUnknown);
+      FinishSubmission(submission, SubmitOutcome::kUnknown);
       return;
   }
 }
 
-void BatchCoordinator::AddStoredJob(const std::shared_ptr<BatchSpec>& spec, const BatchRows& rows, TimePoint sent_at) {
-  const auto [entry, is_new] = m_jobs.try_emplace(spec->id);
+void BatchCoordinator::FinishSubmission(const std::shared_ptr<Submission>& submission, SubmitOutcome outcome) {
+  m_submissions.erase({submission->spec.id, submission->spec.workspace});
+  for (const std::function<void(SubmitOutcome)>& callback : submission->callbacks) {
+    callback(outcome);
+  }
+}
+
+void BatchCoordinator::AddStoredJob(Submission* submission, const BatchRows& rows, TimePoint sent_at) {
+  const std::string& id = submission->spec.id;
+  const auto [entry, is_new] = m_jobs.try_emplace(id);
   Job& job = entry->second;
   if (is_new) {
     RecordVersionLag(rows.head.spec);
@@ -749,28 +778,31 @@
   }
   job.read_at = std::max(job.read_at, sent_at);
   if (!IsThisProcess(rows.owner)) {
-    m_fleet.notify_owner(rows.owner.instance, spec->id);
+    m_fleet.notify_owner(rows.owner.instance, id);
     return;
   }
   if (m_draining || job.runner != nullptr || job.rows.owner_version != rows.owner_version || !job.IsOpen()) {
     return;
   }
-  const std::shared_ptr<Load> load = BeginLoad(spec->id, &job);
+  const std::shared_ptr<Load> load = BeginLoad(id, &job);
   load->confirmed_at = sent_at;
-  load->items = std::move(spec->items);
+  load->items = std::move(submission->spec.items);
+  submission->memory.Record(0);
+  load->memory.Record(JobMemoryBytes(load->items));
   LoadPartialTextsAndRun(load);
 }
 
 // An acceptance would be worth nothing to a caller that may not read the job.
-void BatchCoordinator::OnRepeatedSubmission(const BatchSpec& spec, const std::function<void(SubmitOutcome)>& callback) {
-  FindOrReadJob(spec.id, spec.workspace, [id = spec.id, callback](BatchCallStatus status, Job*) {
+void BatchCoordinator::OnRepeatedSubmission(const std::string& job, const std::string& workspace,
+                                            const std::function<void(SubmitOutcome)>& callback) {
+  FindOrReadJob(job, workspace, [job, callback](BatchCallStatus status, Job*) {
     switch (status) {
       case BatchCallStatus::kOk:
-        Log(LogEvent::kBatchAccepted, {{"job", id}, {"repeated", "yes"}});
+        Log(LogEvent::kBatchAccepted, {{"job", job}, {"repeated", "yes"}});
         callback(SubmitOutcome::kAccepted);
         return;
       case BatchCallStatus::kNotFound:
-        Log(LogEvent::kBatchRefused, {{"job", id}, {"reason", "another workspace has a job with this id"}});
+        Log(LogEvent::kBatchRefused, {{"job", job}, {"reason", "another workspace has a job with this id"}});
         callback(SubmitOutcome::kRefused);
         return;
       case BatchCallStatus::kUnavailable:
@@ -939,28 +971,30 @@
       find(*job->items);
       return;
     }
-    const bool accepted = m_caller_reads.Run([this, id, find, callback](std::function<void()> done) {
+    const bool accepted = m_caller_reads.Run([this, id, item, find, callback](std::function<void()> done) {
       const auto known = m_jobs.find(id);
       if (known == m_jobs.end() || known->second.items != nullptr) {
         known == m_jobs.end() ? callback(BatchCallStatus::kUnavailable, "") : find(*known->second.items);
         done();
         return;
       }
-      LoadItems(
-          id, known->second.rows.head.submission,
-          [this, id, find, callback, done = std::move(done)](const std::shared_ptr<std::vector<BatchItem>>& items) {
-            if (items == nullptr) {
-              callback(BatchCallStatus::kUnavailable, "");
-              done();
-              return;
-            }
-            // The next reads of bodies usually ask for the same job, so the items of only one job are kept.
-            for (auto& [other, job] : m_jobs) {
-              job.items = other == id ? items : nullptr;
-            }
-            find(*items);
-            done();
-          });
+      // The items of a small job are kept, since the next reads of bodies usually ask for the same job.
+      const BatchHead& head = known->second.rows.head;
+      const bool keeps_items = head.item_rows <= kMaxKeptItemRows;
+      LoadItems(head, keeps_items ? std::nullopt : std::optional<std::string>(item),
+                [this, id, find, callback, keeps_items,
+                 done = std::move(done)](const std::shared_ptr<std::vector<BatchItem>>& items) {
+                  if (items == nullptr) {
+                    callback(BatchCallStatus::kUnavailable, "");
+                    done();
+                    return;
+                  }
+                  for (auto& [other, job] : m_jobs) {
+                    job.items = keeps_items && other == id ? items : nullptr;
+                  }
+                  find(*items);
+                  done();
+                });
     });
     if (!accepted) {
       callback(BatchCallStatus::kUnavailable, "");
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -8,8 +8,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "coordination/batch_items_codec.h"
 #include "coordination/batch_runner.h"
 #include "coordination/callback_guard.h"
 #include "coordination/concurrency_limiter.h"
@@ -145,6 +147,8 @@
   // load, so that the runner starts with the owner row that proved the ownership, and not with a later one that another
   // process may have written meanwhile.
   struct Load {
+    explicit Load(MemoryBudget* budget) : memory(budget, HolderKind::kJob, nullptr) { memory.SetProtected(true); }
+
     std::string id;
     uint64_t number = 0;
     // The rows that this process wrote, or that a read returned with this process as the owner.
@@ -154,6 +158,22 @@
     std::vector<BatchItem> items;
     // Those that the job's previous owner has stored.
     std::vector<PartialText> complete_texts;
+    MemoryBudget::ReclaimableShare memory;
+  };
+
+  // A job that is being stored.
+  struct Submission {
+    Submission(BatchSpec submitted, MemoryBudget* budget);
+
+    BatchSpec spec;
+    // A random id.
+    std::string id;
+    BatchItemsEncoder encoder;
+    // Number of rows with items that are stored or being stored.
+    size_t item_rows = 0;
+    MemoryBudget::ReclaimableShare memory;
+    // Called once the outcome is known, one for each time that the job was submitted meanwhile.
+    std::vector<std::function<void(SubmitOutcome)>> callbacks;
   };
 
   TimePoint Now() const { return m_context.scheduler->clock().Now(); }
@@ -186,11 +206,11 @@
   // Reads a job whose owner row names this process, and runs it.
   void LoadAndRun(const std::string& id, Job* job);
   void OnLoadRows(const std::shared_ptr<Load>& load, TimePoint read_at, const ReadResult& read);
-  void LoadItems(const std::string& id, const std::string& submission,
-                 const std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>& callback);
-  void LoadItemsAfter(const std::string& id, const std::string& prefix, const std::string& after,
-                      const std::shared_ptr<std::string>& bytes,
-                      const std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>& callback);
+  using ItemsCallback = std::function<void(const std::shared_ptr<std::vector<BatchItem>>&)>;
+  // Reads the items of a job, or only the one with an id. Runs the callback with nullptr if that failed.
+  void LoadItems(const BatchHead& head, std::optional<std::string> only_item, const ItemsCallback& callback);
+  void LoadItemsAfter(const std::string& prefix, const std::string& after,
+                      const std::shared_ptr<BatchItemsDecoder>& decoder, const ItemsCallback& callback);
   // Reads the stored partial texts of the job's items, then runs the job. They come from earlier jobs of the same model
   // or from the previous owner.
   void LoadPartialTextsAndRun(const std::shared_ptr<Load>& load);
@@ -203,15 +223,17 @@
   int CountOwners() const;
   RewardCallContext MakeRewardCallContext();
   void RemoveRunner(Job* job, const char* reason);
-  void StoreItems(const std::shared_ptr<BatchSpec>& spec, const std::string& submission,
-                  const std::shared_ptr<std::vector<std::string>>& chunks, size_t begin,
-                  const std::function<void(SubmitOutcome)>& callback);
-  void OnHeadStored(const std::shared_ptr<BatchSpec>& spec, const BatchRows& rows, TimePoint sent_at,
-                    const TransactResult& result, const std::function<void(SubmitOutcome)>& callback);
+  // Stores further items of a submission, or the last ones with the head of the job.
+  void StoreItems(const std::shared_ptr<Submission>& submission);
+  void StoreHead(const std::shared_ptr<Submission>& submission, TableTransaction transaction);
+  void OnHeadStored(const std::shared_ptr<Submission>& submission, const BatchRows& rows, TimePoint sent_at,
+                    const TransactResult& result);
   // Takes a job over from the submission that stored it, and runs it if this process is the owner.
-  void AddStoredJob(const std::shared_ptr<BatchSpec>& spec, const BatchRows& rows, TimePoint sent_at);
+  void AddStoredJob(Submission* submission, const BatchRows& rows, TimePoint sent_at);
+  void FinishSubmission(const std::shared_ptr<Submission>& submission, SubmitOutcome outcome);
   // Answers a submission whose id the table already has.
-  void OnRepeatedSubmission(const BatchSpec& spec, const std::function<void(SubmitOutcome)>& callback);
+  void OnRepeatedSubmission(const std::string& job, const std::string& workspace,
+                            const std::function<void(SubmitOutcome)>& callback);
   // Runs the callback with the job, which is read from the table if this instance does not know it. The status is
   // kNotFound if callers of the workspace may not access the job.
   void FindOrReadJob(const std::string& id, const std::string& workspace,
@@ -233,6 +255,8 @@
   RewardCallDispatcher m_reward_calls;
   std::map<std::string, Job> m_jobs;
   uint64_t m_last_load_number = 0;
+  // By the id of the job and its workspace.
+  std::map<std::pair<std::string, std::string>, std::shared_ptr<Submission>> m_submissions;
   // Version lags of the latest jobs, by model, oldest job first. See VersionLag.
   std::map<std::string, std::deque<int64_t>> m_version_lags;
   std::unique_ptr<Timer> m_tick_timer;
--- a/src/coordination/batch_records.cc
+++ b/src/coordination/batch_records.cc
@@ -10,21 +10,6 @@
 namespace quetzalridge {
 
 // The serialization library finds these functions by argument-dependent lookup.
-template <typename Archive>
-void serialize(Archive& archive, HttpHeader& header) {  // NOLINT(google-runtime-references)
-  archive(header.name, header.value);
-}
-
-template <typename Archive>
-void serialize(Archive& archive, BatchItem& item) {  // NOLINT(google-runtime-references)
-  archive(item.id, item.target, item.headers, item.body, item.group, item.length_hint);
-}
-
-template <typename Archive>
-void serialize(Archive& archive, RewardCall& call) {  // NOLINT(google-runtime-references)
-  archive(call.id, call.host, call.target, call.body);
-}
-
 template <typename Archive>
 void serialize(Archive& archive, BatchResult& result) {  // NOLINT(google-runtime-references)
   archive(result.item, result.state, result.text, result.model_versions);
@@ -102,17 +87,6 @@
   }
 }
 
-// The reward call of one item, stored after all items. Instances of earlier versions do not read these entries.
-struct IndexedRewardCall {
-  uint64_t item_index = 0;
-  RewardCall call;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {  // NOLINT(google-runtime-references)
-    archive(item_index, call);
-  }
-};
-
 // Appends fields to a value in a form that earlier versions of the program ignore.
 template <typename Value, typename... Fields>
 std::string EncodeWithFields(const Value& value, const Fields&... fields) {
@@ -343,45 +317,6 @@
   return parts;
 }
 
-// The fields that were added later are left out if no item has them, so that processes of an earlier version can read
-// the value; they ignore the fields that they don't know.
-std::string EncodeBatchItems(const std::vector<BatchItem>& items) {
-  std::vector<IndexedRewardCall> calls;
-  std::vector<int64_t> requested_tokens;
-  bool has_tokens = false;
-  for (size_t i = 0; i < items.size(); ++i) {
-    if (items[i].reward_call.has_value()) {
-      calls.push_back({i, *items[i].reward_call});
-    }
-    requested_tokens.push_back(items[i].requested_tokens);
-    has_tokens = has_tokens || items[i].requested_tokens != 0;
-  }
-  if (has_tokens) {
-    return EncodeWithFields(items, calls, requested_tokens);
-  }
-  return calls.empty() ? EncodeBinary(items) : EncodeWithFields(items, calls);
-}
-
-std::optional<std::vector<BatchItem>> DecodeBatchItems(const std::string& value) {
-  std::vector<IndexedRewardCall> calls;
-  std::vector<int64_t> requested_tokens;
-  std::optional<std::vector<BatchItem>> items =
-      DecodeWithFields<std::vector<BatchItem>>(value, &calls, &requested_tokens);
-  if (!items.has_value() || (!requested_tokens.empty() && requested_tokens.size() != items->size())) {
-    return std::nullopt;
-  }
-  for (IndexedRewardCall& entry : calls) {
-    if (entry.item_index >= items->size()) {
-      return std::nullopt;
-    }
-    (*items)[entry.item_index].reward_call = std::move(entry.call);
-  }
-  for (size_t i = 0; i < requested_tokens.size(); ++i) {
-    (*items)[i].requested_tokens = requested_tokens[i];
-  }
-  return items;
-}
-
 std::string EncodeBatchResult(const BatchResult& result) {
   if (result.score.empty()) {
     return EncodeBinary(result);
--- a/src/coordination/batch_records.h
+++ b/src/coordination/batch_records.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/batch_items_codec.h"
 #include "coordination/table_store.h"
 #include "state/batch_job.h"
 #include "state/event_transcript.h"
@@ -81,8 +82,6 @@
 
 // Splits an encoded value into row values of at most `max_bytes` each.
 std::vector<std::string> SplitValue(const std::string& value, size_t max_bytes);
-std::string EncodeBatchItems(const std::vector<BatchItem>& items);
-std::optional<std::vector<BatchItem>> DecodeBatchItems(const std::string& value);
 std::string EncodeBatchResult(const BatchResult& result);
 std::optional<BatchResult> DecodeBatchResult(const std::string& value);
 
--- a/src/coordination/batch_runner.cc
+++ b/src/coordination/batch_runner.cc
@@ -51,6 +51,8 @@
 constexpr Duration kMaxRetryDelay = Duration::Seconds(1);
 constexpr int kMaxRetryDoublings = 5;
 constexpr int kTransactionIdBytes = 8;
+// At most this many items that have waited for too long are given up in one turn of the event loop.
+constexpr int kMaxFailedPerTurn = 500;
 // Partial texts are stored at this interval if enough new events have arrived. Only items that take several seconds
 // reach that number, and the loss of the text of such an item would delay a whole training step.
 constexpr Duration kCheckpointInterval = Duration::Milliseconds(1200);
@@ -230,7 +232,7 @@
       m_confirmed_at(confirmed_at),
       m_ended(m_rows.ended) {
   m_item_memory.SetProtected(true);
-  m_item_memory.Record(BodyBytes(m_spec));
+  m_item_memory.Record(JobMemoryBytes(m_spec.items));
   for (const size_t index : m_rows.result_list.item_indices) {
     if (index < m_progress.size()) {
       m_progress.SetPhase(index, ItemPhase::kStored);
@@ -264,26 +266,28 @@
 
 // Fails the waiting items of a job whose longest queue time has passed since its submission; until then they are
 // retried.
-void BatchRunner::FailExpiredItems() {
+bool BatchRunner::FailExpiredItems() {
   const ServiceRoute* route = Route();
   if (route == nullptr || route->max_queue <= Duration() ||
       m_context->wall_ms() - m_spec.submitted_at_ms < route->max_queue.ms()) {
-    return;
+    return false;
   }
-  for (size_t i = 0; i < m_progress.size(); ++i) {
+  int failed = 0;
+  for (size_t i = 0; i < m_progress.size() && failed < kMaxFailedPerTurn; ++i) {
     const ItemPhase phase = m_progress.item(i).phase;
     if (phase == ItemPhase::kWaiting || phase == ItemPhase::kAwaitingScore) {
+      ++failed;
       m_context->reward_calls->Cancel(this, i);
       FinishItem(i, BatchResultState::kFailed, "not finished within the longest queue time of its route");
     }
   }
+  return true;
 }
 
 bool BatchRunner::StartNextItem() {
-  if (!MayStartItems()) {
+  if (!MayStartItems() || FailExpiredItems()) {
     return false;
   }
-  FailExpiredItems();
   const ServiceRoute* route = Route();
   if (route == nullptr) {
     return false;
@@ -444,7 +448,7 @@
   call.address = endpoint->entry.address;
   call.host = m_spec.host;
   call.target = item.target;
-  call.headers = item.headers;
+  call.headers = item.headers.Unpack();
   call.body = item.body;
   call.request_id = item.id;
   call.workspace = m_spec.workspace;
@@ -807,7 +811,7 @@
 }
 
 bool BatchRunner::HasRoomForResult(size_t index) const {
-  const std::optional<BatchResult>& result = m_progress.item(index).result;
+  const HeapOptional<BatchResult>& result = m_progress.item(index).result;
   const MemoryBudget* memory = m_context->response_memory;
   return result.has_value() && (memory == nullptr || memory->used() <= memory->limit() / 2);
 }
@@ -1001,7 +1005,7 @@
   if (position >= m_rows.result_list.item_indices.size()) {
     return nullptr;
   }
-  const std::optional<BatchResult>& result = m_progress.item(m_rows.result_list.item_indices[position]).result;
+  const HeapOptional<BatchResult>& result = m_progress.item(m_rows.result_list.item_indices[position]).result;
   return result.has_value() ? &*result : nullptr;
 }
 
--- a/src/coordination/batch_runner.h
+++ b/src/coordination/batch_runner.h
@@ -147,7 +147,8 @@
   TimePoint Now() const { return m_context->scheduler->clock().Now(); }
   const ServiceRoute* Route() const;
   bool MayStartItems() const;
-  void FailExpiredItems();
+  // Returns whether the items of the job have waited for too long, so that no further one starts.
+  bool FailExpiredItems();
   HomeRegions Regions() const;
   // The services, with a software version if one is needed, that have no endpoint for an item at the moment.
   using UnmetNeeds = std::set<std::pair<std::string, std::optional<std::string>>>;
--- a/src/placement/job_placer.cc
+++ b/src/placement/job_placer.cc
@@ -1,5 +1,6 @@
 #include "placement/job_placer.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalridge {
@@ -8,8 +9,10 @@
 
 // Intervals are recorded in pieces, so that the speed of a slow endpoint is known before its item ends.
 constexpr int kRecordedIntervals = 8;
-// Ordering the items of a job takes about 0.1 ms, so it is not repeated for each result.
-constexpr int kResultsPerOrder = 8;
+// Ordering the items of a job of some hundred items takes about 0.1 ms, so it is not repeated for each result. That of a
+// large job takes longer, and is done at most this often.
+constexpr int kMinResultsPerOrder = 8;
+constexpr int kMaxOrdersPerJob = 100;
 
 }  // namespace
 
@@ -153,7 +156,11 @@
   const auto started = m_traits_at_start.find(item);
   m_knowledge->lengths.OnFinished(started == m_traits_at_start.end() ? TraitsOf(item) : started->second,
                                   m_progress->item(item).transcript.event_count());
-  if (++m_finished % kResultsPerOrder == 0 && m_progress->CountIn(ItemPhase::kWaiting) > 0) {
+  if (started != m_traits_at_start.end()) {
+    m_traits_at_start.erase(started);
+  }
+  const int results_per_order = std::max(kMinResultsPerOrder, static_cast<int>(m_progress->size()) / kMaxOrdersPerJob);
+  if (++m_finished % results_per_order == 0 && m_progress->CountIn(ItemPhase::kWaiting) > 0) {
     OrderItems();
   }
 }
--- a/src/state/batch_job.h
+++ b/src/state/batch_job.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
-#include "base/http_header.h"
+#include "base/compact_headers.h"
+#include "base/heap_optional.h"
 
 namespace quetzalridge {
 
@@ -20,12 +21,15 @@
   std::string body;
 };
 
+// What the allocator adds to a block, rounding included.
+constexpr size_t kHeapBlockBytes = 16;
+
 // One request of a batch job.
 struct BatchItem {
   std::string id;
   // Path and query.
   std::string target;
-  HttpHeaders headers;
+  CompactHeaders headers;
   std::string body;
   // Items of a group share their prompt, and the trainer uses their results together.
   std::string group;
@@ -34,7 +38,7 @@
   // Tokens of the prompt and the largest number of generated tokens; 0 if unknown.
   int64_t requested_tokens = 0;
   // Absent if the result needs no score.
-  std::optional<RewardCall> reward_call;
+  HeapOptional<RewardCall> reward_call;
 };
 
 // A batch job as a caller submitted it. It never changes.
@@ -56,11 +60,16 @@
   std::vector<BatchItem> items;
 };
 
-// The size of the bodies of all items and of their reward calls.
-inline size_t BodyBytes(const BatchSpec& spec) {
-  size_t bytes = 0;
-  for (const BatchItem& item : spec.items) {
-    bytes += item.body.size() + (item.reward_call.has_value() ? item.reward_call->body.size() : 0);
+// The memory that an item takes, without its progress.
+inline size_t MemoryBytes(const BatchItem& item) {
+  const auto heap = [](const std::string& text) {
+    return text.capacity() < sizeof(std::string) / 2 ? 0 : text.capacity() + kHeapBlockBytes;
+  };
+  size_t bytes = sizeof(BatchItem) + heap(item.id) + heap(item.target) + heap(item.body) + heap(item.group) +
+                 item.headers.capacity() + kHeapBlockBytes;
+  if (item.reward_call.has_value()) {
+    const RewardCall& call = *item.reward_call;
+    bytes += sizeof(RewardCall) + heap(call.id) + heap(call.host) + heap(call.target) + heap(call.body);
   }
   return bytes;
 }
--- a/src/state/batch_progress.cc
+++ b/src/state/batch_progress.cc
@@ -119,4 +119,9 @@
   }
 }
 
+size_t JobMemoryBytes(const std::vector<BatchItem>& items) {
+  return std::accumulate(items.begin(), items.end(), items.size() * BatchProgress::kBytesPerItem,
+                         [](size_t bytes, const BatchItem& item) { return bytes + MemoryBytes(item); });
+}
+
 }  // namespace quetzalridge
--- a/src/state/batch_progress.h
+++ b/src/state/batch_progress.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/heap_optional.h"
 #include "state/batch_job.h"
 #include "state/event_transcript.h"
 
@@ -35,7 +36,7 @@
   TimePoint interrupted_at;
   // The item is not started before this time.
   TimePoint not_before;
-  std::optional<BatchResult> result;
+  HeapOptional<BatchResult> result;
 };
 
 // The progress of the items of one job, and the order in which they start.
@@ -45,6 +46,10 @@
 // highest token estimate. If there are more items than free slots, the short items wait.
 class BatchProgress {
  public:
+  // The memory that the progress of an item takes, without its text and result: its state, its place in the order, in a
+  // queue and in its group, and its entry in the index.
+  static constexpr size_t kBytesPerItem = sizeof(ItemProgress) + 256;
+
   explicit BatchProgress(const BatchSpec* spec);
 
   size_t size() const { return m_items.size(); }
@@ -94,4 +99,7 @@
   std::vector<int> m_unfinished_in_group;
 };
 
+// The memory that a job with these items takes, without texts and results.
+size_t JobMemoryBytes(const std::vector<BatchItem>& items);
+
 }  // namespace quetzalridge
--- a/src/state/memory_budget.h
+++ b/src/state/memory_budget.h
@@ -82,8 +82,12 @@
   // The part of the sum that the reclaimable shares of a kind hold.
   size_t used(HolderKind kind) const { return m_used_by_kind[static_cast<size_t>(kind)]; }
   size_t limit() const { return m_limit; }
-  // Whether holders of a kind may take these bytes in addition without taking more than half of the limit together.
-  bool HasRoom(HolderKind kind, size_t bytes) const { return used(kind) + bytes <= m_limit / 2; }
+  // Whether a holder of a kind that has `own_bytes` so far may have `bytes`. Holders of a kind may take half of the
+  // limit together, and one that is alone all of it.
+  bool HasRoom(HolderKind kind, size_t bytes, size_t own_bytes = 0) const {
+    const size_t others = used(kind) - own_bytes;
+    return others + bytes <= (others == 0 ? m_limit : m_limit / 2);
+  }
   // The largest sum since the budget was created.
   size_t peak() const { return m_peak; }
   // Number of times that a holder was told to give up what it holds.
--- a/tests/clients/clients_test.cc
+++ b/tests/clients/clients_test.cc
@@ -42,6 +42,8 @@
 constexpr size_t kLargeResponseBytes = 16 * kMb;
 constexpr int kItems = 24;
 constexpr size_t kItemBytes = 100 << 10;
+constexpr int kSmallItems = 5000;
+constexpr size_t kSmallItemBytes = 300;
 
 // Serves plain requests, with a large response if the path says so, and items of batch jobs.
 class Endpoint : public HttpHandler {
@@ -69,7 +71,8 @@
     } else if (m_service == kEngineService) {
       headers.push_back({"content-type", "text/event-stream"});
       headers.push_back({platform::kModelVersionHeader, "1"});
-      responder->Send(200, headers, "id: 1\ndata: " + std::string(kItemBytes, 'x') + "\n\n");
+      const bool small = request.path.find("small") != std::string::npos;
+      responder->Send(200, headers, "id: 1\ndata: " + std::string(small ? kSmallItemBytes : kItemBytes, 'x') + "\n\n");
     } else {
       const bool large = request.path.find("large") != std::string::npos;
       responder->Send(200, headers, large ? std::string(kLargeResponseBytes, 'x') : "found");
@@ -337,6 +340,48 @@
   node.Check(false);
 }
 
+// A body as long as the operator allows, of which `part` is repeated in the list of items.
+std::string LongestSubmission(const std::string& part) {
+  std::string body = R"({"Requests":[)";
+  while (body.size() + part.size() + 3 <= kMaxBodyBytes) {
+    body += part + ",";
+  }
+  return body.substr(0, body.size() - 1) + "]}";
+}
+
+// Guards against a submission that takes many times the size of its body, as a job of many small items does, or a body
+// that is no job at all.
+TEST_CASE("batch jobs of many small items", "[small-items]") {
+  NodeUnderTest node;
+  for (const char* part : {"{}", "[]", "0", R"({"":{}})"}) {
+    CHECK(node.Send(NodeCall("POST", "/batch/job", LongestSubmission(part))).status == platform::kStatusBadRequest);
+  }
+  // More than there is memory for.
+  const std::string tiny_item = R"({"Id":"a","Path":"/batch/a","Headers":{}})";
+  CHECK(node.Send(NodeCall("POST", "/batch/job", LongestSubmission(tiny_item))).status == platform::kStatusUnavailable);
+  Json items = Json::array();
+  for (int i = 0; i < kSmallItems; ++i) {
+    const std::string id = "small-item-" + std::to_string(i);
+    items.push_back({{"Id", id},
+                     {"Path", "/batch/" + id},
+                     {"Headers", {{"X-Quetzalridge-Token-Count", "540,400"}}},
+                     {"Body", EncodeBase64(std::string(kSmallItemBytes, 'x'))},
+                     {"Group", "group-" + std::to_string(i / 8)}});
+  }
+  const Json job = {{"Model", kModel}, {"MinVersion", 1}, {"Desired", 1}, {"Requests", items}};
+  const HttpCall submission = NodeCall("POST", "/batch/job", job.dump());
+  REQUIRE(node.Send(submission).status == platform::kStatusAccepted);
+  const std::string target = "/api/lots/" + *FindHeader(submission.headers, platform::kRequestIdHeader);
+  const TimePoint end = node.Now() + kCallLimit;
+  for (int next = 0; next < kSmallItems;) {
+    const HttpResponse page = node.Send(NodeCall("GET", target + "?After=" + std::to_string(next), ""));
+    REQUIRE(page.status == platform::kStatusOk);
+    next = Json::parse(page.body).at("Next").get<int>();
+    REQUIRE(node.Now() < end);
+  }
+  node.Check(false);
+}
+
 // Guards against heads that each take memory and a descriptor for as long as their clients like.
 TEST_CASE("request heads that never end", "[heads]") {
   NodeUnderTest node;
--- a/tests/coordination/batch_large_job_test.cc
+++ b/tests/coordination/batch_large_job_test.cc
@@ -97,5 +97,47 @@
   CHECK(fixture.instances.at("one")->response_memory.rejections() == 0);
 }
 
+// Guards against a job of which a process holds a copy for each time that its caller sends it.
+TEST_CASE("a job that comes again while it is being stored is stored once") {
+  constexpr int kItems = 2000;
+  constexpr size_t kBodyBytes = 1500;
+  BatchFixture fixture(3);
+  fixture.table.latency = Duration::Milliseconds(20);
+  fixture.StartInstance("one");
+  fixture.StartInstance("two");
+  BatchSpec job = BatchFixture::MakeJob("job", kItems);
+  for (BatchItem& item : job.items) {
+    item.body.resize(kBodyBytes, 'x');
+  }
+  std::vector<SubmitOutcome> outcomes;
+  for (int i = 0; i < 3; ++i) {
+    fixture.instances.at("one")->coordinator.Submit(
+        job, Duration::Milliseconds(2500), [&outcomes](SubmitOutcome outcome) { outcomes.push_back(outcome); });
+    fixture.scheduler.Advance(Duration::Milliseconds(10));
+  }
+  BatchSpec other = job;
+  other.workspace = "sellers";
+  std::optional<SubmitOutcome> other_outcome;
+  fixture.instances.at("one")->coordinator.Submit(other, Duration::Milliseconds(2500),
+                                                  [&other_outcome](SubmitOutcome outcome) { other_outcome = outcome; });
+  fixture.scheduler.Advance(Duration::Seconds(2));
+  CHECK(outcomes == std::vector<SubmitOutcome>(3, SubmitOutcome::kAccepted));
+  CHECK(other_outcome == SubmitOutcome::kRefused);
+  std::set<std::string> submissions;
+  for (const auto& [key, row] : fixture.table.rows()) {
+    const TableKeyParts parts = SplitTableKey(key);
+    if (parts.table == "batch-items") {
+      submissions.insert(parts.name.substr(0, parts.name.find('.')));
+    }
+  }
+  // One of them is that of the other workspace.
+  CHECK(submissions.size() == 2);
+  std::string body;
+  fixture.instances.at("two")->coordinator.ReadItemBody(
+      "job", kBatchWorkspace, "job-item-1999", [&body](BatchCallStatus, const std::string& read) { body = read; });
+  fixture.scheduler.Advance(Duration::Seconds(10));
+  CHECK(body == job.items[1999].body);
+}
+
 }  // namespace
 }  // namespace quetzalridge
--- a/tests/platform/decoding_test.cc
+++ b/tests/platform/decoding_test.cc
@@ -4,6 +4,7 @@
 
 #include "base/base64.h"
 #include "base/error.h"
+#include "platform/batch_submission_reader.h"
 #include "platform/caller_request_handler.h"
 #include "platform/node_settings.h"
 #include "platform/operator_documents.h"
@@ -296,7 +297,7 @@
   CHECK(spec.items[0].length_hint == 120);
   CHECK(spec.items[0].requested_tokens == 940);
   CHECK(spec.items[0].body == *DecodeBase64("q83vEjRWeJA="));
-  for (const HttpHeader& header : spec.items[0].headers) {
+  for (const HttpHeader& header : spec.items[0].headers.Unpack()) {
     CHECK(header.name != "api-key");
     CHECK(header.name != "x-quetzalridge-tenant");
   }
--- a/tests/state/memory_budget_test.cc
+++ b/tests/state/memory_budget_test.cc
@@ -133,6 +133,13 @@
   CHECK(budget.used(HolderKind::kJob) == 3000);
   CHECK(budget.HasRoom(HolderKind::kJob, 1000));
   CHECK_FALSE(budget.HasRoom(HolderKind::kJob, 1001));
+  // A job that is alone may take all of it, one beside another may not.
+  CHECK(budget.HasRoom(HolderKind::kJob, 8000, 3000));
+  CHECK_FALSE(budget.HasRoom(HolderKind::kJob, 8001, 3000));
+  TestHolder other(&budget, HolderKind::kJob);
+  other.share.Record(1);
+  CHECK(budget.HasRoom(HolderKind::kJob, 3999, 3000));
+  CHECK_FALSE(budget.HasRoom(HolderKind::kJob, 4000, 3000));
 }
 
 // Guards against a second holder that is ended while the memory of the first is about to be freed.
