--- a/src/placement/job_placer.cc
+++ b/src/placement/job_placer.cc
@@ -9,8 +9,8 @@
 
 // Intervals are recorded in pieces, so that the speed of a slow endpoint is known before its item ends.
 constexpr int kRecordedIntervals = 8;
-// Ordering the items of a job of some hundred items takes about 0.1 ms, so it is not repeated for each result. That of a
-// large job takes longer, and is done at most this often.
+// Ordering the items of a job of some hundred items takes about 0.1 ms, so it is not repeated for each result. That of
+// a large job takes longer, and is done at most this often.
 constexpr int kMinResultsPerOrder = 8;
 constexpr int kMaxOrdersPerJob = 100;
 
