Keep what the loop and the connections use when an HttpServer is destroyed

platform_test used freed memory: HttpServer held the HTTP library's context as a member, while the loop's list of timeouts and open connections refer to it. The test makes a server for each response; the programs keep theirs until they exit.

The context, the configuration and what the library's callbacks refer to outlive the server now. Requests on connections of a destroyed server call no handler, responses that are due are sent, and unfinished TLS handshakes are closed.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -469,24 +469,23 @@
  public:
   Impl(EventLoop* loop, HttpServerOptions options, HttpHandler* handler)
       : m_loop(loop), m_options(std::move(options)), m_handler(handler) {
-    h2o_config_init(&m_config);
-    m_config.max_request_entity_size = m_options.max_body_bytes;
-    m_config.http1.req_timeout = LibraryTimeoutMs();
+    h2o_config_init(&m_library->config);
+    m_library->config.max_request_entity_size = m_options.max_body_bytes;
+    m_library->config.http1.req_timeout = LibraryTimeoutMs();
     // Instances have no disk; by default, h2o moves buffers of 32 MB and more to a file.
     h2o_socket_buffer_mmap_settings.threshold = std::numeric_limits<size_t>::max();
-    m_config.http1.upgrade_to_http2 = 0;
-    m_config.server_name = h2o_iovec_init(H2O_STRLIT("quetzalridge"));
-    h2o_hostconf_t* host = h2o_config_register_host(&m_config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+    m_library->config.http1.upgrade_to_http2 = 0;
+    m_library->config.server_name = h2o_iovec_init(H2O_STRLIT("quetzalridge"));
+    h2o_hostconf_t* host = h2o_config_register_host(&m_library->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
     // Refusals that h2o sends on its own belong to no path.
     h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))->on_setup_ostream = &SetUpRefusal;
-    auto* request_handler = reinterpret_cast<RequestHandler*>(h2o_create_handler(path, sizeof(RequestHandler)));
-    request_handler->base.on_req = &OnRequest;
-    request_handler->owner = this;
-    h2o_context_init(&m_context, m_loop->h2o_loop(), &m_config);
-    std::memset(&m_accept, 0, sizeof(m_accept));
-    m_accept.ctx = &m_context;
-    m_accept.hosts = m_config.hosts;
+    m_request_handler = reinterpret_cast<RequestHandler*>(h2o_create_handler(path, sizeof(RequestHandler)));
+    m_request_handler->base.on_req = &OnRequest;
+    m_request_handler->owner = this;
+    h2o_context_init(&m_library->context, m_loop->h2o_loop(), &m_library->config);
+    m_library->accept.ctx = &m_library->context;
+    m_library->accept.hosts = m_library->config.hosts;
     if (!m_options.tls_certificate_file.empty() && !ReloadTls()) {
       throw Error(ErrorCode::kInvalidSettings, "cannot read the TLS certificate " + m_options.tls_certificate_file +
                                                    " or its key; give a PEM chain and the matching PEM key");
@@ -494,27 +493,38 @@
     Listen();
   }
 
-  // The h2o context stays, since connections may still refer to it; servers live as long as the process.
+  // Connections and responses may outlast the server. They are closed by their clients or by the timeouts of the
+  // library, and further requests on them are not handled.
   ~Impl() {
     CloseListener();
+    *m_self = nullptr;
+    m_request_handler->owner = nullptr;
+    // Only the server reacts to the end of a handshake.
+    std::vector<h2o_socket_t*> in_handshake;
     for (const auto& [socket, connection] : m_connections) {
       if (socket->_cb.read == &OnRead) {
         socket->_cb.read = connection->read_callback;
       }
       socket->on_close.cb = nullptr;
+      if (connection->state == ConnectionState::kHandshake) {
+        in_handshake.push_back(socket);
+      }
       if (const std::shared_ptr<H2oResponder> responder = connection->responder.lock()) {
         responder->DropOutputCallback();
       }
     }
+    for (h2o_socket_t* socket : in_handshake) {
+      h2o_socket_close(socket);
+    }
   }
 
   int port() const { return m_port; }
 
   void SetLimits(const HttpServerLimits& limits) {
     static_cast<HttpServerLimits&>(m_options) = limits;
-    m_config.max_request_entity_size = limits.max_body_bytes;
-    m_config.http1.req_timeout = LibraryTimeoutMs();
-    m_context.http1.req_timeout.timeout = m_config.http1.req_timeout;
+    m_library->config.max_request_entity_size = limits.max_body_bytes;
+    m_library->config.http1.req_timeout = LibraryTimeoutMs();
+    m_library->context.http1.req_timeout.timeout = m_library->config.http1.req_timeout;
   }
 
   const HttpServerCounts& counts() const { return m_counts; }
@@ -524,7 +534,7 @@
     StopKeepAlive();
   }
 
-  void StopKeepAlive() { h2o_context_request_shutdown(&m_context); }
+  void StopKeepAlive() { h2o_context_request_shutdown(&m_library->context); }
 
   int active_requests() const { return m_active_requests; }
 
@@ -535,21 +545,34 @@
     if (context == nullptr) {
       return false;
     }
-    if (m_accept.ssl_ctx != nullptr) {
-      SSL_CTX_free(m_accept.ssl_ctx);
+    if (m_library->accept.ssl_ctx != nullptr) {
+      SSL_CTX_free(m_library->accept.ssl_ctx);
     }
-    m_accept.ssl_ctx = context;
+    m_library->accept.ssl_ctx = context;
     return true;
   }
 
  private:
   struct RequestHandler {
     h2o_handler_t base;
+    // Null once the server is destroyed.
     Impl* owner;
   };
 
+  // What the loop and the connections refer to. The loop's list of timeouts has those of the context, so this is kept
+  // for the life of the process, as the loop is.
+  struct Library {
+    h2o_globalconf_t config{};
+    h2o_context_t context{};
+    h2o_accept_ctx_t accept{};
+  };
+
   static int OnRequest(h2o_handler_t* self, h2o_req_t* request) {
     Impl* owner = reinterpret_cast<RequestHandler*>(self)->owner;
+    if (owner == nullptr) {
+      // The library answers by itself.
+      return -1;
+    }
     h2o_socket_t* socket = request->conn->callbacks->get_socket(request->conn);
     const auto found = owner->m_connections.find(socket);
     Connection* connection = found == owner->m_connections.end() ? nullptr : found->second.get();
@@ -562,9 +585,11 @@
     auto responder = std::make_shared<H2oResponder>(request, &owner->m_loop->clock(), std::move(on_output));
     void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ResponderHolder), &DisposeHolder);
     ++owner->m_active_requests;
-    new (memory) ResponderHolder{responder, [owner, socket] {
-                                   --owner->m_active_requests;
-                                   owner->OnResponseEnd(socket);
+    new (memory) ResponderHolder{responder, [self = owner->m_self, socket] {
+                                   if (*self != nullptr) {
+                                     --(*self)->m_active_requests;
+                                     (*self)->OnResponseEnd(socket);
+                                   }
                                  }};
     owner->Watch(responder);
     try {
@@ -783,7 +808,7 @@
   void SetLibraryBodyLimit(const Connection* connection) {
     const bool has_room =
         connection->state == ConnectionState::kBody || connection->socket->input->size > m_options.max_body_bytes;
-    m_config.max_request_entity_size = m_options.max_body_bytes + (has_room ? m_options.max_head_bytes : 0);
+    m_library->config.max_request_entity_size = m_options.max_body_bytes + (has_room ? m_options.max_head_bytes : 0);
   }
 
   // Follows the state of the request that is being received, and charges its memory.
@@ -1058,13 +1083,13 @@
         continue;
       }
       Connection* connection = AddConnection(socket);
-      if (m_accept.ssl_ctx == nullptr) {
+      if (m_library->accept.ssl_ctx == nullptr) {
         StartHttp(connection);
         continue;
       }
       SetState(connection, ConnectionState::kHandshake);
       socket->data = connection;
-      h2o_socket_ssl_handshake(socket, m_accept.ssl_ctx, nullptr, &OnHandshake);
+      h2o_socket_ssl_handshake(socket, m_library->accept.ssl_ctx, nullptr, &OnHandshake);
     }
   }
 
@@ -1087,7 +1112,7 @@
   void StartHttp(Connection* connection) {
     timeval now{};
     gettimeofday(&now, nullptr);
-    h2o_http1_accept(&m_accept, connection->socket, now);
+    h2o_http1_accept(&m_library->accept, connection->socket, now);
     WrapRead(connection);
   }
 
@@ -1144,9 +1169,11 @@
   EventLoop* m_loop;
   HttpServerOptions m_options;
   HttpHandler* m_handler;
-  h2o_globalconf_t m_config{};
-  h2o_context_t m_context{};
-  h2o_accept_ctx_t m_accept{};
+  // Not deleted.
+  Library* m_library = new Library;
+  RequestHandler* m_request_handler = nullptr;
+  // Null once the server is destroyed.
+  std::shared_ptr<Impl*> m_self = std::make_shared<Impl*>(this);
   h2o_socket_t* m_listener = nullptr;
   int m_port = 0;
   int m_active_requests = 0;
--- a/tests/transport/http_server_test.cc
+++ b/tests/transport/http_server_test.cc
@@ -411,5 +411,54 @@
   std::filesystem::remove_all(folder);
 }
 
+// Overwrites freed memory of the sizes that a server may have had.
+std::vector<std::vector<char>> ReuseFreedMemory() {
+  constexpr size_t kMaxBytes = 8192;
+  constexpr int kBlocksPerSize = 4;
+  std::vector<std::vector<char>> blocks;
+  for (size_t size = 16; size <= kMaxBytes; size += 16) {
+    for (int i = 0; i < kBlocksPerSize; ++i) {
+      blocks.emplace_back(size - 8, static_cast<char>(0xa5));
+    }
+  }
+  return blocks;
+}
+
+// Guards against memory of a server that its loop and its connections go on to use.
+TEST_CASE("a server can be destroyed while its loop and its connections go on") {
+  EventLoop loop;
+  EchoHandler handler;
+  const auto run = [&loop] {
+    for (int turn = 0; turn < 20; ++turn) {
+      loop.RunOnce(Duration::Milliseconds(2));
+    }
+  };
+  auto server = std::make_unique<HttpServer>(&loop, HttpServerOptions(), &handler);
+  RawConnection idle(server->port());
+  RawConnection waiting(server->port());
+  RawConnection unfinished(server->port());
+  const std::string request = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n";
+  idle.Send(request);
+  waiting.Send("POST /hold HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n");
+  unfinished.Send("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nab");
+  run();
+  REQUIRE(handler.requests == 2);
+  REQUIRE(handler.held != nullptr);
+  REQUIRE(idle.Receive().rfind("HTTP/1.1 200", 0) == 0);
+
+  server.reset();
+  const std::vector<std::vector<char>> blocks = ReuseFreedMemory();
+  run();
+  idle.Send(request);
+  unfinished.Send("cde");
+  handler.held->Send(200, {}, "late");
+  run();
+  // No handler is called any more; a response that was due arrives.
+  CHECK(handler.requests == 2);
+  CHECK(waiting.Receive().rfind("HTTP/1.1 200", 0) == 0);
+  CHECK(idle.Receive().rfind("HTTP/1.1 200", 0) != 0);
+  CHECK(unfinished.Receive().rfind("HTTP/1.1 200", 0) != 0);
+}
+
 }  // namespace
 }  // namespace quetzalridge
