Encode and decode large items of a batch job without copies for each row

An item of 24 MB is in some 500 rows. Its rest was moved to the front of the buffer for each of them, and its decoding was tried again with each. Now the encoder keeps a position, and the rows of one read are decoded together.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -506,9 +506,11 @@
                             callback(nullptr);
                             return;
                           }
+                          std::string bytes;
                           for (const TableRow& row : read.rows) {
-                            decoder->Add(row.value);
+                            bytes += row.value;
                           }
+                          decoder->Add(bytes);
                           if (read.has_more && !read.rows.empty()) {
                             LoadItemsAfter(prefix, read.rows.back().key, decoder, callback);
                             return;
--- a/src/coordination/batch_coordinator.h
+++ b/src/coordination/batch_coordinator.h
@@ -228,7 +228,7 @@
   void StoreHead(const std::shared_ptr<Submission>& submission, TableTransaction transaction);
   void OnHeadStored(const std::shared_ptr<Submission>& submission, const BatchRows& rows, TimePoint sent_at,
                     const TransactResult& result);
-  // Takes a job over from the submission that stored it, and runs it if this process is the owner.
+  // Adds a job that a submission has stored, and runs it if this process is the owner.
   void AddStoredJob(Submission* submission, const BatchRows& rows, TimePoint sent_at);
   void FinishSubmission(const std::shared_ptr<Submission>& submission, SubmitOutcome outcome);
   // Answers a submission whose id the table already has.
--- a/src/coordination/batch_items_codec.cc
+++ b/src/coordination/batch_items_codec.cc
@@ -156,6 +156,8 @@
   Part part = Part::kItemCount;
   size_t index = 0;
   StringSink sink;
+  // The part of the encoded bytes that Next has returned.
+  size_t taken = 0;
   std::ostream stream;
   cereal::PortableBinaryOutputArchive archive;
 };
@@ -166,14 +168,16 @@
 
 std::string BatchItemsEncoder::Next(size_t max_bytes) {
   std::string& encoded = m_state->sink.bytes;
-  while (encoded.size() < max_bytes && m_state->part != Part::kEnd) {
+  while (encoded.size() - m_state->taken < max_bytes && m_state->part != Part::kEnd) {
+    encoded.erase(0, std::exchange(m_state->taken, 0));
     m_state->Step();
   }
-  if (encoded.size() <= max_bytes) {
-    return std::exchange(encoded, {});
+  std::string bytes = encoded.substr(m_state->taken, max_bytes);
+  m_state->taken += bytes.size();
+  if (m_state->taken == encoded.size()) {
+    std::string().swap(encoded);
+    m_state->taken = 0;
   }
-  std::string bytes = encoded.substr(0, max_bytes);
-  encoded.erase(0, max_bytes);
   return bytes;
 }
 
