--- a/src/base/heap_optional.h
+++ b/src/base/heap_optional.h
@@ -11,12 +11,15 @@
 class HeapOptional {
  public:
   HeapOptional() = default;
-  HeapOptional(Value value)
-      : m_value(std::make_unique<Value>(std::move(value))) {}  // NOLINT(google-explicit-constructor)
+  explicit HeapOptional(Value value) : m_value(std::make_unique<Value>(std::move(value))) {}
   HeapOptional(const HeapOptional& other) : m_value(other.has_value() ? std::make_unique<Value>(*other) : nullptr) {}
   HeapOptional(HeapOptional&&) noexcept = default;
   HeapOptional& operator=(const HeapOptional& other) { return *this = HeapOptional(other); }
   HeapOptional& operator=(HeapOptional&&) noexcept = default;
+  HeapOptional& operator=(Value value) {
+    m_value = std::make_unique<Value>(std::move(value));
+    return *this;
+  }
   ~HeapOptional() = default;
 
   bool has_value() const { return m_value != nullptr; }
