Keep one mark of a destroyed HttpServer, and count a job's memory once

HttpServer marked its destruction twice: in the owner of its request handler, and in a pointer that responses shared. The request handler is part of the configuration that outlives the server, so responses look at it alone.

Behaviour is unchanged.

--- a/src/coordination/batch_coordinator.cc
+++ b/src/coordination/batch_coordinator.cc
@@ -789,8 +789,8 @@
   const std::shared_ptr<Load> load = BeginLoad(id, &job);
   load->confirmed_at = sent_at;
   load->items = std::move(submission->spec.items);
+  load->memory.Record(submission->memory.bytes());
   submission->memory.Record(0);
-  load->memory.Record(JobMemoryBytes(load->items));
   LoadPartialTextsAndRun(load);
 }
 
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -497,7 +497,6 @@
   // library, and further requests on them are not handled.
   ~Impl() {
     CloseListener();
-    *m_self = nullptr;
     m_request_handler->owner = nullptr;
     // Only the server reacts to the end of a handshake.
     std::vector<h2o_socket_t*> in_handshake;
@@ -568,7 +567,8 @@
   };
 
   static int OnRequest(h2o_handler_t* self, h2o_req_t* request) {
-    Impl* owner = reinterpret_cast<RequestHandler*>(self)->owner;
+    auto* handler = reinterpret_cast<RequestHandler*>(self);
+    Impl* owner = handler->owner;
     if (owner == nullptr) {
       // The library answers by itself.
       return -1;
@@ -585,10 +585,10 @@
     auto responder = std::make_shared<H2oResponder>(request, &owner->m_loop->clock(), std::move(on_output));
     void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(ResponderHolder), &DisposeHolder);
     ++owner->m_active_requests;
-    new (memory) ResponderHolder{responder, [self = owner->m_self, socket] {
-                                   if (*self != nullptr) {
-                                     --(*self)->m_active_requests;
-                                     (*self)->OnResponseEnd(socket);
+    new (memory) ResponderHolder{responder, [handler, socket] {
+                                   if (handler->owner != nullptr) {
+                                     --handler->owner->m_active_requests;
+                                     handler->owner->OnResponseEnd(socket);
                                    }
                                  }};
     owner->Watch(responder);
@@ -1171,9 +1171,8 @@
   HttpHandler* m_handler;
   // Not deleted.
   Library* m_library = new Library;
+  // Part of the configuration in m_library, so it outlives the server.
   RequestHandler* m_request_handler = nullptr;
-  // Null once the server is destroyed.
-  std::shared_ptr<Impl*> m_self = std::make_shared<Impl*>(this);
   h2o_socket_t* m_listener = nullptr;
   int m_port = 0;
   int m_active_requests = 0;
